--- /dev/null
+++ b/internal/platform/engineclient/doc.go
@@ -0,0 +1,2 @@
+// Package engineclient is the adapter to model engines.
+package engineclient
--- /dev/null
+++ b/internal/platform/engineclient/stream.go
@@ -0,0 +1,99 @@
+package engineclient
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/chicorydale/chicorydale/internal/platform"
+	"github.com/chicorydale/chicorydale/internal/platform/wire"
+)
+
+// lineBytes bounds one line of an answer.
+const lineBytes = 64 << 10
+
+// stream implements platform.Stream on the body of a response.
+type stream struct {
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	target  string
+	silence time.Duration
+	body    io.ReadCloser
+	lines   *bufio.Scanner
+	next    int64
+	whole   bool
+	err     error
+}
+
+// newStream returns the stream of a response body, whose first token has index from.
+func newStream(ctx context.Context, client *Client, body io.ReadCloser, cancel context.CancelCauseFunc,
+	from int64,
+) *stream {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(nil, lineBytes)
+	return &stream{
+		ctx: ctx, cancel: cancel, target: client.name, silence: client.silence, body: body, lines: lines, next: from,
+	}
+}
+
+// Next waits for the next token. It returns io.EOF only after the engine's end marker and the number of tokens that it
+// gives, else a *platform.CrashedError; after an error it returns the same error again.
+func (s *stream) Next() (platform.Token, error) {
+	if s.err != nil {
+		return platform.Token{}, s.err
+	}
+	event, err := s.event()
+	switch {
+	case err != nil:
+	case event.Error != "":
+		err = errors.New(event.Error)
+	case event.Index != s.next:
+		err = fmt.Errorf("index %d instead of %d", event.Index, s.next)
+	case event.End:
+		s.whole, s.err = true, io.EOF
+		return platform.Token{}, io.EOF
+	default:
+		s.next++
+		return platform.Token{Index: event.Index, Text: event.Text}, nil
+	}
+	s.err = &platform.CrashedError{Target: s.target, Cause: err}
+	return platform.Token{}, s.err
+}
+
+// Close releases the stream; it does not cancel the call.
+func (s *stream) Close() error {
+	if s.whole {
+		// A connection is used again only if its response was read to the end.
+		_, _ = s.event()
+	}
+	err := s.body.Close()
+	s.cancel(context.Canceled)
+	return err
+}
+
+// event reads the next line that is not empty. The silence limit runs only while a line is awaited, so that a slow
+// reader does not break its own stream.
+func (s *stream) event() (wire.Event, error) {
+	timer := time.AfterFunc(s.silence, func() { s.cancel(errSilent) })
+	defer timer.Stop()
+	for s.lines.Scan() {
+		if len(s.lines.Bytes()) == 0 {
+			timer.Reset(s.silence)
+			continue
+		}
+		var event wire.Event
+		err := json.Unmarshal(s.lines.Bytes(), &event)
+		return event, err
+	}
+	if s.ctx.Err() != nil {
+		return wire.Event{}, context.Cause(s.ctx)
+	}
+	if err := s.lines.Err(); err != nil {
+		return wire.Event{}, err
+	}
+	return wire.Event{}, io.ErrUnexpectedEOF
+}
--- /dev/null
+++ b/internal/platform/hostsclient/client.go
@@ -0,0 +1,38 @@
+package hostsclient
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"slices"
+
+	"github.com/chicorydale/chicorydale/internal/platform"
+	"github.com/chicorydale/chicorydale/internal/platform/transport"
+)
+
+// listBytes bounds the list: 6,000 hosts of some 250 bytes take 1.5 MB.
+const listBytes = 16 << 20
+
+// Client implements platform.Hosts.
+type Client struct {
+	address   string
+	transport *transport.Client
+}
+
+var _ platform.Hosts = (*Client)(nil)
+
+// New returns a client of the host list at address (IP address and port).
+func New(address string, transport *transport.Client) *Client {
+	return &Client{address: address, transport: transport}
+}
+
+// List returns the newest list that the platform shows, sorted by name.
+func (c *Client) List(ctx context.Context) (platform.HostList, error) {
+	request := transport.Request{System: "host list", Address: c.address, Method: http.MethodGet, Path: "/hosts"}
+	var list platform.HostList
+	if err := c.transport.Read(ctx, request, listBytes, &list); err != nil {
+		return platform.HostList{}, err
+	}
+	slices.SortFunc(list.Hosts, func(a, b platform.Host) int { return cmp.Compare(a.Name, b.Name) })
+	return list, nil
+}
--- /dev/null
+++ b/internal/platform/serviceclient/doc.go
@@ -0,0 +1,2 @@
+// Package serviceclient is the adapter to replicas of plain services.
+package serviceclient
