--- /dev/null
+++ b/internal/settings/fault.go
@@ -0,0 +1,17 @@
+package settings
+
+// Fault is one fault of a settings file.
+type Fault struct {
+	// Path names the field, for example operator_hashes[1]; it is empty for a fault of the whole file.
+	Path string
+	// Problem is one clear line.
+	Problem string
+}
+
+// String returns path and problem in one line.
+func (f Fault) String() string {
+	if f.Path == "" {
+		return f.Problem
+	}
+	return f.Path + ": " + f.Problem
+}
