--- /dev/null
+++ b/internal/event/catalogue.go
@@ -0,0 +1,105 @@
+package event
+
+import "github.com/rs/zerolog"
+
+// Levels of the events. Info events mark changes of state, warnings need attention if they last, errors need it now.
+const (
+	debug   = zerolog.DebugLevel
+	info    = zerolog.InfoLevel
+	warning = zerolog.WarnLevel
+	failure = zerolog.ErrorLevel
+)
+
+// Events of the process.
+var (
+	Started  = Event{101, info, "started", []string{"host", "zone", "listen", "operate", "link"}}
+	Ready    = Event{102, info, "ready", []string{"version"}}
+	NotReady = Event{103, warning, "not_ready", []string{"reason"}}
+	Draining = Event{104, info, "draining", []string{"open"}}
+	Drained  = Event{105, info, "drained", []string{"took_ms"}}
+	DrainCut = Event{106, warning, "drain_cut", []string{"open"}}
+	Stopped  = Event{107, info, "stopped", nil}
+	Failed   = Event{108, failure, "failed", []string{"error"}}
+	Panicked = Event{109, failure, "panicked", []string{"error", "stack"}}
+	TickLate = Event{110, warning, "tick_late", []string{"late_ms"}}
+)
+
+// Events of the configuration.
+var (
+	ConfigApplied  = Event{201, info, "config_applied", []string{"version", "change", "author"}}
+	ConfigRejected = Event{202, warning, "config_rejected", []string{"change", "author", "reason"}}
+	ConfigTaken    = Event{203, info, "config_taken", []string{"version", "peer"}}
+	ConfigStale    = Event{204, warning, "config_stale", []string{"age_ms"}}
+	ConfigFresh    = Event{205, info, "config_fresh", []string{"version"}}
+	ConfigSnapshot = Event{206, info, "config_snapshot", []string{"version", "offset"}}
+)
+
+// Events of the log service and of the host list.
+var (
+	LogDown      = Event{301, warning, "log_down", []string{"stream", "error"}}
+	LogUp        = Event{302, info, "log_up", []string{"stream", "offset"}}
+	LogExpired   = Event{303, failure, "log_expired", []string{"stream", "from", "first"}}
+	LogUnsettled = Event{304, warning, "log_unsettled", []string{"stream", "error"}}
+	HostsDown    = Event{305, warning, "hosts_down", []string{"error"}}
+	HostsUp      = Event{306, info, "hosts_up", []string{"version"}}
+	HostsChanged = Event{307, info, "hosts_changed", []string{"version", "hosts"}}
+	RecordBroken = Event{308, failure, "record_broken", []string{"stream", "offset", "error"}}
+)
+
+// Events of the other routers.
+var (
+	LinkUp      = Event{401, info, "link_up", []string{"peer"}}
+	LinkDown    = Event{402, info, "link_down", []string{"peer", "error"}}
+	LinkRefused = Event{403, warning, "link_refused", []string{"peer", "reason"}}
+	PeerUp      = Event{404, info, "peer_up", []string{"peer"}}
+	PeerDown    = Event{405, warning, "peer_down", []string{"peer", "silent_ms"}}
+	PeerLeaving = Event{406, info, "peer_leaving", []string{"peer"}}
+	RoleGained  = Event{407, info, "role_gained", []string{"role"}}
+	RoleLost    = Event{408, info, "role_lost", []string{"role", "holder"}}
+	Isolated    = Event{409, warning, "isolated", []string{"live", "listed"}}
+	Rejoined    = Event{410, info, "rejoined", []string{"live", "listed"}}
+)
+
+// Events of the targets.
+var (
+	TargetAdded       = Event{501, info, "target_added", []string{"target", "pool"}}
+	TargetLeaving     = Event{502, info, "target_leaving", []string{"target"}}
+	TargetGone        = Event{503, info, "target_gone", []string{"target"}}
+	TargetCrashed     = Event{504, warning, "target_crashed", []string{"target", "error"}}
+	TargetUnreachable = Event{505, warning, "target_unreachable", []string{"target", "error"}}
+	TargetBack        = Event{506, info, "target_back", []string{"target"}}
+)
+
+// Events of requests.
+var (
+	Refused   = Event{601, debug, "refused", []string{"code", "customer", "message"}}
+	Retried   = Event{602, debug, "retried", []string{"reason", "customer", "target"}}
+	Resumed   = Event{603, debug, "resumed", []string{"customer", "target", "index"}}
+	Abandoned = Event{604, debug, "abandoned", []string{"customer", "target"}}
+)
+
+// Events of at-most-once claims.
+var (
+	ClaimLost    = Event{701, info, "claim_lost", []string{"claim", "holder"}}
+	ClaimUnknown = Event{702, warning, "claim_unknown", []string{"claim", "reason"}}
+)
+
+// Events of requests that crash targets.
+var (
+	SuspectFound   = Event{801, warning, "suspect_found", []string{"fingerprint", "customer", "target"}}
+	SuspectRefused = Event{802, warning, "suspect_refused", []string{"fingerprint", "customer"}}
+)
+
+// All returns all events, ordered by number.
+func All() []Event {
+	return []Event{
+		Started, Ready, NotReady, Draining, Drained, DrainCut, Stopped, Failed, Panicked, TickLate,
+		ConfigApplied, ConfigRejected, ConfigTaken, ConfigStale, ConfigFresh, ConfigSnapshot,
+		LogDown, LogUp, LogExpired, LogUnsettled, HostsDown, HostsUp, HostsChanged, RecordBroken,
+		LinkUp, LinkDown, LinkRefused, PeerUp, PeerDown, PeerLeaving, RoleGained, RoleLost, Isolated, Rejoined,
+		TargetAdded, TargetLeaving, TargetGone, TargetCrashed, TargetUnreachable, TargetBack,
+		Refused, Retried, Resumed, Abandoned,
+		ClaimLost, ClaimUnknown,
+		SuspectFound, SuspectRefused,
+	}
+}
--- /dev/null
+++ b/internal/metric/family.go
@@ -0,0 +1,56 @@
+package metric
+
+import (
+	"maps"
+	"slices"
+)
+
+// Family is one metric, with all its labels.
+type Family string
+
+// Metrics of a router. Each has a row in docs/operations.md.
+const (
+	FairnessGap     Family = "chicorydale_fairness_gap_units"
+	Utilisation     Family = "chicorydale_utilisation_ratio"
+	ControlBytes    Family = "chicorydale_control_bytes_total"
+	ControlCross    Family = "chicorydale_control_cross_bytes_total"
+	ControlKind     Family = "chicorydale_control_kind_bytes_total"
+	Refusals        Family = "chicorydale_refusals_total"
+	RetryTotal      Family = "chicorydale_retries_total"
+	Waiting         Family = "chicorydale_requests_waiting"
+	Running         Family = "chicorydale_requests_running"
+	Pools           Family = "chicorydale_pools_scheduled"
+	Ready           Family = "chicorydale_ready"
+	Isolated        Family = "chicorydale_isolated"
+	ConfigVersion   Family = "chicorydale_config_version"
+	ConfigStaleness Family = "chicorydale_config_staleness_seconds"
+)
+
+// help maps each metric to its help text.
+var help = map[Family]string{
+	FairnessGap:     "Largest service gap of two comparable customers that this router knows, in cost units over weight.",
+	Utilisation:     "Busy part of the slots that this router schedules, 0 to 1.",
+	ControlBytes:    "Bytes of control messages sent to other routers.",
+	ControlCross:    "Bytes of control messages sent to routers of other regions.",
+	ControlKind:     "Bytes of control messages sent, by kind of message and region of the receiver.",
+	Refusals:        "Refused requests by code.",
+	RetryTotal:      "Retries by reason.",
+	Waiting:         "Requests of this router's callers that wait for a slot.",
+	Running:         "Requests of this router's callers that run on a target.",
+	Pools:           "Pools that this router schedules.",
+	Ready:           "1 if the router accepts new requests, else 0.",
+	Isolated:        "1 if the router hears only some routers of its availability zone, else 0.",
+	ConfigVersion:   "Version of the configuration in force at this router.",
+	ConfigStaleness: "Seconds since this router last read the log to its end.",
+}
+
+// Families returns all metrics, sorted by name.
+func Families() []Family { return slices.Sorted(maps.Keys(help)) }
+
+// Help returns the help text of the metric.
+func (f Family) Help() string {
+	if text, found := help[f]; found {
+		return text
+	}
+	return "No description."
+}
