--- /dev/null
+++ b/internal/claim/record.go
@@ -0,0 +1,36 @@
+package claim
+
+import "github.com/google/uuid"
+
+// Kind is what a record of a claim stream says.
+type Kind byte
+
+// Kinds of records; the numbers are stored in the log.
+const (
+	// Claimed asks for a key.
+	Claimed Kind = 1
+	// Done stores the answer of a claim.
+	Done Kind = 2
+	// Released gives a claim up whose request was not and will not be sent.
+	Released Kind = 3
+)
+
+// Record is one record of a claim stream.
+type Record struct {
+	// Kind selects the fields that are set.
+	Kind Kind
+	// Key is the idempotency key.
+	Key uuid.UUID
+	// Claim is unique in the fleet: host, incarnation and number.
+	Claim string
+	// Customer is the number of the customer, for Claimed.
+	Customer uint32
+	// BodyHash is a hash of the request body, for Claimed.
+	BodyHash []byte
+	// Deadline is the instant after which the holder does not send, in Unix milliseconds, for Claimed.
+	Deadline int64
+	// Status is the status of the answer, for Done.
+	Status uint32
+	// Answer is the body of the answer, for Done.
+	Answer []byte
+}
