Add the configuration core

Cause: the router process needs the fold of the configuration stream, publishing and the exchange with peers. Ruled out: sending the whole state to each peer that is behind; a peer that is a few versions behind gets the changes only.

--- /dev/null
+++ b/internal/config/snapshot.go
@@ -0,0 +1,53 @@
+package config
+
+// Snapshot is a whole state as a record.
+type Snapshot struct {
+	// Version is the state's version.
+	Version uint64 `json:"version"`
+	// Offset is the log offset up to which the state is folded.
+	Offset uint64 `json:"offset"`
+	// Issued is the highest number that was issued to a customer.
+	Issued uint32 `json:"issued"`
+	// Accepted are the last accepted changes, oldest first.
+	Accepted []Accepted `json:"accepted,omitempty"`
+	// Templates, Customers and Services are sorted by name.
+	Templates []Template `json:"templates,omitempty"`
+	Customers []Customer `json:"customers,omitempty"`
+	Services  []Service  `json:"services,omitempty"`
+}
+
+// NewSnapshot returns a state as it is at a log offset.
+func NewSnapshot(state State, offset uint64) Snapshot {
+	return Snapshot{
+		Version:   state.version,
+		Offset:    offset,
+		Issued:    state.issued,
+		Accepted:  state.accepted,
+		Templates: state.Templates(),
+		Customers: state.Customers(),
+		Services:  state.Services(),
+	}
+}
+
+// State returns the state of the snapshot, or an *InvalidError.
+func (s Snapshot) State() (State, error) {
+	content := Change{
+		ID: "snapshot", PutTemplates: s.Templates, PutCustomers: s.Customers, PutServices: s.Services,
+	}
+	if err := (State{}).check(content); err != nil {
+		return State{}, err
+	}
+	state := State{}.with(Change{PutTemplates: s.Templates, PutServices: s.Services})
+	customers := clones(s.Customers, Customer.clone)
+	numbers := make(map[uint32]bool, len(customers))
+	var found faults
+	for _, customer := range customers {
+		if customer.Number == 0 || customer.Number > s.Issued || numbers[customer.Number] {
+			found.add("customers."+customer.Name+".number", "is %d, not a number of its own", customer.Number)
+		}
+		numbers[customer.Number] = true
+	}
+	state = state.withCustomers(customers, nil)
+	state.version, state.issued, state.accepted = s.Version, s.Issued, s.Accepted
+	return state, found.err()
+}
