Add the entry queue and the counters of shares

The entry queue keeps the requests of a router's callers: flood limits, demand for the home pools' schedulers, grants, progress and ends of runs. The share package has both sides of the fleet-wide counters: the scheduler's ledger and the owner's sums. An owner counts growth only from the first value that it sees of a source, because a source's earlier service may be part of the total already through the floor of another scheduler.

--- /dev/null
+++ b/internal/entry/address.go
@@ -0,0 +1,14 @@
+package entry
+
+import "cmp"
+
+// address is one pool's scheduler as the receiver of a message.
+type address struct {
+	host string
+	pool string
+}
+
+// compare orders addresses.
+func (a address) compare(b address) int {
+	return cmp.Or(cmp.Compare(a.host, b.host), cmp.Compare(a.pool, b.pool))
+}
--- /dev/null
+++ b/internal/entry/option.go
@@ -0,0 +1,11 @@
+package entry
+
+import "time"
+
+// Option changes a parameter of a queue.
+type Option func(*Queue)
+
+// WithProgress sets how often progress of runs is reported; it is 500 ms by default.
+func WithProgress(every time.Duration) Option {
+	return func(q *Queue) { q.every = every }
+}
--- /dev/null
+++ b/internal/share/ledger.go
@@ -0,0 +1,143 @@
+package share
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/chicorydale/chicorydale/internal/fleetpb"
+	"github.com/chicorydale/chicorydale/internal/message"
+)
+
+// Ledger counts the service that one scheduler gave to the customers of one pool in its incarnation.
+type Ledger struct {
+	model       string
+	source      string
+	incarnation uint64
+	accounts    map[uint32]*account
+	changed     [Shards]map[uint32]struct{}
+	next        [Shards]time.Time
+}
+
+// Route tells a ledger who owns a shard and how long it waits between two reports to that owner. The owner is empty if
+// it cannot be reached.
+type Route func(shard uint32) (owner string, period time.Duration)
+
+// NewLedger returns an empty ledger; source is the name of the pool.
+func NewLedger(model, source string, incarnation uint64) *Ledger {
+	return &Ledger{model: model, source: source, incarnation: incarnation, accounts: make(map[uint32]*account)}
+}
+
+// Charge adds weighted milli-units to a customer.
+func (l *Ledger) Charge(customer uint32, units uint64) {
+	l.account(customer).charge(units)
+	l.mark(customer)
+}
+
+// Refund takes back weighted milli-units that were charged by an estimate.
+func (l *Ledger) Refund(customer uint32, units uint64) { l.account(customer).refund(units) }
+
+// Counter returns the fleet-wide total of a customer as far as this ledger knows, in weighted milli-units.
+func (l *Ledger) Counter(customer uint32) uint64 {
+	if found, ok := l.accounts[customer]; ok {
+		return found.view()
+	}
+	return 0
+}
+
+// Raise lifts a customer's counter to a floor, for a customer that returns from idle.
+func (l *Ledger) Raise(customer uint32, floor uint64) {
+	if l.account(customer).raise(floor) {
+		l.mark(customer)
+	}
+}
+
+// Counters returns the counters of all customers that this ledger has an account for.
+func (l *Ledger) Counters() map[uint32]uint64 {
+	all := make(map[uint32]uint64, len(l.accounts))
+	for customer, found := range l.accounts {
+		all[customer] = found.view()
+	}
+	return all
+}
+
+// Mark makes the next report carry a customer that is backlogged, so that the owner answers with its total.
+func (l *Ledger) Mark(customer uint32) {
+	l.account(customer)
+	l.mark(customer)
+}
+
+// Report returns the reports that are due, one for each shard with changed or marked customers.
+func (l *Ledger) Report(now time.Time, route Route) []message.Envelope {
+	var out []message.Envelope
+	for shard := range uint32(Shards) {
+		if len(l.changed[shard]) == 0 || now.Before(l.next[shard]) {
+			continue
+		}
+		owner, period := route(shard)
+		if owner == "" {
+			continue
+		}
+		l.next[shard] = now.Add(period)
+		report := &fleetpb.Report{Model: l.model, Shard: shard, Source: l.source, Incarnation: l.incarnation}
+		for _, customer := range slices.Sorted(maps.Keys(l.changed[shard])) {
+			report.Accounts = append(report.Accounts, l.entries(customer)...)
+			if !l.accounts[customer].pending() {
+				delete(l.changed[shard], customer)
+			}
+		}
+		out = append(out, message.Envelope{To: owner, Body: &fleetpb.Body{Kind: &fleetpb.Body_Report{Report: report}}})
+	}
+	return out
+}
+
+// entries returns the message form of an account. Until an owner has answered, it begins with the zero from which this
+// incarnation started, since an owner counts growth only from the first value that it sees.
+func (l *Ledger) entries(customer uint32) []*fleetpb.Account {
+	found := l.accounts[customer]
+	entry := &fleetpb.Account{Customer: customer, Served: found.served}
+	if found.lift {
+		entry.Floor = found.base + found.served
+		found.lift = false
+	}
+	if found.known || found.served == 0 {
+		return []*fleetpb.Account{entry}
+	}
+	return []*fleetpb.Account{{Customer: customer}, entry}
+}
+
+// Receive takes over an owner's answer. An answer to another source or incarnation changes nothing.
+func (l *Ledger) Receive(totals *fleetpb.Totals) {
+	if totals.GetModel() != l.model || totals.GetSource() != l.source || totals.GetIncarnation() != l.incarnation {
+		return
+	}
+	for _, total := range totals.GetTotals() {
+		found, ok := l.accounts[total.GetCustomer()]
+		if !ok {
+			continue
+		}
+		found.settle(total.GetTotal(), total.GetIncluded())
+		if found.pending() {
+			l.mark(total.GetCustomer())
+		}
+	}
+}
+
+// account returns the account of a customer and creates it if there is none.
+func (l *Ledger) account(customer uint32) *account {
+	found, ok := l.accounts[customer]
+	if !ok {
+		found = &account{}
+		l.accounts[customer] = found
+	}
+	return found
+}
+
+// mark adds a customer to the next report of its shard.
+func (l *Ledger) mark(customer uint32) {
+	shard := ShardOf(customer)
+	if l.changed[shard] == nil {
+		l.changed[shard] = make(map[uint32]struct{})
+	}
+	l.changed[shard][customer] = struct{}{}
+}
