Emulate the outside systems

Tests and trials need a log service, a host list, engines and plain services that fail on demand. Package pipenet is a network of net.Pipe connections: real sockets do not block durably for testing/synctest, pipes do, so that adapters and emulated systems can be tested in virtual time.

--- /dev/null
+++ b/internal/emulator/hostserver/change.go
@@ -0,0 +1,10 @@
+package hostserver
+
+import "github.com/chicorydale/chicorydale/internal/platform"
+
+// change is one change of the list.
+type change struct {
+	name string
+	// host is the new entry, nil if the entry is removed.
+	host *platform.Host
+}
--- /dev/null
+++ b/internal/emulator/lag/doc.go
@@ -0,0 +1,2 @@
+// Package lag delays what an emulated system shows.
+package lag
--- /dev/null
+++ b/internal/emulator/pipenet/network.go
@@ -0,0 +1,54 @@
+package pipenet
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+)
+
+// Network connects dialers with listeners by address. The zero value is a network without listeners.
+type Network struct {
+	mu        sync.Mutex
+	listeners map[string]*listener
+}
+
+// Listen returns a listener for an address, which replaces an earlier one.
+func (n *Network) Listen(address string) net.Listener {
+	l := &listener{network: n, address: address, conns: make(chan net.Conn), closed: make(chan struct{})}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.listeners == nil {
+		n.listeners = make(map[string]*listener)
+	}
+	n.listeners[address] = l
+	return l
+}
+
+// DialContext connects to the listener of an address. Without a listener the error is syscall.ECONNREFUSED.
+func (n *Network) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
+	n.mu.Lock()
+	l := n.listeners[address]
+	n.mu.Unlock()
+	if l == nil {
+		return nil, syscall.ECONNREFUSED
+	}
+	client, server := net.Pipe()
+	select {
+	case l.conns <- server:
+		return client, nil
+	case <-l.closed:
+		return nil, syscall.ECONNREFUSED
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// remove forgets a listener unless another one took its address.
+func (n *Network) remove(l *listener) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.listeners[l.address] == l {
+		delete(n.listeners, l.address)
+	}
+}
--- /dev/null
+++ b/internal/emulator/registration/doc.go
@@ -0,0 +1,2 @@
+// Package registration changes entries of the emulated host list.
+package registration
