--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"maps"
 	"slices"
-	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -12,14 +11,21 @@
 // targetsPerShard is the least number of targets for which a pool is split into shards.
 const targetsPerShard = 4
 
-// View is an immutable picture of the fleet as one router sees it.
+// View is an immutable picture of the fleet as one router sees it. Pools, homes and schedulers are computed once, by
+// NewView, so that they can be asked for with each request.
 type View struct {
-	self    string
-	routers []Router
-	targets []Target
-	byName  map[string]int
-	pools   map[Pool][]string
-	poolOf  map[string]Pool
+	self       string
+	routers    []Router
+	targets    []Target
+	byName     map[string]int
+	pools      map[Pool][]string
+	poolOf     map[string]Pool
+	models     []string
+	byModel    map[string][]Pool
+	homes      map[string]Pool
+	live       []candidate
+	inZone     map[string][]candidate
+	schedulers map[Pool]string
 }
 
 // NewView returns the view of the router self. It takes over the slices, which are sorted by name.
@@ -27,17 +33,39 @@
 	slices.SortFunc(routers, func(a, b Router) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortFunc(targets, func(a, b Target) int { return cmp.Compare(a.Name, b.Name) })
 	view := View{
-		self:    self,
-		routers: routers,
-		targets: targets,
-		byName:  make(map[string]int, len(targets)),
-		pools:   make(map[Pool][]string),
-		poolOf:  make(map[string]Pool, len(targets)),
+		self:       self,
+		routers:    routers,
+		targets:    targets,
+		byName:     make(map[string]int, len(targets)),
+		pools:      make(map[Pool][]string),
+		poolOf:     make(map[string]Pool, len(targets)),
+		byModel:    make(map[string][]Pool),
+		homes:      make(map[string]Pool),
+		inZone:     make(map[string][]candidate),
+		schedulers: make(map[Pool]string),
 	}
 	for i, target := range targets {
 		view.byName[target.Name] = i
 	}
 	view.assign()
+	for pool := range view.pools {
+		view.byModel[pool.Model] = append(view.byModel[pool.Model], pool)
+	}
+	view.models = slices.Sorted(maps.Keys(view.byModel))
+	for _, router := range routers {
+		if router.State == Up {
+			entry := candidate{name: router.Name, hash: xxhash.Sum64String(router.Name)}
+			view.live = append(view.live, entry)
+			view.inZone[router.Zone] = append(view.inZone[router.Zone], entry)
+		}
+	}
+	for _, model := range view.models {
+		slices.SortFunc(view.byModel[model], comparePools)
+		view.homes[model] = view.home(model)
+		for _, pool := range view.byModel[model] {
+			view.schedulers[pool] = view.scheduler(pool)
+		}
+	}
 	return view
 }
 
@@ -56,7 +84,7 @@
 	for _, target := range v.targets {
 		pool := Pool{Zone: target.Zone, Model: target.Model}
 		shards := max(1, min(counts[pool]/targetsPerShard, inZone[target.Zone]/len(models)))
-		pool.Shard = rendezvousShard(target.Name, shards)
+		pool.Shard = chooseShard(target.Name, shards)
 		v.pools[pool] = append(v.pools[pool], target.Name)
 		v.poolOf[target.Name] = pool
 	}
@@ -92,17 +120,8 @@
 	return v.targets[i], true
 }
 
-// Pools returns the pools of a model, sorted by name.
-func (v View) Pools(model string) []Pool {
-	var pools []Pool
-	for pool := range v.pools {
-		if pool.Model == model {
-			pools = append(pools, pool)
-		}
-	}
-	slices.SortFunc(pools, comparePools)
-	return pools
-}
+// Pools returns the pools of a model, sorted by name; the caller must not change the slice.
+func (v View) Pools(model string) []Pool { return v.byModel[model] }
 
 // Members returns the names of the targets in a pool, sorted; the caller must not change the slice.
 func (v View) Members(pool Pool) []string { return v.pools[pool] }
@@ -113,30 +132,31 @@
 	return pool, found
 }
 
-// Models returns the names of all models and services that have a target, sorted.
-func (v View) Models() []string {
-	models := make(map[string]bool)
-	for pool := range v.pools {
-		models[pool.Model] = true
-	}
-	return slices.Sorted(maps.Keys(models))
-}
+// Models returns the names of all models and services that have a target, sorted; the caller must not change the
+// slice.
+func (v View) Models() []string { return v.models }
 
 // Home returns the pool to which this router announces its demand for a model: its rendezvous choice among the shards
 // of its own availability zone, else of its region, else of any.
 func (v View) Home(model string) (Pool, bool) {
-	self := v.Self()
+	pool, found := v.homes[model]
+	return pool, found
+}
+
+// home computes what Home returns.
+func (v View) home(model string) Pool {
+	self, hash := v.Self(), xxhash.Sum64String(v.self)
 	var home Pool
 	var best uint64
 	bestRank := -1
-	for _, pool := range v.Pools(model) {
+	for _, pool := range v.byModel[model] {
 		rank := v.nearness(self, pool)
-		weight := xxhash.Sum64String(v.self + "|" + pool.String())
+		weight := mix(hash, xxhash.Sum64String(pool.String()))
 		if rank > bestRank || rank == bestRank && weight > best {
 			home, best, bestRank = pool, weight, rank
 		}
 	}
-	return home, bestRank >= 0
+	return home
 }
 
 // nearness ranks a pool: 2 in the router's availability zone, 1 in its region, 0 elsewhere.
@@ -163,34 +183,24 @@
 // Scheduler returns the router that schedules a pool: the rendezvous choice among the live routers of its availability
 // zone, or among all live routers if there are none.
 func (v View) Scheduler(pool Pool) string {
-	inZone := func(r Router) bool { return r.Zone == pool.Zone }
-	if owner := v.choose("pool|"+pool.String(), inZone); owner != "" {
-		return owner
+	if scheduler, known := v.schedulers[pool]; known {
+		return scheduler
 	}
-	return v.Owner("pool|" + pool.String())
+	return v.scheduler(pool)
 }
 
-// Owner returns the rendezvous choice for a key among all live routers.
-func (v View) Owner(key string) string {
-	return v.choose(key, func(Router) bool { return true })
-}
-
-// choose returns the live router with the highest hash for the key among those that match.
-func (v View) choose(key string, match func(Router) bool) string {
-	owner := ""
-	var best uint64
-	for _, router := range v.routers {
-		if router.State != Up || !match(router) {
-			continue
-		}
-		weight := xxhash.Sum64String(router.Name + "|" + key)
-		if owner == "" || weight > best {
-			owner, best = router.Name, weight
-		}
+// scheduler computes what Scheduler returns.
+func (v View) scheduler(pool Pool) string {
+	key := "pool|" + pool.String()
+	if owner := choose(v.inZone[pool.Zone], xxhash.Sum64String(key)); owner != "" {
+		return owner
 	}
-	return owner
+	return v.Owner(key)
 }
 
+// Owner returns the rendezvous choice for a key among all live routers.
+func (v View) Owner(key string) string { return choose(v.live, xxhash.Sum64String(key)) }
+
 // Heard returns how many of the listed routers of an availability zone are live, and how many are listed, without
 // leaving ones.
 func (v View) Heard(zone string) (live, listed int) {
@@ -206,19 +216,6 @@
 	return live, listed
 }
 
-// rendezvousShard returns the rendezvous choice of a name among numbered shards.
-func rendezvousShard(name string, shards int) int {
-	choice := 0
-	var best uint64
-	for shard := range shards {
-		weight := xxhash.Sum64String(name + "|" + strconv.Itoa(shard))
-		if shard == 0 || weight > best {
-			choice, best = shard, weight
-		}
-	}
-	return choice
-}
-
 // comparePools orders pools by availability zone, model and shard.
 func comparePools(a, b Pool) int {
 	return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Model, b.Model), cmp.Compare(a.Shard, b.Shard))
