Add the client of the routers

A caller must not see a gap or a doubled token when its router fails. The client checks the index of each token, leaves out those it has, and goes on at the next address with the resume token. The test cuts the connection at every byte of an answer; a message that the cut leaves without its blank line is not used. Lines and events are bounded.

--- /dev/null
+++ b/pkg/client/fake_test.go
@@ -0,0 +1,84 @@
+package client_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// fake is a router that answers a model call with whole, cut or wrong event streams.
+type fake struct {
+	answer func(from int64, resumed bool) string
+	// cut is the number of bytes after which the first connection breaks, negative for none.
+	cut     int
+	asked   []string
+	refuse  func(path string) (status int, body string)
+	silence bool
+}
+
+// serve returns the address of the fake.
+func (f *fake) serve(t *testing.T) string {
+	t.Helper()
+	return serve(t, f)
+}
+
+// serve returns the address of a handler.
+func serve(t *testing.T, handler http.Handler) string {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+func (f *fake) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.asked = append(f.asked, r.URL.RequestURI())
+	if f.refuse != nil {
+		if status, body := f.refuse(r.URL.Path); status != 0 {
+			w.WriteHeader(status)
+			_, _ = w.Write([]byte(body))
+			return
+		}
+	}
+	w.Header().Set("Content-Type", "text/event-stream; charset=utf-8")
+	from, _ := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	text := f.answer(from, r.Method == http.MethodGet)
+	if f.cut < 0 || f.cut >= len(text) {
+		_, _ = w.Write([]byte(text))
+		return
+	}
+	_, _ = w.Write([]byte(text[:f.cut]))
+	w.(http.Flusher).Flush()
+	f.cut = -1
+	if f.silence {
+		<-r.Context().Done()
+		return
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// events returns the events of an answer of four tokens, from an index on.
+func events(from int64) string {
+	const count = 4
+	var text strings.Builder
+	text.WriteString(": a comment\r\nevent: start\r\ndata: {\"token\":\"t/1\"}\r\n\r\n")
+	for i := from; i < count; i++ {
+		fmt.Fprintf(&text, "event: token\nid: %d\ndata: {\"index\":%d,\ndata: \"text\":\"word%d \"}\n\n", i, i, i)
+	}
+	fmt.Fprintf(&text, "event: later\ndata\n\nevent: end\ndata: {\"tokens\":%d}\n\n", count)
+	return text.String()
+}
+
+// closed returns an address that nobody listens at.
+func closed(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, listener.Close(), qt.IsNil)
+	return listener.Addr().String()
+}
--- /dev/null
+++ b/pkg/client/option.go
@@ -0,0 +1,35 @@
+package client
+
+import (
+	"net/http"
+	"time"
+)
+
+// Option changes a client that New makes.
+type Option func(*Client)
+
+// WithAttempts sets how many connections in a row may bring nothing new before a call fails; the default is 8.
+func WithAttempts(count int) Option {
+	return func(c *Client) { c.attempts = max(1, count) }
+}
+
+// WithPause sets the pause after each round over all addresses; the default is 100 ms.
+func WithPause(pause time.Duration) Option {
+	return func(c *Client) { c.pause = pause }
+}
+
+// WithSilence sets how long a started stream may be silent before it is resumed at another router, zero for no limit;
+// the default is 15 s.
+func WithSilence(limit time.Duration) Option {
+	return func(c *Client) { c.silence = limit }
+}
+
+// WithLine sets the longest accepted line of an answer in bytes; the default is 1 MiB.
+func WithLine(limit int) Option {
+	return func(c *Client) { c.line = max(1, limit) }
+}
+
+// WithTransport sets the transport of the connections.
+func WithTransport(transport http.RoundTripper) Option {
+	return func(c *Client) { c.http.Transport = transport }
+}
