Schedule the slots of pools

The scheduler has tables of demands, runs, targets, loans and borrowed slots for each pool and runs its systems in a tick: expire, grant in the order of fleet-wide counters, lend, report. A pool whose backlogged customers are clearly ahead lends to one whose customers are behind, because customers are spread unevenly over availability zones and two busy pools would drift apart. The level of a pool travels as the account of customer zero of a report, since a summary has no field for it.

--- /dev/null
+++ b/internal/pool/loan.go
@@ -0,0 +1,22 @@
+package pool
+
+import "time"
+
+// loan is a number of slots of one target that another pool may use.
+type loan struct {
+	number   uint64
+	target   string
+	left     int
+	granted  time.Time
+	deadline time.Time
+}
+
+// borrowed is a number of slots of one target that another pool has lent.
+type borrowed struct {
+	owner    string
+	lender   string
+	number   uint64
+	target   string
+	left     int
+	deadline time.Time
+}
--- /dev/null
+++ b/internal/pool/report.go
@@ -0,0 +1,135 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/chicorydale/chicorydale/internal/fleetpb"
+	"github.com/chicorydale/chicorydale/internal/membership"
+)
+
+// neighbour is another pool of the same model that gets this pool's summaries.
+type neighbour struct {
+	pool string
+	host string
+	far  bool
+}
+
+// neighbours returns the pools that get a pool's summaries: in its own region those at distances 1, 2, 4 and so on
+// around the ring of the region's pools, which is all of them while there are few, and two in each other region.
+// Summaries to all pools would grow with their square.
+func neighbours(view membership.View, pool membership.Pool) []neighbour {
+	region := view.PoolRegion(pool)
+	rings := make(map[string][]membership.Pool)
+	var regions []string
+	for _, other := range view.Pools(pool.Model) {
+		name := view.PoolRegion(other)
+		if rings[name] == nil {
+			regions = append(regions, name)
+		}
+		rings[name] = append(rings[name], other)
+	}
+	at := 0
+	for i, other := range rings[region] {
+		if other == pool {
+			at = i
+		}
+	}
+	var out []neighbour
+	for _, name := range regions {
+		for _, other := range chosen(rings[name], at, name == region) {
+			if other != pool {
+				out = append(out, neighbour{pool: other.String(), host: view.Scheduler(other), far: name != region})
+			}
+		}
+	}
+	return out
+}
+
+// fewPools is the number of pools of one region up to which all are neighbours.
+const fewPools = 8
+
+// chosen returns the neighbours on one ring, seen from a position.
+func chosen(ring []membership.Pool, at int, own bool) []membership.Pool {
+	if own && len(ring) <= fewPools || len(ring) <= 2 {
+		return ring
+	}
+	if !own {
+		return []membership.Pool{ring[at%len(ring)], ring[(at+1)%len(ring)]}
+	}
+	seen := make(map[int]bool)
+	var out []membership.Pool
+	for step := 1; step < len(ring); step *= 2 {
+		for _, i := range []int{(at + step) % len(ring), (at + len(ring) - step) % len(ring)} {
+			if !seen[i] {
+				seen[i] = true
+				out = append(out, ring[i])
+			}
+		}
+	}
+	return out
+}
+
+// summarise tells neighbours how much waits here, as long as something waits and once after that.
+func (s *schedule) summarise(now time.Time, out *outbox, neighbours []neighbour) {
+	nearDue, farDue := !now.Before(s.nearAt), !now.Before(s.farAt)
+	if s.orphan || !nearDue && !farDue {
+		return
+	}
+	if nearDue {
+		s.nearAt = now.Add(s.near)
+	}
+	if farDue {
+		s.farAt = now.Add(s.far)
+	}
+	summary := &fleetpb.Summary{
+		Pool:    s.name,
+		Region:  s.region,
+		Waiting: uint32(len(s.demands)),
+		Free:    uint32(s.free(now)),
+		Rate:    s.meter.rate,
+		Backlog: s.estimated,
+	}
+	for _, to := range neighbours {
+		if due := nearDue && !to.far || farDue && to.far; !due {
+			continue
+		}
+		if _, connected := out.sessions[to.host]; !connected || len(s.demands) == 0 && !s.told[to.pool] {
+			continue
+		}
+		s.told[to.pool] = len(s.demands) > 0
+		out.send(to.host, &fleetpb.Body{Kind: &fleetpb.Body_Summary{Summary: summary}})
+		if level, found := s.lowest(); found {
+			out.send(to.host, s.levelReport(level))
+		}
+	}
+}
+
+// levelReport tells another scheduler the lowest counter of the customers that are backlogged here: a report with the
+// account of customer zero, which no configuration issues.
+func (s *schedule) levelReport(level uint64) *fleetpb.Body {
+	report := &fleetpb.Report{
+		Model:    s.pool.Model,
+		Source:   s.name,
+		Accounts: []*fleetpb.Account{{Floor: level}},
+	}
+	return &fleetpb.Body{Kind: &fleetpb.Body_Report{Report: report}}
+}
+
+// free returns the number of free slots for long classes.
+func (s *schedule) free(now time.Time) int {
+	free := 0
+	for _, row := range s.targets {
+		free += row.spare(now, false, s.limited())
+	}
+	return free
+}
+
+// mark asks the shard owners for the totals of all backlogged customers with the next reports.
+func (s *schedule) mark(now time.Time) {
+	if now.Before(s.nearAt) {
+		return
+	}
+	for customer := range s.backlogs {
+		s.ledger.Mark(customer)
+	}
+}
--- /dev/null
+++ b/internal/pool/run.go
@@ -0,0 +1,34 @@
+package pool
+
+import "time"
+
+// runKey names a run by its entry router and the grant that it got there.
+type runKey struct {
+	entry string
+	grant uint64
+}
+
+// run is a request that was granted and has not ended.
+type run struct {
+	key runKey
+	// incarnation is the entry router's incarnation, which knows the run.
+	incarnation uint64
+	request     uint64
+	customer    uint32
+	target      string
+	// weight is the customer's weight at dispatch; corrections use the same one.
+	weight uint64
+	// units is the service charged so far in milli-units, paid the same in weighted milli-units.
+	units uint64
+	paid  uint64
+	apart bool
+	// granted is zero for a run that a former scheduler granted.
+	granted  time.Time
+	deadline time.Time
+	// expiry is the caller's deadline, zero if it is not known.
+	expiry time.Time
+	// started is set once the entry router has reported the run.
+	started bool
+	// lost is the instant at which the session with the entry router broke, zero while it holds.
+	lost time.Time
+}
--- a/internal/share/sum.go
+++ b/internal/share/sum.go
@@ -69,7 +69,7 @@
 
 // answer returns the totals that a source asked for, sorted by customer, and forgets that it asked.
 func (s *sum) answer(from *source) []*fleetpb.Total {
-	var out []*fleetpb.Total
+	out := make([]*fleetpb.Total, 0, len(from.asked))
 	for _, customer := range slices.Sorted(maps.Keys(from.asked)) {
 		out = append(out, &fleetpb.Total{
 			Customer: customer,
