Move the faults of files into a package of their own

Change files need the same reading without loss as settings: repeated names found, all faults reported with their paths. The types move from settings to fault; settings.Parse returns *fault.Error.

--- a/internal/settings/fault.go
+++ b/internal/fault/fault.go
@@ -1,6 +1,8 @@
-package settings
+package fault
 
-// Fault is one fault of a settings file.
+import "fmt"
+
+// Fault is one fault of a file.
 type Fault struct {
 	// Path names the field, for example operator_hashes[1]; it is empty for a fault of the whole file.
 	Path string
@@ -8,6 +10,11 @@
 	Problem string
 }
 
+// New returns a fault with a formatted problem.
+func New(path, format string, args ...any) Fault {
+	return Fault{Path: path, Problem: fmt.Sprintf(format, args...)}
+}
+
 // String returns path and problem in one line.
 func (f Fault) String() string {
 	if f.Path == "" {
--- a/internal/settings/field.go
+++ b/internal/settings/field.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"github.com/chicorydale/chicorydale/internal/fault"
 )
 
 // Field describes one setting.
@@ -20,7 +22,7 @@
 	// Meaning is a sentence on the setting.
 	Meaning string
 
-	read  func(s *Settings, value json.RawMessage) []Fault
+	read  func(s *Settings, value json.RawMessage) []fault.Fault
 	value func(s Settings) any
 }
 
--- a/internal/settings/kind.go
+++ b/internal/settings/kind.go
@@ -1,7 +1,6 @@
 package settings
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/netip"
@@ -11,6 +10,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"github.com/chicorydale/chicorydale/internal/fault"
 )
 
 // side tells whether an address is listened on or connected to.
@@ -30,8 +31,8 @@
 )
 
 // one returns a list of one fault.
-func one(path, format string, args ...any) []Fault {
-	return []Fault{{Path: path, Problem: fmt.Sprintf(format, args...)}}
+func one(path, format string, args ...any) []fault.Fault {
+	return []fault.Fault{fault.New(path, format, args...)}
 }
 
 // text reads a JSON string.
@@ -41,28 +42,15 @@
 	return read, err == nil && value[0] == '"'
 }
 
-// brief returns a JSON value in one line of at most 80 characters.
-func brief(value json.RawMessage) string {
-	const limit = 80
-	var line bytes.Buffer
-	if err := json.Compact(&line, value); err != nil {
-		return err.Error()
-	}
-	if runes := []rune(line.String()); len(runes) > limit {
-		return string(runes[:limit-3]) + "..."
-	}
-	return line.String()
-}
-
 // name returns the field of a name.
 func name(field, meaning string, at func(*Settings) *string) Field {
 	return Field{
 		Name: field, Unit: "name", Meaning: meaning,
 		Range: "1 to 64 of a-z, 0-9, `-` and `.`, with a letter or digit at both ends",
-		read: func(s *Settings, value json.RawMessage) []Fault {
+		read: func(s *Settings, value json.RawMessage) []fault.Fault {
 			read, ok := text(value)
 			if !ok || !namePattern.MatchString(read) {
-				return one(field, "must be a name of 1 to 64 characters of a-z, 0-9, - and ., not %s", brief(value))
+				return one(field, "must be a name of 1 to 64 characters of a-z, 0-9, - and ., not %s", fault.Brief(value))
 			}
 			*at(s) = read
 			return nil
@@ -79,14 +67,14 @@
 	}
 	return Field{
 		Name: field, Unit: "IP address with port", Range: limits, Meaning: meaning,
-		read: func(s *Settings, value json.RawMessage) []Fault {
+		read: func(s *Settings, value json.RawMessage) []fault.Fault {
 			read, ok := text(value)
 			parsed, err := netip.ParseAddrPort(read)
 			if !ok || err != nil {
-				return one(field, "must be an IP address with port, such as \"127.0.0.1:8080\", not %s", brief(value))
+				return one(field, "must be an IP address with port, such as \"127.0.0.1:8080\", not %s", fault.Brief(value))
 			}
 			if where == remote && (parsed.Port() == 0 || parsed.Addr().IsUnspecified()) {
-				return one(field, "must be an address to connect to, with a port from 1 to 65535, not %s", brief(value))
+				return one(field, "must be an address to connect to, with a port from 1 to 65535, not %s", fault.Brief(value))
 			}
 			*at(s) = parsed
 			return nil
@@ -99,12 +87,12 @@
 func hashes(field, meaning string, at func(*Settings) *[]string) Field {
 	return Field{
 		Name: field, Unit: "SHA-256 in lower-case hex", Range: "64 digits each, no hash twice", Meaning: meaning,
-		read: func(s *Settings, value json.RawMessage) []Fault {
+		read: func(s *Settings, value json.RawMessage) []fault.Fault {
 			var elements []json.RawMessage
 			if err := json.Unmarshal(value, &elements); err != nil || value[0] != '[' {
-				return one(field, "must be a list of hashes, not %s", brief(value))
+				return one(field, "must be a list of hashes, not %s", fault.Brief(value))
 			}
-			var faults []Fault
+			var faults []fault.Fault
 			read := make([]string, 0, len(elements))
 			for i, element := range elements {
 				path := field + "[" + strconv.Itoa(i) + "]"
@@ -139,10 +127,10 @@
 	}
 	return Field{
 		Name: field, Unit: unit, Range: fmt.Sprintf("%d to %d", low, high), Meaning: meaning,
-		read: func(s *Settings, value json.RawMessage) []Fault {
+		read: func(s *Settings, value json.RawMessage) []fault.Fault {
 			read, err := strconv.ParseInt(string(value), 10, 64)
 			if err != nil {
-				return one(field, "must be a whole number%s from %d to %d, not %s", of, low, high, brief(value))
+				return one(field, "must be a whole number%s from %d to %d, not %s", of, low, high, fault.Brief(value))
 			}
 			if read < low || read > high {
 				return one(field, "must be from %d to %d%s, not %d", low, high, plural, read)
@@ -158,11 +146,11 @@
 func level(field, meaning string, at func(*Settings) *zerolog.Level) Field {
 	return Field{
 		Name: field, Unit: "level", Range: "trace, debug, info, warn, error", Meaning: meaning,
-		read: func(s *Settings, value json.RawMessage) []Fault {
+		read: func(s *Settings, value json.RawMessage) []fault.Fault {
 			read, ok := text(value)
 			parsed, err := zerolog.ParseLevel(read)
 			if !ok || err != nil || !slices.Contains(levels, read) {
-				return one(field, "must be one of trace, debug, info, warn, error, not %s", brief(value))
+				return one(field, "must be one of trace, debug, info, warn, error, not %s", fault.Brief(value))
 			}
 			*at(s) = parsed
 			return nil
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -1,17 +1,15 @@
 package settings
 
 import (
-	"bytes"
-	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 	"net/netip"
 	"os"
 	"strings"
+
+	"github.com/chicorydale/chicorydale/internal/fault"
 )
 
-// Load reads a settings file. A fault of its content is an *Error with all faults.
+// Load reads a settings file. A fault of its content is a *fault.Error with all faults.
 func Load(path string) (Settings, error) {
 	data, err := os.ReadFile(path) //nolint:gosec // The operator names the file on the command line.
 	if err != nil {
@@ -20,41 +18,41 @@
 	return Parse(data)
 }
 
-// Parse reads settings from JSON; a field that is not given has its default. An error is an *Error with all faults.
+// Parse reads settings from JSON; a field that is not given has its default. An error is a *fault.Error with all faults.
 func Parse(data []byte) (Settings, error) {
-	members, fault := split(data)
-	if fault != nil {
-		return Settings{}, &Error{Faults: []Fault{*fault}}
+	members, wrong := fault.Split(data)
+	if wrong != nil {
+		return Settings{}, fault.Join([]fault.Fault{*wrong})
 	}
 	known := make(map[string]Field)
 	for _, field := range fields() {
 		known[field.Name] = field
 	}
 	result := Default()
-	var faults []Fault
+	var faults []fault.Fault
 	seen := make(map[string]bool)
 	for _, member := range members {
-		field, found := known[member.name]
+		field, found := known[member.Name]
 		switch {
-		case seen[member.name]:
-			faults = append(faults, one(member.name, "is given twice")...)
+		case seen[member.Name]:
+			faults = append(faults, one(member.Name, "is given twice")...)
 		case !found:
-			faults = append(faults, one(member.name, "is not a setting%s", hint(member.name))...)
+			faults = append(faults, one(member.Name, "is not a setting%s", hint(member.Name))...)
 		default:
-			faults = append(faults, field.read(&result, member.value)...)
+			faults = append(faults, field.read(&result, member.Value)...)
 		}
-		seen[member.name] = true
+		seen[member.Name] = true
 	}
 	faults = append(faults, result.conflicts()...)
-	if len(faults) > 0 {
-		return Settings{}, &Error{Faults: faults}
+	if err := fault.Join(faults); err != nil {
+		return Settings{}, err
 	}
 	return result, nil
 }
 
 // conflicts returns the faults between fields.
-func (s Settings) conflicts() []Fault {
-	var faults []Fault
+func (s Settings) conflicts() []fault.Fault {
+	var faults []fault.Fault
 	if s.claimWindow > s.logRetention/2 {
 		faults = append(faults, one("claim_window_ms", "must be at most half of log_retention_ms, %d, not %d",
 			(s.logRetention/2).Milliseconds(), s.claimWindow.Milliseconds())...)
@@ -93,55 +91,3 @@
 	}
 	return name
 }
-
-// member is one name and value of a JSON object.
-type member struct {
-	name  string
-	value json.RawMessage
-}
-
-// split reads the members of a JSON object in their order, repeated ones included.
-func split(data []byte) ([]member, *Fault) {
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	opening, err := decoder.Token()
-	if err != nil {
-		return nil, syntax(data, decoder, err)
-	}
-	if opening != json.Delim('{') {
-		return nil, &Fault{Problem: "settings must be one JSON object"}
-	}
-	var members []member
-	for decoder.More() {
-		var next member
-		token, err := decoder.Token()
-		if err != nil {
-			return nil, syntax(data, decoder, err)
-		}
-		next.name, _ = token.(string)
-		if err := decoder.Decode(&next.value); err != nil {
-			return nil, syntax(data, decoder, err)
-		}
-		members = append(members, next)
-	}
-	if _, err := decoder.Token(); err != nil {
-		return nil, syntax(data, decoder, err)
-	}
-	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return nil, &Fault{Problem: "settings must be one JSON object with nothing after it"}
-	}
-	return members, nil
-}
-
-// syntax returns the fault of text that is not JSON, with its line.
-func syntax(data []byte, decoder *json.Decoder, err error) *Fault {
-	offset := decoder.InputOffset()
-	var wrong *json.SyntaxError
-	if errors.As(err, &wrong) {
-		offset = max(offset, wrong.Offset)
-	}
-	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
-		offset, err = int64(len(data)), errors.New("the text ends too early")
-	}
-	line := 1 + bytes.Count(data[:min(offset, int64(len(data)))], []byte("\n"))
-	return &Fault{Path: fmt.Sprintf("line %d", line), Problem: "is not JSON: " + err.Error()}
-}
