Join the decision cores into a node and a router process

Cause: the cores decide but do nothing by themselves; a request needs a path from an entry host to a target. Ruled out: dropping unneeded links like broken ones, since the peer would count as down; a released session ends with a half-close, seen by both sides in the test.

--- /dev/null
+++ b/internal/config/classes.go
@@ -0,0 +1,19 @@
+package config
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// Classes returns the names of the customer's classes, sorted.
+func (p Parameters) Classes() []string { return slices.Sorted(maps.Keys(p.classes)) }
+
+// Quickest returns the name of the class with the least patience, empty if there is none.
+func (p Parameters) Quickest() string {
+	names := p.Classes()
+	if len(names) == 0 {
+		return ""
+	}
+	return slices.MinFunc(names, func(a, b string) int { return cmp.Compare(p.classes[a].Patience, p.classes[b].Patience) })
+}
--- a/internal/link/event.go
+++ b/internal/link/event.go
@@ -12,6 +12,8 @@
 	Connected bool
 	// Disconnected is set when a session has ended.
 	Disconnected bool
+	// Released is set with Disconnected if one side ended the session because it did not need it any more.
+	Released bool
 	// Failed is set when a session could not be opened.
 	Failed bool
 	// Bodies are received messages, in order.
--- a/internal/link/hub.go
+++ b/internal/link/hub.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -37,7 +38,7 @@
 	self        Peer
 	incarnation uint64
 	events      chan Event
-	traffic     Traffic
+	recorder    Recorder
 	server      *grpc.Server
 	ctx         context.Context
 	stop        context.CancelFunc
@@ -50,12 +51,13 @@
 	dropped  uint64
 }
 
-// New returns the hub of a router; Serve accepts sessions and Connect opens them.
-func New(self Peer, incarnation uint64) *Hub {
+// New returns the hub of a router that records what it sends; Serve accepts sessions and Connect opens them.
+func New(self Peer, incarnation uint64, recorder Recorder) *Hub {
 	ctx, stop := context.WithCancel(context.Background())
 	hub := &Hub{
 		self:        self,
 		incarnation: incarnation,
+		recorder:    recorder,
 		events:      make(chan Event, eventBuffer),
 		ctx:         ctx,
 		stop:        stop,
@@ -63,7 +65,6 @@
 		peers:       make(map[string]Peer),
 		dialling:    make(map[string]context.CancelFunc),
 	}
-	hub.traffic.kinds = make(map[string]uint64)
 	hub.server = grpc.NewServer(grpc.MaxRecvMsgSize(maxPacket), grpc.MaxSendMsgSize(maxPacket))
 	fleetpb.RegisterFleetServer(hub.server, hub)
 	return hub
@@ -88,9 +89,6 @@
 // Events returns the channel of what happens on the links; it must be drained until Close returns.
 func (h *Hub) Events() <-chan Event { return h.events }
 
-// Traffic returns the counts of sent bytes.
-func (h *Hub) Traffic() Counts { return h.traffic.Counts() }
-
 // Dropped returns the number of packets and sessions that were refused as malformed.
 func (h *Hub) Dropped() uint64 {
 	h.mu.Lock()
@@ -121,10 +119,15 @@
 		h.wait.Go(func() { h.dialLoop(ctx, name) })
 	}
 	for name, cancel := range h.dialling {
-		if !keep[name] {
-			cancel()
-			delete(h.dialling, name)
+		if keep[name] {
+			continue
+		}
+		delete(h.dialling, name)
+		if open := h.sessions[name]; open != nil && open.dialled {
+			open.release()
 		}
+		// The loop ends once its session has, so that the peer sees an end and not a failure.
+		time.AfterFunc(SilenceLimit, cancel)
 	}
 }
 
@@ -156,7 +159,7 @@
 		return errors.New("a session with this host is already open")
 	}
 	if err := in.Send(h.hello(hello.GetHost())); err != nil {
-		h.end(accepted)
+		h.end(accepted, false)
 		return err
 	}
 	h.run(ctx, accepted, in)
@@ -212,7 +215,7 @@
 }
 
 // end closes a session and tells of it, unless a newer session has replaced it.
-func (h *Hub) end(ended *session) {
+func (h *Hub) end(ended *session, released bool) {
 	ended.close()
 	h.mu.Lock()
 	current := h.sessions[ended.peer] == ended
@@ -221,7 +224,7 @@
 	}
 	h.mu.Unlock()
 	if current {
-		h.emit(Event{Peer: ended.peer, Disconnected: true})
+		h.emit(Event{Peer: ended.peer, Disconnected: true, Released: released})
 	}
 }
 
@@ -235,10 +238,12 @@
 
 // run moves packets until the session breaks.
 func (h *Hub) run(ctx context.Context, open *session, both stream) {
-	defer h.end(open)
-	go open.write(both, &h.traffic)
+	var last error
+	defer func() { h.end(open, errors.Is(last, io.EOF) || open.wasReleased()) }()
+	go open.write(both, h.recorder)
 	packets := make(chan *fleetpb.Packet)
-	go receive(ctx, both, packets)
+	failed := make(chan error, 1)
+	go receive(ctx, both, packets, failed)
 	silence := time.NewTimer(SilenceLimit)
 	defer silence.Stop()
 	for {
@@ -247,22 +252,22 @@
 			return
 		case <-silence.C:
 			return
-		case packet, ok := <-packets:
-			if !ok {
-				return
-			}
+		case last = <-failed:
+			return
+		case packet := <-packets:
 			silence.Reset(SilenceLimit)
 			h.deliver(open, packet)
 		}
 	}
 }
 
-// receive reads packets until the stream ends, then closes the channel.
-func receive(ctx context.Context, in stream, packets chan<- *fleetpb.Packet) {
-	defer close(packets)
+// receive reads packets until the stream ends, then tells why. The channel of packets has no buffer, so that the end
+// comes after the last packet.
+func receive(ctx context.Context, in stream, packets chan<- *fleetpb.Packet, failed chan<- error) {
 	for {
 		packet, err := in.Recv()
 		if err != nil {
+			failed <- err
 			return
 		}
 		select {
@@ -306,6 +311,9 @@
 			}
 			continue
 		}
+		if !h.wanted(name) {
+			return
+		}
 		select {
 		case <-time.After(redialPause):
 		case <-ctx.Done():
@@ -313,6 +321,14 @@
 	}
 }
 
+// wanted reports whether sessions with a peer are to be opened.
+func (h *Hub) wanted(name string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_, dialling := h.dialling[name]
+	return dialling
+}
+
 // dial opens one session and runs it. It returns an error only if no session came about.
 func (h *Hub) dial(ctx context.Context, peer Peer) error {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/link/hub_test.go
+++ b/internal/link/hub_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/chicorydale/chicorydale/internal/fleetpb"
 	"github.com/chicorydale/chicorydale/internal/link"
+	"github.com/chicorydale/chicorydale/internal/metric"
 )
 
 // testLimit bounds the wait for one event; a session takes milliseconds on loopback.
@@ -16,11 +17,19 @@
 
 // start runs a hub on loopback and returns it with its address.
 func start(t *testing.T, name string, incarnation uint64, region string) (*link.Hub, link.Peer) {
+	t.Helper()
+	return startRecorded(t, name, incarnation, region, metric.New())
+}
+
+// startRecorded is start with a recorder of what the hub sends.
+func startRecorded(
+	t *testing.T, name string, incarnation uint64, region string, recorder link.Recorder,
+) (*link.Hub, link.Peer) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	peer := link.Peer{Name: name, Address: listener.Addr().String(), Region: region}
-	hub := link.New(peer, incarnation)
+	hub := link.New(peer, incarnation, recorder)
 	go func() { _ = hub.Serve(listener) }()
 	t.Cleanup(hub.Close)
 	return hub, peer
@@ -55,7 +64,8 @@
 
 // TestMessagesArriveInOrder guards against lost or reordered messages inside a session.
 func TestMessagesArriveInOrder(t *testing.T) {
-	a, peerA := start(t, "a", 1, "east")
+	sent := metric.New()
+	a, peerA := startRecorded(t, "a", 1, "east", sent)
 	b, peerB := start(t, "b", 2, "west")
 	a.Connect([]string{"b"}, []link.Peer{peerA, peerB})
 	connected := next(t, a)
@@ -70,9 +80,10 @@
 		qt.Assert(t, event.Bodies, qt.HasLen, 1)
 		qt.Assert(t, event.Bodies[0].GetHeartbeat().GetConfigVersion(), qt.Equals, uint64(i))
 	}
-	counts := a.Traffic()
-	qt.Assert(t, counts.Cross, qt.Equals, counts.Total)
-	qt.Assert(t, counts.Kinds["heartbeat"] > 0, qt.IsTrue)
+	counters := sent.Counters()
+	total := counters[string(metric.ControlBytes)]
+	qt.Assert(t, total > 0, qt.IsTrue)
+	qt.Assert(t, counters[string(metric.ControlCross)], qt.Equals, total)
 }
 
 // TestOneSessionWhenBothDial guards against two sessions between the same hosts, whose messages would overtake each
@@ -102,7 +113,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	peerB := link.Peer{Name: "b", Address: listener.Addr().String(), Region: "east"}
-	first := link.New(peerB, 7)
+	first := link.New(peerB, 7, metric.New())
 	go func() { _ = first.Serve(listener) }()
 	a.Connect([]string{"b"}, []link.Peer{peerA, peerB})
 	qt.Assert(t, await(t, a, func(e link.Event) bool { return e.Connected }).Incarnation, qt.Equals, uint64(7))
@@ -110,7 +121,7 @@
 	await(t, a, func(e link.Event) bool { return e.Disconnected })
 	again, err := net.Listen("tcp", peerB.Address)
 	qt.Assert(t, err, qt.IsNil)
-	second := link.New(peerB, 8)
+	second := link.New(peerB, 8, metric.New())
 	go func() { _ = second.Serve(again) }()
 	t.Cleanup(second.Close)
 	qt.Assert(t, await(t, a, func(e link.Event) bool { return e.Connected }).Incarnation, qt.Equals, uint64(8))
@@ -125,6 +136,22 @@
 	await(t, a, func(e link.Event) bool { return e.Disconnected })
 }
 
+// TestUnneededSessionIsReleased guards against a peer that counts as failed because nobody needs a link to it.
+func TestUnneededSessionIsReleased(t *testing.T) {
+	a, peerA := start(t, "a", 1, "east")
+	b, peerB := start(t, "b", 2, "east")
+	known := []link.Peer{peerA, peerB}
+	a.Connect([]string{"b"}, known)
+	await(t, a, func(e link.Event) bool { return e.Connected })
+	await(t, b, func(e link.Event) bool { return e.Connected })
+	a.Connect(nil, known)
+	isEnd := func(e link.Event) bool { return e.Disconnected }
+	qt.Assert(t, await(t, a, isEnd).Released, qt.IsTrue)
+	qt.Assert(t, await(t, b, isEnd).Released, qt.IsTrue)
+	a.Connect([]string{"b"}, known)
+	await(t, b, func(e link.Event) bool { return e.Connected })
+}
+
 // TestWrongRecipientIsRefused guards against a session with a host that took over another one's address.
 func TestWrongRecipientIsRefused(t *testing.T) {
 	a, peerA := start(t, "a", 1, "east")
--- a/internal/link/session.go
+++ b/internal/link/session.go
@@ -17,6 +17,11 @@
 	Recv() (*fleetpb.Packet, error)
 }
 
+// sendCloser is the part of a stream that only the dialling side has.
+type sendCloser interface {
+	CloseSend() error
+}
+
 // session is one open stream to a peer.
 type session struct {
 	peer        string
@@ -27,6 +32,8 @@
 	cancel      context.CancelFunc
 	once        sync.Once
 	closed      chan struct{}
+	unwanted    sync.Once
+	released    chan struct{}
 }
 
 // newSession returns a session; cancel must end its stream.
@@ -39,6 +46,7 @@
 		outgoing:    make(chan *fleetpb.Packet, queueLimit),
 		cancel:      cancel,
 		closed:      make(chan struct{}),
+		released:    make(chan struct{}),
 	}
 }
 
@@ -50,6 +58,21 @@
 	})
 }
 
+// release ends a dialled session that is not needed any more, in a way that tells the peer so.
+func (s *session) release() {
+	s.unwanted.Do(func() { close(s.released) })
+}
+
+// wasReleased reports whether this side ended the session because it was not needed any more.
+func (s *session) wasReleased() bool {
+	select {
+	case <-s.released:
+		return true
+	default:
+		return false
+	}
+}
+
 // send queues a packet, or closes the session if the peer does not keep up.
 func (s *session) send(packet *fleetpb.Packet) {
 	select {
@@ -61,17 +84,22 @@
 }
 
 // write sends queued packets until the session is closed.
-func (s *session) write(out stream, traffic *Traffic) {
+func (s *session) write(out stream, recorder Recorder) {
 	for {
 		select {
 		case <-s.closed:
 			return
+		case <-s.released:
+			if closer, dialled := out.(sendCloser); dialled {
+				_ = closer.CloseSend() // The stream ends either way.
+			}
+			return
 		case packet := <-s.outgoing:
 			if err := out.Send(packet); err != nil {
 				s.close()
 				return
 			}
-			traffic.add(packet, s.cross)
+			record(recorder, packet, s.cross)
 		}
 	}
 }
--- a/internal/membership/tracker.go
+++ b/internal/membership/tracker.go
@@ -52,6 +52,8 @@
 	envelopes []message.Envelope
 	view      View
 	changed   bool
+	// generation counts the views.
+	generation uint64
 }
 
 // NewTracker returns the core of a router, which knows itself from its settings; the state of self is ignored. Until
@@ -267,10 +269,17 @@
 func (t *Tracker) View() View {
 	if t.changed {
 		t.view, t.changed = t.compute(), false
+		t.generation++
 	}
 	return t.view
 }
 
+// Generation returns the number of views so far; it grows when View returns another one than before.
+func (t *Tracker) Generation() uint64 {
+	t.View()
+	return t.generation
+}
+
 // compute joins the list with what is known of its hosts.
 func (t *Tracker) compute() View {
 	routers := make([]Router, 0, len(t.list.Hosts)+1)
--- /dev/null
+++ b/internal/node/option.go
@@ -0,0 +1,38 @@
+package node
+
+import (
+	"time"
+
+	"github.com/chicorydale/chicorydale/internal/claim"
+	"github.com/chicorydale/chicorydale/internal/config"
+)
+
+// options are the parameters of a node.
+type options struct {
+	seed      uint64
+	retention time.Duration
+	claims    claim.Limits
+}
+
+// defaults returns the parameters of a node without options.
+func defaults() options {
+	return options{seed: 1, retention: config.DefaultRetention, claims: claim.DefaultLimits()}
+}
+
+// Option changes a parameter of a node.
+type Option func(*options)
+
+// WithSeed sets the seed of random choices; each router needs its own.
+func WithSeed(seed uint64) Option {
+	return func(o *options) { o.seed = seed }
+}
+
+// WithRetention sets the time for which the log keeps records.
+func WithRetention(retention time.Duration) Option {
+	return func(o *options) { o.retention = retention }
+}
+
+// WithClaimWindow sets the age up to which idempotency keys are accepted.
+func WithClaimWindow(window time.Duration) Option {
+	return func(o *options) { o.claims.Window = window }
+}
--- /dev/null
+++ b/internal/node/outbox.go
@@ -0,0 +1,49 @@
+package node
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/chicorydale/chicorydale/internal/fleetpb"
+	"github.com/chicorydale/chicorydale/internal/message"
+)
+
+// outbox joins the messages of one tick by receiver.
+type outbox struct {
+	self   string
+	local  []*fleetpb.Body
+	remote map[string][]*fleetpb.Body
+}
+
+// newOutbox returns an empty outbox of a router.
+func newOutbox(self string) *outbox {
+	return &outbox{self: self, remote: make(map[string][]*fleetpb.Body)}
+}
+
+// put adds messages in order.
+func (o *outbox) put(envelopes []message.Envelope) {
+	for _, envelope := range envelopes {
+		if envelope.To == o.self {
+			o.local = append(o.local, envelope.Body)
+			continue
+		}
+		o.remote[envelope.To] = append(o.remote[envelope.To], envelope.Body)
+	}
+}
+
+// takeLocal returns the messages of the router to itself.
+func (o *outbox) takeLocal() []*fleetpb.Body {
+	local := o.local
+	o.local = nil
+	return local
+}
+
+// takeRemote returns the messages to other routers.
+func (o *outbox) takeRemote() []Packet {
+	packets := make([]Packet, 0, len(o.remote))
+	for _, to := range slices.Sorted(maps.Keys(o.remote)) {
+		packets = append(packets, Packet{To: to, Bodies: o.remote[to]})
+	}
+	clear(o.remote)
+	return packets
+}
--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -12,16 +12,17 @@
 // reads from it at its own, so that a slow caller does not hold a slot longer than the call takes.
 type answer struct {
 	mu      sync.Mutex
+	resume  string
 	tokens  []platform.Token
-	read    int
+	read    bool
 	ended   bool
 	refused *refusal.Error
 	changed chan struct{}
 }
 
-// newAnswer returns an empty answer.
-func newAnswer() *answer {
-	return &answer{changed: make(chan struct{})}
+// newAnswer returns an empty answer; resume is the token with which another router attaches to it.
+func newAnswer(resume string) *answer {
+	return &answer{resume: resume, changed: make(chan struct{})}
 }
 
 // add appends a token.
@@ -43,35 +44,59 @@
 	a.wake()
 }
 
+// restart drops the tokens of a failed run, so that the call can run again elsewhere. It returns false if the caller
+// has seen some of them: two runs need not give the same tokens.
+func (a *answer) restart(resume string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.read || a.ended {
+		return false
+	}
+	a.resume, a.tokens = resume, nil
+	return true
+}
+
 // wake tells the readers of a change; the caller holds the lock.
 func (a *answer) wake() {
 	close(a.changed)
 	a.changed = make(chan struct{})
 }
 
-// started reports whether a reader has taken a token.
-func (a *answer) started() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.read > 0
+// opened waits for the first token or the end, and returns the resume token.
+func (a *answer) opened(ctx context.Context) (string, error) {
+	for {
+		a.mu.Lock()
+		resume, changed := a.resume, a.changed
+		if len(a.tokens) > 0 || a.ended {
+			a.read = true
+			a.mu.Unlock()
+			return resume, nil
+		}
+		a.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return "", ctx.Err()
+		}
+	}
 }
 
-// next waits for the token at a position. Without a token it returns the end of the answer, or the context's error.
+// next waits for the token at a position. Without a token it returns the end of the answer, which is a *refusal.Error
+// if the answer is not whole, or the context's error.
 func (a *answer) next(ctx context.Context, position int) (token platform.Token, ended bool, err error) {
 	for {
 		a.mu.Lock()
 		if position < len(a.tokens) {
 			token = a.tokens[position]
-			a.read = max(a.read, position+1)
 			a.mu.Unlock()
 			return token, false, nil
 		}
 		ended, refused, changed := a.ended, a.refused, a.changed
 		a.mu.Unlock()
+		if ended && refused != nil {
+			return platform.Token{}, true, refused
+		}
 		if ended {
-			if refused != nil {
-				return platform.Token{}, true, refused
-			}
 			return platform.Token{}, true, nil
 		}
 		select {
--- a/internal/router/eventstream.go
+++ b/internal/router/eventstream.go
@@ -16,7 +16,6 @@
 type eventStream struct {
 	ctx      context.Context
 	answer   *answer
-	token    string
 	from     int64
 	position int
 	pending  bytes.Buffer
@@ -25,8 +24,8 @@
 }
 
 // newEventStream returns a reader of the answer's events; the first token has the index from.
-func newEventStream(ctx context.Context, a *answer, token string, from int64) *eventStream {
-	return &eventStream{ctx: ctx, answer: a, token: token, from: from}
+func newEventStream(ctx context.Context, a *answer, from int64) *eventStream {
+	return &eventStream{ctx: ctx, answer: a, from: from}
 }
 
 // Read implements io.Reader.
@@ -39,16 +38,21 @@
 	return s.pending.Read(p)
 }
 
-// fill renders the next event.
+// fill renders the next event. The start event waits for the first token, since until then the call can still move to
+// another target, which changes the resume token.
 func (s *eventStream) fill() error {
+	if s.ended {
+		return io.EOF
+	}
 	if !s.opened {
+		resume, err := s.answer.opened(s.ctx)
+		if err != nil {
+			return err
+		}
 		s.opened = true
-		s.render("start", s.from, map[string]string{"token": s.token})
+		s.render("start", s.from, map[string]string{"token": resume})
 		return nil
 	}
-	if s.ended {
-		return io.EOF
-	}
 	token, ended, err := s.answer.next(s.ctx, s.position)
 	index := s.from + int64(s.position)
 	var refused *refusal.Error
--- /dev/null
+++ b/internal/router/outside.go
@@ -0,0 +1,34 @@
+package router
+
+import (
+	"github.com/chicorydale/chicorydale/internal/platform"
+	"github.com/chicorydale/chicorydale/internal/platform/engineclient"
+	"github.com/chicorydale/chicorydale/internal/platform/hostsclient"
+	"github.com/chicorydale/chicorydale/internal/platform/logclient"
+	"github.com/chicorydale/chicorydale/internal/platform/serviceclient"
+	"github.com/chicorydale/chicorydale/internal/platform/transport"
+	"github.com/chicorydale/chicorydale/internal/settings"
+)
+
+// Outside holds the adapters to the systems outside of the fleet.
+type Outside struct {
+	// Log is the platform's log service.
+	Log platform.Log
+	// Hosts is the platform's host list.
+	Hosts platform.Hosts
+	// Engine returns the adapter of the engine with a name at an address.
+	Engine func(name, address string) platform.Engine
+	// Service returns the adapter of the service replica with a name at an address.
+	Service func(name, address string) platform.Service
+}
+
+// NewOutside returns the HTTP adapters for the addresses in the settings.
+func NewOutside(s settings.Settings) Outside {
+	client := transport.New()
+	return Outside{
+		Log:     logclient.New(s.Log().String(), client),
+		Hosts:   hostsclient.New(s.Hosts().String(), client),
+		Engine:  func(name, address string) platform.Engine { return engineclient.New(name, address, client) },
+		Service: func(name, address string) platform.Service { return serviceclient.New(name, address, client) },
+	}
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,183 @@
+package router
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/chicorydale/chicorydale/internal/claim"
+	"github.com/chicorydale/chicorydale/internal/config"
+	"github.com/chicorydale/chicorydale/internal/entry"
+	"github.com/chicorydale/chicorydale/internal/event"
+	"github.com/chicorydale/chicorydale/internal/link"
+	"github.com/chicorydale/chicorydale/internal/membership"
+	"github.com/chicorydale/chicorydale/internal/metric"
+	"github.com/chicorydale/chicorydale/internal/node"
+	"github.com/chicorydale/chicorydale/internal/settings"
+)
+
+// headerLimit bounds the time in which a caller sends the headers of a request.
+const headerLimit = 10 * time.Second
+
+// errStopped is returned to calls that are open when the process stops.
+var errStopped = errors.New("the router has stopped")
+
+// Router is one router process.
+type Router struct {
+	settings settings.Settings
+	outside  Outside
+	logger   zerolog.Logger
+	metrics  *metric.Set
+	hub      *link.Hub
+	actions  chan func(now time.Time)
+	stopped  chan struct{}
+	draining atomic.Bool
+	open     atomic.Int64
+	tasks    sync.WaitGroup
+
+	// The fields below belong to the tick loop.
+	node     *node.Node
+	waiters  map[uint64]chan entry.Decision
+	claims   map[string]chan claim.Verdict
+	tickets  map[uint64]chan config.Result
+	runs     map[uint64]*run
+	readers  map[string]context.CancelFunc
+	pollers  map[string]context.CancelFunc
+	lastTick time.Time
+	lastLook time.Time
+	dirty    bool
+	ready    bool
+	isolated bool
+	version  uint64
+}
+
+// New returns the router of the settings with the given adapters.
+func New(s settings.Settings, outside Outside, logger zerolog.Logger) *Router {
+	incarnation := newIncarnation()
+	metrics := metric.New()
+	self := membership.Router{Name: s.Host(), Region: s.Region(), Zone: s.Zone(), State: membership.Up}
+	return &Router{
+		settings: s,
+		outside:  outside,
+		logger:   logger,
+		metrics:  metrics,
+		hub:      link.New(link.Peer{Name: s.Host(), Region: s.Region()}, incarnation, metrics),
+		actions:  make(chan func(time.Time)),
+		stopped:  make(chan struct{}),
+		node: node.New(self, incarnation, node.WithSeed(s.Seed()^incarnation),
+			node.WithRetention(s.LogRetention()), node.WithClaimWindow(s.ClaimWindow())),
+		waiters: make(map[uint64]chan entry.Decision),
+		claims:  make(map[string]chan claim.Verdict),
+		tickets: make(map[uint64]chan config.Result),
+		runs:    make(map[uint64]*run),
+		readers: make(map[string]context.CancelFunc),
+		pollers: make(map[string]context.CancelFunc),
+	}
+}
+
+// newIncarnation returns a number that differs for each start of a process. Hosts keep nothing, so it comes from the
+// random source and not from a counter.
+func newIncarnation() uint64 {
+	var random [8]byte
+	_, _ = rand.Read(random[:]) // Read never returns an error.
+	return binary.BigEndian.Uint64(random[:])>>1 | 1
+}
+
+// Run serves until the context ends, then drains and returns.
+func (r *Router) Run(ctx context.Context) error {
+	listeners, err := r.listen(ctx)
+	if err != nil {
+		return err
+	}
+	api, err := r.handler()
+	if err != nil {
+		return err
+	}
+	servers := []*http.Server{
+		{Handler: api, ReadHeaderTimeout: headerLimit},
+		{Handler: r.operate(), ReadHeaderTimeout: headerLimit},
+	}
+	life, stop := context.WithCancel(context.WithoutCancel(ctx))
+	failed := make(chan error, len(listeners))
+	go func() { failed <- r.hub.Serve(listeners[2]) }()
+	for i, server := range servers {
+		go func() { failed <- server.Serve(listeners[i]) }()
+	}
+	go r.loop(life)
+	r.tasks.Go(func() { r.followHosts(life) })
+	event.Started.Log(r.logger, r.settings.Host(), r.settings.Zone(),
+		listeners[0].Addr().String(), listeners[1].Addr().String(), listeners[2].Addr().String())
+	select {
+	case <-ctx.Done():
+		r.drain(life, servers[0])
+	case err = <-failed:
+		event.Failed.Log(r.logger, err)
+	}
+	for _, server := range servers {
+		_ = server.Close() // All calls have ended or the drain limit has passed.
+	}
+	stop()
+	<-r.stopped
+	r.hub.Close()
+	r.tasks.Wait()
+	event.Stopped.Log(r.logger)
+	return err
+}
+
+// listen opens the listeners for callers, operators' tools and links.
+func (r *Router) listen(ctx context.Context) ([]net.Listener, error) {
+	var config net.ListenConfig
+	var listeners []net.Listener
+	for _, address := range []string{
+		r.settings.Listen().String(), r.settings.Operate().String(), r.settings.Link().String(),
+	} {
+		listener, err := config.Listen(ctx, "tcp", address)
+		if err != nil {
+			return nil, fmt.Errorf("listen on %s: %w", address, err)
+		}
+		listeners = append(listeners, listener)
+	}
+	return listeners, nil
+}
+
+// drain refuses new calls and waits for the open ones, up to the limit in the settings.
+func (r *Router) drain(ctx context.Context, server *http.Server) {
+	began := time.Now()
+	r.draining.Store(true)
+	event.Draining.Log(r.logger, r.open.Load())
+	_ = r.do(ctx, func(now time.Time) { r.node.Tracker().Leave(now) })
+	if limit := r.settings.Drain(); limit > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, began.Add(limit))
+		defer cancel()
+	}
+	r.awaitIdle(ctx)
+	if err := server.Shutdown(ctx); err != nil {
+		event.DrainCut.Log(r.logger, r.open.Load())
+		return
+	}
+	event.Drained.Log(r.logger, time.Since(began).Milliseconds())
+}
+
+// awaitIdle waits until no call is open. Calls keep their connections until their last byte is written, so the server
+// is only shut down after that; it would stop accepting resumptions of streams that still run here.
+func (r *Router) awaitIdle(ctx context.Context) {
+	check := time.NewTicker(idlePeriod)
+	defer check.Stop()
+	for r.open.Load() > 0 {
+		select {
+		case <-check.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
