Test the adapters to log service and engine in virtual time

The tests run adapters against the emulated systems over pipes. They found two faults: a dial went on without a bound after its request had ended, so the client now bounds every dial, and an engine could not be stopped, so it has Close now.

--- a/internal/emulator/engineserver/batch.go
+++ b/internal/emulator/engineserver/batch.go
@@ -41,7 +41,9 @@
 		if time.Since(next) > stall {
 			next = time.Now()
 		}
-		time.Sleep(time.Until(next))
+		if !s.sleep(time.Until(next)) {
+			return
+		}
 		idle, deadly := s.step(time.Now())
 		if deadly {
 			s.die()
@@ -52,6 +54,18 @@
 	}
 }
 
+// sleep waits, and returns false if the engine is closed.
+func (s *Server) sleep(wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-s.closed:
+		return false
+	}
+}
+
 // step produces a token for each generation of the batch. It reports whether the batch is empty, and whether a
 // generation in it makes the engine crash, in which case nothing is produced.
 func (s *Server) step(now time.Time) (idle, deadly bool) {
@@ -112,6 +126,13 @@
 	s.Crash()
 }
 
+// Close crashes the engine for good: calls that come later get no tokens.
+func (s *Server) Close() error {
+	s.Crash()
+	s.once.Do(func() { close(s.closed) })
+	return nil
+}
+
 // Crash breaks off all streams and forgets them, as a crash and a restart of the process do.
 func (s *Server) Crash() {
 	s.mu.Lock()
--- a/internal/emulator/engineserver/server.go
+++ b/internal/emulator/engineserver/server.go
@@ -32,6 +32,8 @@
 	crashWord string
 	crash     func()
 	board     *report.Board
+	once      sync.Once
+	closed    chan struct{}
 
 	mu      sync.Mutex
 	streams map[string]*generation
@@ -45,6 +47,7 @@
 func New(slots int, interval time.Duration, opts ...Option) *Server {
 	s := &Server{
 		slots: slots, interval: interval, keep: defaultKeep, lag: defaultLag, streams: make(map[string]*generation),
+		closed: make(chan struct{}),
 	}
 	for _, opt := range opts {
 		opt(s)
--- a/internal/emulator/pipenet/network.go
+++ b/internal/emulator/pipenet/network.go
@@ -3,17 +3,22 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync"
 	"syscall"
+	"time"
 )
 
+// headerTimeout bounds the arrival of a request's header.
+const headerTimeout = 10 * time.Second
+
 // Network connects dialers with listeners by address. The zero value is a network without listeners.
 type Network struct {
 	mu        sync.Mutex
 	listeners map[string]*listener
 }
 
-// Listen returns a listener for an address, which replaces an earlier one.
+// Listen returns a listener for an address (host and port), which replaces an earlier one.
 func (n *Network) Listen(address string) net.Listener {
 	l := &listener{network: n, address: address, conns: make(chan net.Conn), closed: make(chan struct{})}
 	n.mu.Lock()
@@ -25,6 +30,14 @@
 	return l
 }
 
+// Serve serves a handler at an address until stop is called, which breaks off all connections.
+func (n *Network) Serve(address string, handler http.Handler) (stop func()) {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	listener := n.Listen(address)
+	go func() { _ = server.Serve(listener) }()
+	return func() { _ = server.Close() }
+}
+
 // DialContext connects to the listener of an address. Without a listener the error is syscall.ECONNREFUSED.
 func (n *Network) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
 	n.mu.Lock()
--- a/internal/platform/transport/client.go
+++ b/internal/platform/transport/client.go
@@ -37,13 +37,13 @@
 
 // New returns a client.
 func New(opts ...Option) *Client {
-	set := options{dial: (&net.Dialer{Timeout: dialTimeout}).DialContext}
+	set := options{dial: new(net.Dialer).DialContext}
 	for _, opt := range opts {
 		opt(&set)
 	}
 	return &Client{client: &http.Client{
 		Transport: &http.Transport{
-			DialContext:         set.dial,
+			DialContext:         bound(set.dial),
 			MaxIdleConnsPerHost: idlePerHost,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
@@ -53,6 +53,15 @@
 	}}
 }
 
+// bound returns a dial function that ends at the time-out. Package net/http lets a dial go on after its request ended.
+func bound(dial Dial) Dial {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		return dial(ctx, network, address)
+	}
+}
+
 // Close closes the idle connections.
 func (c *Client) Close() { c.client.CloseIdleConnections() }
 
