--- /dev/null
+++ b/internal/emulator/command/command_test.go
@@ -0,0 +1,131 @@
+package command_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chicorydale/chicorydale/internal/emulator/command"
+	"github.com/chicorydale/chicorydale/internal/platform"
+	"github.com/chicorydale/chicorydale/internal/platform/engineclient"
+	"github.com/chicorydale/chicorydale/internal/platform/hostsclient"
+	"github.com/chicorydale/chicorydale/internal/platform/serviceclient"
+	"github.com/chicorydale/chicorydale/internal/platform/transport"
+)
+
+// child is the environment variable that makes the test binary run as the emulator.
+const child = "CHICORYDALE_EMULATOR"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(child) == "" {
+		os.Exit(m.Run())
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	status := command.Run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(status)
+}
+
+// start runs the emulator as a process and returns it with its address.
+func start(c *qt.C, args ...string) (*exec.Cmd, string) {
+	c.Helper()
+	process := exec.Command(os.Args[0], args...)
+	process.Env = append(os.Environ(), child+"=1")
+	process.Stderr = os.Stderr
+	stdout, err := process.StdoutPipe()
+	c.Assert(err, qt.IsNil)
+	c.Assert(process.Start(), qt.IsNil)
+	c.Cleanup(func() { _ = process.Process.Kill() })
+	var ready struct{ Name, Role, Address string }
+	c.Assert(json.NewDecoder(stdout).Decode(&ready), qt.IsNil)
+	c.Assert(ready.Role, qt.Equals, args[0])
+	return process, ready.Address
+}
+
+// Guards against a crash word that leaves the process alive, a crash that looks like an answer or a refusal, an entry
+// that outlives an orderly end, and a booking that a crash takes from the ledger.
+func TestProcesses(t *testing.T) {
+	c := qt.New(t)
+	network := transport.New()
+	defer network.Close()
+	_, hosts := start(c, "hosts", "--lag", "0s")
+	names := func() []string {
+		list, err := hostsclient.New(hosts, network).List(t.Context())
+		c.Assert(err, qt.IsNil)
+		names := make([]string, 0, len(list.Hosts))
+		for _, host := range list.Hosts {
+			names = append(names, host.Name)
+		}
+		return names
+	}
+	deadly, address := start(c, "engine", "--name", "e", "--hosts", hosts, "--crash-word", "boom")
+	c.Assert(names(), qt.DeepEquals, []string{"e"})
+	client := engineclient.New("e", address, network)
+	stream, err := client.Generate(t.Context(), platform.Call{Stream: "a", Prompt: "a boom", MaxTokens: 5})
+	c.Assert(err, qt.IsNil)
+	_, err = stream.Next()
+	var crashed *platform.CrashedError
+	c.Assert(errors.As(err, &crashed), qt.IsTrue)
+	_ = deadly.Wait()
+	c.Assert(deadly.ProcessState.ExitCode(), qt.Equals, 137)
+	c.Assert(names(), qt.DeepEquals, []string{"e"})
+	_, err = client.Load(t.Context())
+	var unavailable *platform.UnavailableError
+	c.Assert(errors.As(err, &unavailable), qt.IsTrue)
+
+	ledger := filepath.Join(t.TempDir(), "ledger")
+	service := []string{"service", "--name", "s", "--hosts", hosts, "--ledger", ledger, "--crash-word", "boom"}
+	deadly, address = start(c, service...)
+	_, err = serviceclient.New("s", address, network).Invoke(t.Context(), platform.Invocation{
+		Operation: "book", Key: "k", Arguments: map[string]string{"item": "boom"},
+	})
+	c.Assert(errors.As(err, &crashed), qt.IsTrue)
+	_ = deadly.Wait()
+	again, address := start(c, service...)
+	var bookings struct{ Counts map[string]int }
+	get := transport.Request{System: "s", Address: address, Method: "GET", Path: "/bookings"}
+	c.Assert(network.Exchange(t.Context(), get, 1<<10, &bookings), qt.IsNil)
+	c.Assert(bookings.Counts, qt.DeepEquals, map[string]int{"k": 1})
+	c.Assert(again.Process.Signal(syscall.SIGTERM), qt.IsNil)
+	c.Assert(again.Wait(), qt.IsNil)
+	c.Assert(names(), qt.DeepEquals, []string{"e"})
+}
+
+// Guards against a register command that does not change the list, and a wrong command line that succeeds.
+func TestRegister(t *testing.T) {
+	c := qt.New(t)
+	network := transport.New()
+	defer network.Close()
+	_, hosts := start(c, "hosts", "--lag", "0s")
+	list := hostsclient.New(hosts, network)
+	router := platform.Host{Name: "r", Role: platform.RoleRouter, Zone: "z", Address: "a:1", Link: "a:2"}
+	gone := router
+	gone.Leaving = true
+	for _, step := range []struct {
+		args []string
+		want []platform.Host
+	}{
+		{[]string{"--zone", "z", "--address", "a:1", "--link", "a:2"}, []platform.Host{router}},
+		{[]string{"--leaving"}, []platform.Host{gone}},
+		{[]string{"--remove"}, []platform.Host{}},
+	} {
+		args := append([]string{"register", "--hosts", hosts, "--name", "r"}, step.args...)
+		c.Assert(command.Run(t.Context(), args, io.Discard, os.Stderr), qt.Equals, 0)
+		shown, err := list.List(t.Context())
+		c.Assert(err, qt.IsNil)
+		c.Assert(shown.Hosts, qt.DeepEquals, step.want)
+	}
+	var stderr bytes.Buffer
+	c.Assert(command.Run(t.Context(), []string{"bogus"}, io.Discard, &stderr), qt.Equals, 1)
+	c.Assert(stderr.String(), qt.Contains, "bogus")
+}
--- /dev/null
+++ b/internal/platform/hostsclient/client_test.go
@@ -0,0 +1,93 @@
+package hostsclient_test
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chicorydale/chicorydale/internal/emulator/fault"
+	"github.com/chicorydale/chicorydale/internal/emulator/hostserver"
+	"github.com/chicorydale/chicorydale/internal/emulator/pipenet"
+	"github.com/chicorydale/chicorydale/internal/emulator/registration"
+	"github.com/chicorydale/chicorydale/internal/platform"
+	"github.com/chicorydale/chicorydale/internal/platform/hostsclient"
+	"github.com/chicorydale/chicorydale/internal/platform/transport"
+)
+
+// Guards against a list that shows changes before its lag, that is not sorted, whose version does not grow with each
+// change, or that misses a leaving mark or a removal.
+func TestList(t *testing.T) {
+	const lag = 2 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		var network pipenet.Network
+		server := hostserver.New(hostserver.WithLag(lag))
+		defer network.Serve("hosts:1", server)()
+		dialer := transport.New(transport.WithDial(network.DialContext))
+		defer dialer.Close()
+		client, entries := hostsclient.New("hosts:1", dialer), registration.New("hosts:1", dialer)
+		list := func() platform.HostList {
+			list, err := client.List(c.Context())
+			c.Assert(err, qt.IsNil)
+			return list
+		}
+		a := platform.Host{Name: "a", Role: platform.RoleEngine, Region: "r", Zone: "z", Address: "e:1", Slots: 3}
+		b := platform.Host{Name: "b", Role: platform.RoleRouter, Address: "r:1", Link: "r:2", Fenced: true}
+		gone := a
+		gone.Leaving = true
+		version := list().Version
+		for _, step := range []struct {
+			change func() error
+			before []platform.Host
+			after  []platform.Host
+		}{
+			{func() error { return entries.Put(c.Context(), b) }, []platform.Host{}, []platform.Host{b}},
+			{func() error { return entries.Put(c.Context(), a) }, []platform.Host{b}, []platform.Host{a, b}},
+			{func() error { return entries.Leave(c.Context(), "a") }, []platform.Host{a, b}, []platform.Host{gone, b}},
+			{func() error { return entries.Remove(c.Context(), "b") }, []platform.Host{gone, b}, []platform.Host{gone}},
+		} {
+			c.Assert(step.change(), qt.IsNil)
+			time.Sleep(lag - time.Millisecond)
+			c.Assert(list(), qt.DeepEquals, platform.HostList{Version: version, Hosts: step.before})
+			server.Faults.Set(fault.Fault{Freeze: true})
+			time.Sleep(time.Minute)
+			c.Assert(list(), qt.DeepEquals, platform.HostList{Version: version, Hosts: step.before})
+			server.Faults.Set(fault.Fault{})
+			version++
+			c.Assert(list(), qt.DeepEquals, platform.HostList{Version: version, Hosts: step.after})
+		}
+		var rejected *platform.RejectedError
+		c.Assert(errors.As(entries.Leave(c.Context(), "b"), &rejected), qt.IsTrue)
+	})
+}
+
+// Guards against a lost answer of the host list that looks like an empty list, and against a host list that starts
+// again with an older version.
+func TestOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		var network pipenet.Network
+		server := hostserver.New()
+		stop := network.Serve("hosts:1", server)
+		dialer := transport.New(transport.WithDial(network.DialContext))
+		defer dialer.Close()
+		client := hostsclient.New("hosts:1", dialer)
+		before, err := client.List(c.Context())
+		c.Assert(err, qt.IsNil)
+		var unavailable *platform.UnavailableError
+		server.Faults.Set(fault.Fault{Cut: true})
+		_, err = client.List(c.Context())
+		c.Assert(errors.As(err, &unavailable), qt.IsTrue)
+		stop()
+		_, err = client.List(c.Context())
+		c.Assert(errors.As(err, &unavailable), qt.IsTrue)
+		time.Sleep(time.Second)
+		defer network.Serve("hosts:1", hostserver.New())()
+		after, err := client.List(c.Context())
+		c.Assert(err, qt.IsNil)
+		c.Assert(after.Version > before.Version, qt.IsTrue)
+	})
+}
--- /dev/null
+++ b/internal/platform/serviceclient/client_test.go
@@ -0,0 +1,122 @@
+package serviceclient_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chicorydale/chicorydale/internal/emulator/fault"
+	"github.com/chicorydale/chicorydale/internal/emulator/pipenet"
+	"github.com/chicorydale/chicorydale/internal/emulator/serviceserver"
+	"github.com/chicorydale/chicorydale/internal/platform"
+	"github.com/chicorydale/chicorydale/internal/platform/serviceclient"
+	"github.com/chicorydale/chicorydale/internal/platform/transport"
+)
+
+const work = 100 * time.Millisecond
+
+// run runs a test in virtual time with an emulated replica of one slot.
+func run(t *testing.T, test func(c *qt.C, server *serviceserver.Server, client *serviceclient.Client)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		var network pipenet.Network
+		server := serviceserver.New(serviceserver.WithSlots(1), serviceserver.WithWork(work),
+			serviceserver.WithFencing(), serviceserver.WithCrash("boom", nil), serviceserver.WithLag(0))
+		defer network.Serve("service:1", server)()
+		client := transport.New(transport.WithDial(network.DialContext))
+		defer client.Close()
+		test(qt.New(t), server, serviceclient.New("service", "service:1", client))
+	})
+}
+
+// book returns a booking of an item with the key "k".
+func book(item string) platform.Invocation {
+	return platform.Invocation{Operation: "book", Key: "k", Arguments: map[string]string{"item": item}}
+}
+
+// Guards against a booking that is sent twice, counts as not run although it may have run, or counts as possibly run
+// although it was refused.
+func TestBook(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		fault  fault.Fault
+		call   platform.Invocation
+		status int
+		counts map[string]int
+	}{
+		{"whole", fault.Fault{}, book("ink"), 0, map[string]int{"k": 1}},
+		{"lost", fault.Fault{LoseEvery: 1}, book("ink"), -1, map[string]int{"k": 1}},
+		{"cut", fault.Fault{Cut: true}, book("ink"), -1, map[string]int{}},
+		{"late", fault.Fault{DelayMS: 5000}, book("ink"), -1, map[string]int{"k": 1}},
+		{"crash", fault.Fault{}, book("boom"), -1, map[string]int{"k": 1}},
+		{"down", fault.Fault{Down: true}, book("ink"), http.StatusServiceUnavailable, map[string]int{}},
+		{"unknown", fault.Fault{}, platform.Invocation{Operation: "sell"}, http.StatusNotFound, map[string]int{}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			run(t, func(c *qt.C, server *serviceserver.Server, client *serviceclient.Client) {
+				// The first call leaves a connection to be used again.
+				stock, err := client.Invoke(c.Context(), platform.Invocation{
+					Operation: "stock", Arguments: map[string]string{"item": "ink"},
+				})
+				c.Assert(err, qt.IsNil)
+				c.Assert(stock, qt.DeepEquals, serviceserver.Stock("ink"))
+				server.Faults.Set(test.fault)
+				ctx, cancel := context.WithTimeout(c.Context(), time.Second)
+				defer cancel()
+				result, err := client.Invoke(ctx, test.call)
+				var crashed *platform.CrashedError
+				var rejected *platform.RejectedError
+				c.Assert(errors.As(err, &crashed), qt.Equals, test.status < 0, qt.Commentf("%v", err))
+				c.Assert(errors.As(err, &rejected), qt.Equals, test.status > 0, qt.Commentf("%v", err))
+				if test.status > 0 {
+					c.Assert(rejected.Status, qt.Equals, test.status)
+				}
+				if test.status == 0 {
+					c.Assert(result, qt.DeepEquals, map[string]string{"booking": "1", "item": "ink"})
+				}
+				time.Sleep(time.Minute)
+				c.Assert(server.Bookings().Counts, qt.DeepEquals, test.counts)
+			})
+		})
+	}
+}
+
+// Guards against a replica that accepts an old fence, and against one that checks keys, which would hide double
+// bookings from tests.
+func TestFencing(t *testing.T) {
+	run(t, func(c *qt.C, server *serviceserver.Server, client *serviceclient.Client) {
+		for _, test := range []struct {
+			fence    uint64
+			rejected bool
+		}{{5, false}, {4, true}, {5, false}, {6, false}} {
+			call := book("ink")
+			call.Fence = test.fence
+			_, err := client.Invoke(c.Context(), call)
+			var rejected *platform.RejectedError
+			c.Assert(errors.As(err, &rejected), qt.Equals, test.rejected)
+		}
+		c.Assert(server.Bookings().Counts, qt.DeepEquals, map[string]int{"k": 3})
+	})
+}
+
+// Guards against load reports that do not show running, waiting and leaving.
+func TestLoad(t *testing.T) {
+	run(t, func(c *qt.C, _ *serviceserver.Server, client *serviceclient.Client) {
+		for range 3 {
+			go func() { _, _ = client.Invoke(c.Context(), book("ink")) }()
+		}
+		time.Sleep(work / 2)
+		load, err := client.Load(c.Context())
+		c.Assert(err, qt.IsNil)
+		c.Assert([]int{load.Running, load.Queued, load.Slots}, qt.DeepEquals, []int{1, 2, 1})
+		time.Sleep(3 * work)
+		load, err = client.Load(c.Context())
+		c.Assert(err, qt.IsNil)
+		c.Assert([]int{load.Running, load.Queued, load.Slots}, qt.DeepEquals, []int{0, 0, 1})
+	})
+}
