--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -79,13 +79,17 @@
 
 // followStream reads a log stream and hands its records to the node.
 func (r *Router) followStream(ctx context.Context, stream string) {
-	down := false
+	down, caughtUp := false, false
 	for {
 		from, wanted, err := r.position(ctx, stream)
 		if err != nil || !wanted {
 			return
 		}
-		deadline := time.Now().Add(readWait)
+		// Until the end was seen once, reads do not wait: the cores decide nothing before they know the end.
+		deadline := time.Now()
+		if caughtUp {
+			deadline = deadline.Add(readWait)
+		}
 		limited, cancel := context.WithDeadline(ctx, deadline.Add(readSlack))
 		page, err := r.outside.Log.Read(limited, stream, from, deadline)
 		cancel()
@@ -96,7 +100,7 @@
 			if !down {
 				event.LogDown.Log(r.logger, stream, err)
 			}
-			down = true
+			down, caughtUp = true, false
 			r.post(func(now time.Time) { r.node.ReadFailed(now, stream) })
 			if !pause(ctx, failurePause) {
 				return
@@ -107,6 +111,7 @@
 			event.LogUp.Log(r.logger, stream, page.End)
 		}
 		down = false
+		caughtUp = caughtUp || len(page.Records) == 0 || page.Records[len(page.Records)-1].Offset+1 == page.End
 		r.post(func(now time.Time) { r.node.Page(now, stream, page) })
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -33,16 +33,17 @@
 
 // Router is one router process.
 type Router struct {
-	settings settings.Settings
-	outside  Outside
-	logger   zerolog.Logger
-	metrics  *metric.Set
-	hub      *link.Hub
-	actions  chan func(now time.Time)
-	stopped  chan struct{}
-	draining atomic.Bool
-	open     atomic.Int64
-	tasks    sync.WaitGroup
+	settings  settings.Settings
+	outside   Outside
+	logger    zerolog.Logger
+	metrics   *metric.Set
+	hub       *link.Hub
+	listeners []net.Listener
+	actions   chan func(now time.Time)
+	stopped   chan struct{}
+	draining  atomic.Bool
+	open      atomic.Int64
+	tasks     sync.WaitGroup
 
 	// The fields below belong to the tick loop.
 	node     *node.Node
@@ -92,12 +93,14 @@
 	return binary.BigEndian.Uint64(random[:])>>1 | 1
 }
 
-// Run serves until the context ends, then drains and returns.
+// Run serves until the context ends, then drains and returns. It listens unless Listen was called before.
 func (r *Router) Run(ctx context.Context) error {
-	listeners, err := r.listen(ctx)
-	if err != nil {
-		return err
+	if r.listeners == nil {
+		if _, err := r.Listen(ctx); err != nil {
+			return err
+		}
 	}
+	listeners := r.listeners
 	api, err := r.handler()
 	if err != nil {
 		return err
@@ -133,20 +136,36 @@
 	return err
 }
 
-// listen opens the listeners for callers, operators' tools and links.
-func (r *Router) listen(ctx context.Context) ([]net.Listener, error) {
+// Addresses are the IP addresses and ports that a router listens on.
+type Addresses struct {
+	// Listen is for callers and for the operators' API.
+	Listen string
+	// Operate is for metrics, readiness and liveness.
+	Operate string
+	// Link is for links from other routers.
+	Link string
+}
+
+// Listen opens the ports, so that their numbers are known before Run if the kernel chooses them.
+func (r *Router) Listen(ctx context.Context) (Addresses, error) {
 	var config net.ListenConfig
-	var listeners []net.Listener
 	for _, address := range []string{
 		r.settings.Listen().String(), r.settings.Operate().String(), r.settings.Link().String(),
 	} {
 		listener, err := config.Listen(ctx, "tcp", address)
 		if err != nil {
-			return nil, fmt.Errorf("listen on %s: %w", address, err)
+			for _, opened := range r.listeners {
+				_ = opened.Close() // It has served nothing.
+			}
+			return Addresses{}, fmt.Errorf("listen on %s: %w", address, err)
 		}
-		listeners = append(listeners, listener)
+		r.listeners = append(r.listeners, listener)
 	}
-	return listeners, nil
+	return Addresses{
+		Listen:  r.listeners[0].Addr().String(),
+		Operate: r.listeners[1].Addr().String(),
+		Link:    r.listeners[2].Addr().String(),
+	}, nil
 }
 
 // drain refuses new calls and waits for the open ones, up to the limit in the settings.
