Add the command line

Operators need one program for checking, publishing and reading, with exit codes that scripts can tell apart; the router runs as its command serve, with a function that main hands in and that is not connected yet. Change files are read element by element, since the generated decoder stops at its first fault. The scripts run the commands against a stand-in on the generated server; a test compares docs/cli.md with the commands and flags.

--- /dev/null
+++ b/internal/cmd/cmd_test.go
@@ -0,0 +1,89 @@
+package cmd_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"os"
+	"strconv"
+	"syscall"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/chicorydale/chicorydale/internal/cmd"
+	"github.com/chicorydale/chicorydale/internal/settings"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"chicorydale": func() { os.Exit(cmd.Main(os.Args[1:], serve)) },
+	})
+}
+
+// serve stands in for the router: it prints its settings and ends as the signal of a graceful shutdown comes.
+func serve(ctx context.Context, s settings.Settings) error {
+	fmt.Println("serving", s.Host(), s.Tick())
+	if s.Seed() == 13 {
+		return fmt.Errorf("listen %s: address in use", s.Listen())
+	}
+	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	fmt.Println("drained")
+	return nil
+}
+
+// TestScripts guards against commands whose output, refusals or exit codes differ from docs/cli.md. The scripts say what
+// each one guards against.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:                 "testdata/script",
+		RequireExplicitExec: true,
+		Setup: func(env *testscript.Env) error {
+			handler, err := newFake().handler()
+			if err != nil {
+				return err
+			}
+			server := httptest.NewServer(handler)
+			env.Defer(server.Close)
+			closed, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				return err
+			}
+			env.Setenv("ROUTER", server.Listener.Addr().String())
+			env.Setenv("CLOSED", closed.Addr().String())
+			env.Setenv("CHICORYDALE_KEY", "operator")
+			return closed.Close()
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){"code": code},
+	})
+}
+
+// code runs a command and compares its exit code: code NUMBER COMMAND...
+func code(ts *testscript.TestScript, neg bool, args []string) {
+	want, err := strconv.Atoi(args[0])
+	if err != nil || neg {
+		ts.Fatalf("usage: code NUMBER COMMAND...")
+	}
+	got := 0
+	if err := ts.Exec(args[1], args[2:]...); err != nil {
+		_, scanErr := fmt.Sscanf(err.Error(), "exit status %d", &got)
+		ts.Check(scanErr)
+	}
+	if got != want {
+		ts.Fatalf("the exit code is %d, not %d", got, want)
+	}
+}
+
+// TestPage guards against a command or flag that docs/cli.md does not list.
+func TestPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/cli.md")
+	qt.Assert(t, err, qt.IsNil)
+	for _, name := range cmd.Names() {
+		qt.Check(t, string(page), qt.Contains, "`"+name)
+	}
+}
--- a/internal/fault/member.go
+++ b/internal/fault/member.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"strconv"
+	"strings"
 )
 
 // Member is one name and value of a JSON object.
@@ -75,10 +76,10 @@
 	return faults
 }
 
-// Path returns the path of a field within the value at a path.
+// Path returns the path of a field, or of an element such as [1], within the value at a path.
 func Path(path, name string) string {
-	if path == "" {
-		return name
+	if path == "" || strings.HasPrefix(name, "[") {
+		return path + name
 	}
 	return path + "." + name
 }
