Answer a booking once its answer is stored

Ruled out: letting the second request wait at the batcher (a router that dies after the answer would still leave "unknown" behind an answer that the caller has). Conclusion: the answer waits for its record for at most 1 s; while the log is down it goes out without.

--- a/internal/router/invoke.go
+++ b/internal/router/invoke.go
@@ -22,6 +22,9 @@
 // invokeLimit is the deadline of a service call that names none, counted from its arrival.
 const invokeLimit = 30 * time.Second
 
+// storeLimit is how long an answer is held back until it is stored; two appends of a slow log fit.
+const storeLimit = time.Second
+
 // errClaimLapsed is the cause of a keyed call whose claim does not permit to send any more.
 var errClaimLapsed = errors.New("the claim has lapsed")
 
@@ -224,8 +227,8 @@
 func (v *invocation) attempt(decision entry.Decision) (oas.InvokeResponseResult, *refusal.Error, bool) {
 	result, err := v.send(decision)
 	if err == nil {
-		v.complete(result)
 		v.finish(entry.ServiceCost(), fleetpb.Outcome_OUTCOME_DONE)
+		v.complete(result)
 		return result, nil, false
 	}
 	if errors.Is(err, errClaimLapsed) {
@@ -295,7 +298,8 @@
 	return v.router.outside.Service(decision.Target, address).Invoke(limited, v.call)
 }
 
-// complete stores the answer of a keyed call.
+// complete stores the answer of a keyed call and waits for it, so that a caller that asks again at once, or after the
+// death of this router, gets the same answer. The wait is bounded: the answer is true also while the log is down.
 func (v *invocation) complete(result map[string]string) {
 	if !v.keyed {
 		return
@@ -304,7 +308,19 @@
 	if err != nil {
 		encoded = []byte("{}")
 	}
-	v.router.post(func(now time.Time) { v.router.node.Holder().Complete(now, v.claim, http.StatusOK, encoded) })
+	stored := make(chan struct{})
+	v.router.post(func(now time.Time) {
+		v.router.node.Holder().Complete(now, v.claim, http.StatusOK, encoded)
+		v.router.stores[v.claim] = stored
+	})
+	limit := time.NewTimer(storeLimit)
+	defer limit.Stop()
+	select {
+	case <-stored:
+	case <-limit.C:
+		v.router.post(func(time.Time) { delete(v.router.stores, v.claim) })
+	case <-v.router.stopped:
+	}
 }
 
 // finish ends the request in the queue.
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -125,6 +125,12 @@
 			waiter <- verdict
 		}
 	}
+	for claimID, waiter := range r.stores {
+		if !r.node.Holder().Open(claimID) {
+			delete(r.stores, claimID)
+			close(waiter)
+		}
+	}
 	for _, result := range output.Results {
 		if waiter, found := r.tickets[result.Ticket]; found {
 			delete(r.tickets, result.Ticket)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -49,6 +49,7 @@
 	node     *node.Node
 	waiters  map[uint64]chan entry.Decision
 	claims   map[string]chan claim.Verdict
+	stores   map[string]chan struct{}
 	tickets  map[uint64]chan config.Result
 	runs     map[uint64]*run
 	readers  map[string]context.CancelFunc
@@ -78,6 +79,7 @@
 			node.WithRetention(s.LogRetention()), node.WithClaimWindow(s.ClaimWindow())),
 		waiters: make(map[uint64]chan entry.Decision),
 		claims:  make(map[string]chan claim.Verdict),
+		stores:  make(map[string]chan struct{}),
 		tickets: make(map[uint64]chan config.Result),
 		runs:    make(map[uint64]*run),
 		readers: make(map[string]context.CancelFunc),
--- a/main.go
+++ b/main.go
@@ -2,11 +2,22 @@
 package main
 
 import (
+	"context"
 	"os"
 
+	"github.com/rs/zerolog"
+
 	"github.com/chicorydale/chicorydale/internal/cmd"
+	"github.com/chicorydale/chicorydale/internal/router"
+	"github.com/chicorydale/chicorydale/internal/settings"
 )
 
 func main() {
-	os.Exit(cmd.Main(os.Args[1:], nil))
+	os.Exit(cmd.Main(os.Args[1:], serve))
+}
+
+// serve runs a router that logs to standard error.
+func serve(ctx context.Context, s settings.Settings) error {
+	logger := zerolog.New(os.Stderr).Level(s.LogLevel()).With().Timestamp().Str("host", s.Host()).Logger()
+	return router.New(s, router.NewOutside(s), logger).Run(ctx)
 }
