Mark ending targets as leaving, and close two gaps of the tests

A target of the emulator can have a grace time between SIGTERM and its end, with the leaving mark in the host list and in its load reports, so that trials of leaving targets need no extra command.

Taking out 46 mechanisms one by one showed two that no test noticed: the slots of the service replica and the order of the host list. TestLoad and TestSorted now notice them.

--- a/internal/emulator/command/command_test.go
+++ b/internal/emulator/command/command_test.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"os/signal"
@@ -129,3 +131,21 @@
 	c.Assert(command.Run(t.Context(), []string{"bogus"}, io.Discard, &stderr), qt.Equals, 1)
 	c.Assert(stderr.String(), qt.Contains, "bogus")
 }
+
+// Guards against a target that ends without a leaving mark although it has a grace time.
+func TestGrace(t *testing.T) {
+	c := qt.New(t)
+	requests := make(chan string, 10)
+	hosts := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		requests <- r.Method + " " + r.URL.Path
+		w.WriteHeader(http.StatusNoContent)
+	}))
+	defer hosts.Close()
+	process, _ := start(c, "engine", "--name", "e", "--hosts", hosts.Listener.Addr().String(), "--grace", "1ms")
+	c.Assert(process.Process.Signal(syscall.SIGTERM), qt.IsNil)
+	c.Assert(process.Wait(), qt.IsNil)
+	close(requests)
+	for _, want := range []string{"PUT /hosts/e", "POST /hosts/e/leaving", "DELETE /hosts/e"} {
+		c.Assert(<-requests, qt.Equals, want)
+	}
+}
--- a/internal/emulator/command/process.go
+++ b/internal/emulator/command/process.go
@@ -21,8 +21,8 @@
 const (
 	// registerTimeout bounds the registration, so that a host list may be started a little later than the targets.
 	registerTimeout = 10 * time.Second
-	// removeTimeout bounds the removal of the entry when the process ends.
-	removeTimeout = time.Second
+	// leaveTimeout bounds each change of the entry when the process ends.
+	leaveTimeout = time.Second
 	// headerTimeout bounds the arrival of a request's header.
 	headerTimeout = 10 * time.Second
 	// crashStatus is the exit status of a process that a call crashed, that of a process killed by SIGKILL in a shell.
@@ -35,10 +35,16 @@
 	list      string
 	role      string
 	lag       time.Duration
+	grace     time.Duration
 	crashWord string
 	host      platform.Host
 }
 
+// leaver is a target that marks itself as leaving in its load reports.
+type leaver interface {
+	Leave()
+}
+
 // ready is the line that a process prints when it is ready.
 type ready struct {
 	Name    string `json:"name"`
@@ -63,6 +69,7 @@
 	cmd.Flag("zone", "Availability zone of the target.").StringVar(&p.host.Zone)
 	cmd.Flag("model", "Model or service of the target.").StringVar(&p.host.Model)
 	cmd.Flag("slots", "Requests that run at the same time.").Default(strconv.Itoa(slots)).IntVar(&p.host.Slots)
+	cmd.Flag("grace", "Time between the leaving mark and the end.").Default("0s").DurationVar(&p.grace)
 	cmd.Flag("lag", "Lag of load reports.").Default("250ms").DurationVar(&p.lag)
 	cmd.Flag("crash-word", "Word that makes a request crash the target.").StringVar(&p.crashWord)
 	return p
@@ -84,7 +91,7 @@
 		if err := p.register(ctx, client); err != nil {
 			return err
 		}
-		defer p.remove(client)
+		defer p.leave(client, handler)
 	}
 	line := ready{Name: p.host.Name, Role: p.role, Address: p.host.Address}
 	if err := json.NewEncoder(stdout).Encode(line); err != nil {
@@ -105,11 +112,22 @@
 	return client.Put(ctx, p.host)
 }
 
-// remove takes the target out of the host list, if that can be reached.
-func (p *process) remove(client *registration.Client) {
-	ctx, cancel := context.WithTimeout(context.Background(), removeTimeout)
+// leave marks the target as leaving, waits for the grace time, and takes the target out of the host list. A host list
+// that cannot be reached does not hold up the end.
+func (p *process) leave(client *registration.Client, handler http.Handler) {
+	if leaver, ok := handler.(leaver); ok && p.grace > 0 {
+		leaver.Leave()
+		p.send(client.Leave)
+		time.Sleep(p.grace)
+	}
+	p.send(client.Remove)
+}
+
+// send makes a change of the target's entry.
+func (p *process) send(change func(ctx context.Context, name string) error) {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
-	_ = client.Remove(ctx, p.host.Name)
+	_ = change(ctx, p.host.Name)
 }
 
 // crash ends the process as a crash does.
--- a/internal/emulator/engineserver/batch.go
+++ b/internal/emulator/engineserver/batch.go
@@ -133,6 +133,9 @@
 	return nil
 }
 
+// Leave marks the engine as leaving in its load reports. It still admits what arrives.
+func (s *Server) Leave() { s.board.Leave() }
+
 // Crash breaks off all streams and forgets them, as a crash and a restart of the process do.
 func (s *Server) Crash() {
 	s.mu.Lock()
--- a/internal/emulator/serviceserver/server.go
+++ b/internal/emulator/serviceserver/server.go
@@ -75,6 +75,9 @@
 	return NewBookings(slices.Clone(s.bookings))
 }
 
+// Leave marks the replica as leaving in its load reports. It still runs what arrives.
+func (s *Server) Leave() { s.board.Leave() }
+
 // invoke serves a call.
 func (s *Server) invoke(w http.ResponseWriter, r *http.Request) {
 	var call platform.Invocation
--- a/internal/platform/engineclient/client_test.go
+++ b/internal/platform/engineclient/client_test.go
@@ -211,9 +211,7 @@
 	}
 	run(t, create, func(c *qt.C, client *engineclient.Client) {
 		server.Faults.Set(fault.Fault{Freeze: true})
-		leave, err := http.NewRequestWithContext(c.Context(), http.MethodPost, "/leaving", http.NoBody)
-		c.Assert(err, qt.IsNil)
-		server.ServeHTTP(discard{}, leave)
+		server.Leave()
 		for _, leaving := range []bool{false, true} {
 			time.Sleep(time.Minute)
 			load, err := client.Load(c.Context())
@@ -225,13 +223,6 @@
 	})
 }
 
-// discard is a response that nobody reads.
-type discard struct{}
-
-func (discard) Header() http.Header            { return http.Header{} }
-func (discard) Write(data []byte) (int, error) { return len(data), nil }
-func (discard) WriteHeader(int)                {}
-
 // Guards against a stream that waits forever for an engine that went silent, and against one that breaks off while its
 // call waits for a slot or its reader is slow.
 func TestSilence(t *testing.T) {
--- a/internal/platform/hostsclient/client_test.go
+++ b/internal/platform/hostsclient/client_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"io"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -91,3 +93,19 @@
 		c.Assert(after.Version > before.Version, qt.IsTrue)
 	})
 }
+
+// Guards against a consumer that meets a list in the order of the platform instead of by name.
+func TestSorted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		var network pipenet.Network
+		defer network.Serve("hosts:1", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, `{"version":1,"hosts":[{"name":"b"},{"name":"a"}]}`)
+		}))()
+		dialer := transport.New(transport.WithDial(network.DialContext))
+		defer dialer.Close()
+		list, err := hostsclient.New("hosts:1", dialer).List(c.Context())
+		c.Assert(err, qt.IsNil)
+		c.Assert(list.Hosts, qt.DeepEquals, []platform.Host{{Name: "a"}, {Name: "b"}})
+	})
+}
--- a/internal/platform/serviceclient/client_test.go
+++ b/internal/platform/serviceclient/client_test.go
@@ -104,19 +104,23 @@
 	})
 }
 
-// Guards against load reports that do not show running, waiting and leaving.
+// Guards against load reports that do not show running, waiting and leaving, and against a replica that runs more than
+// its slots.
 func TestLoad(t *testing.T) {
-	run(t, func(c *qt.C, _ *serviceserver.Server, client *serviceclient.Client) {
+	run(t, func(c *qt.C, server *serviceserver.Server, client *serviceclient.Client) {
 		for range 3 {
 			go func() { _, _ = client.Invoke(c.Context(), book("ink")) }()
 		}
 		time.Sleep(work / 2)
+		for _, want := range [][]int{{1, 2, 1}, {1, 1, 1}, {1, 0, 1}, {0, 0, 1}} {
+			load, err := client.Load(c.Context())
+			c.Assert(err, qt.IsNil)
+			c.Assert([]int{load.Running, load.Queued, load.Slots}, qt.DeepEquals, want)
+			time.Sleep(work)
+		}
+		server.Leave()
 		load, err := client.Load(c.Context())
 		c.Assert(err, qt.IsNil)
-		c.Assert([]int{load.Running, load.Queued, load.Slots}, qt.DeepEquals, []int{1, 2, 1})
-		time.Sleep(3 * work)
-		load, err = client.Load(c.Context())
-		c.Assert(err, qt.IsNil)
-		c.Assert([]int{load.Running, load.Queued, load.Slots}, qt.DeepEquals, []int{0, 0, 1})
+		c.Assert(load.Leaving, qt.IsTrue)
 	})
 }
