--- a/internal/config/pending.go
+++ b/internal/config/pending.go
@@ -124,15 +124,3 @@
 
 // finish queues a result for the next tick.
 func (s *Store) finish(result Result) { s.results = append(s.results, result) }
-
-// writeSnapshot appends a snapshot if one is due and the log can be read.
-func (s *Store) writeSnapshot(now time.Time) {
-	readable := s.ready && !s.stuck() && !s.fetch.failed && now.Sub(s.readAt) < isolation
-	if !readable || s.state.version == 0 || !s.schedule.start(now, s.last+1) {
-		return
-	}
-	s.last++
-	snapshot := NewSnapshot(s.state, s.offset)
-	data := Record{Snapshot: &snapshot}.Encode()
-	s.appends = append(s.appends, message.Append{ID: s.last, Stream: Stream, Data: data})
-}
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -1,11 +1,18 @@
 package config
 
+// epoch is the distance between the versions of two epochs. A version of a new epoch is above all versions that any
+// store, also one that is not reached, has of an older one.
+const epoch = 1 << 32
+
 // Snapshot is a whole state as a record.
 type Snapshot struct {
 	// Version is the state's version.
 	Version uint64 `json:"version"`
 	// Offset is the log offset up to which the state is folded.
 	Offset uint64 `json:"offset"`
+	// Resumed is set if the writer had missed expired records and no store had them; the version then begins a new
+	// epoch, and the snapshot replaces the state of every reader with a lower version.
+	Resumed bool `json:"resumed,omitempty"`
 	// Issued is the highest number that was issued to a customer.
 	Issued uint32 `json:"issued"`
 	// Accepted are the last accepted changes, oldest first.
@@ -29,6 +36,13 @@
 	}
 }
 
+// newSnapshotResumed returns a state as the begin of the next epoch, taken where the log ends.
+func newSnapshotResumed(state State, end uint64) Snapshot {
+	snapshot := NewSnapshot(state, end)
+	snapshot.Version, snapshot.Resumed = (state.version/epoch+1)*epoch, true
+	return snapshot
+}
+
 // State returns the state of the snapshot, or an *InvalidError.
 func (s Snapshot) State() (State, error) {
 	content := Change{
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -36,9 +36,13 @@
 	// stalled is set at a record of a higher format version.
 	stalled bool
 
-	started time.Time
-	readAt  time.Time
-	heardAt time.Time
+	// resumeAt is the instant at which a store that has missed records resumes, zero if it has not missed any, and atEnd
+	// is set if the last page was read to the log's end.
+	resumeAt time.Time
+	atEnd    bool
+	started  time.Time
+	readAt   time.Time
+	heardAt  time.Time
 
 	history  []Entry
 	recent   recent
@@ -132,6 +136,12 @@
 	}
 	s.cursor = max(s.cursor, s.first)
 	s.schedule.expired(now, s.first)
+	switch {
+	case !s.Missing():
+		s.resumeAt = time.Time{}
+	case s.resumeAt.IsZero():
+		s.resumeAt = now.Add(resumption + s.schedule.between(hurry))
+	}
 	for _, record := range page.Records {
 		if record.Offset < s.cursor {
 			continue
@@ -140,7 +150,8 @@
 			return
 		}
 	}
-	if s.cursor >= page.End && !s.Missing() {
+	s.atEnd = s.cursor >= page.End
+	if s.atEnd && !s.Missing() {
 		s.readAt, s.ready = now, true
 	}
 }
@@ -186,8 +197,17 @@
 }
 
 // readSnapshot takes a snapshot record. It replaces the state only of a store that has missed records; the changes
-// between the snapshot's own offset and its record are then read again.
+// between the snapshot's own offset and its record are then read again. A resumed snapshot counts from its record on
+// and replaces the state of every store. A store that has missed records uses it only if it can read all records since
+// its offset, and so would have read another one of the same epoch that came first.
 func (s *Store) readSnapshot(now time.Time, record platform.Record, snapshot Snapshot) bool {
+	if snapshot.Resumed && snapshot.Version > s.state.version && (!s.Missing() || snapshot.Offset >= s.first) {
+		if state, err := snapshot.State(); err == nil {
+			s.adopt(now, state, s.cursor, nil)
+			s.schedule.confirm(record.Offset, record.At)
+			return true
+		}
+	}
 	if !s.Missing() {
 		s.offset = s.cursor
 		if snapshot.Version == s.state.version {
@@ -195,7 +215,7 @@
 		}
 		return true
 	}
-	usable := snapshot.Version >= s.state.version && snapshot.Offset >= s.first && snapshot.Offset <= record.Offset
+	usable := !snapshot.Resumed && snapshot.Version >= s.state.version && snapshot.Offset >= s.first && snapshot.Offset <= record.Offset
 	state, err := snapshot.State()
 	if err != nil || !usable {
 		return true
@@ -236,6 +256,7 @@
 	s.expire(now)
 	s.fetchState(now)
 	s.writeSnapshot(now)
+	s.resume(now)
 	effects, results := message.Effects{Envelopes: s.envelopes, Appends: s.appends}, s.results
 	s.envelopes, s.appends, s.results = nil, nil, nil
 	return effects, results
