--- a/internal/cmd/customers.go
+++ b/internal/cmd/customers.go
@@ -1,7 +1,6 @@
 package cmd
 
 import (
-	"context"
 	"strconv"
 
 	"github.com/chicorydale/chicorydale/internal/oas"
@@ -10,14 +9,8 @@
 // addCustomers adds the command that prints the customers.
 func (a *app) addCustomers() {
 	command := a.kingpin.Command("customers", "Print the customers with their backlog at the router.")
-	a.withJSON(command)
-	command.Action(a.run(func(ctx context.Context) error {
-		customers, err := ask(ctx, a, func(ctx context.Context, router *oas.Client) ([]oas.CustomerStatus, error) {
-			return router.GetCustomers(ctx)
-		})
-		if err != nil {
-			return err
-		}
+	const heading = "number name template weight waiting running"
+	query(a, command, (*oas.Client).GetCustomers, heading, func(customers []oas.CustomerStatus) [][]string {
 		rows := make([][]string, 0, len(customers))
 		for _, c := range customers {
 			rows = append(rows, []string{
@@ -25,6 +18,6 @@
 				strconv.Itoa(c.Weight), strconv.Itoa(c.Waiting), strconv.Itoa(c.Running),
 			})
 		}
-		return a.print(customers, "number name template weight waiting running", rows)
-	}))
+		return rows
+	})
 }
--- a/internal/cmd/get.go
+++ b/internal/cmd/get.go
@@ -1,7 +1,6 @@
 package cmd
 
 import (
-	"context"
 	"fmt"
 	"maps"
 	"slices"
@@ -16,31 +15,26 @@
 // addGet adds the command that prints the configuration.
 func (a *app) addGet(config *kingpin.CmdClause) {
 	command := config.Command("get", "Print the configuration in force.")
-	a.withJSON(command)
-	command.Action(a.run(func(ctx context.Context) error {
-		read, err := ask(ctx, a, func(ctx context.Context, router *oas.Client) (*oas.Configuration, error) {
-			return router.GetConfig(ctx)
-		})
-		if err != nil {
-			return err
-		}
-		rows := [][]string{{"version", strconv.FormatInt(read.Version, 10), "-"}}
+	query(a, command, (*oas.Client).GetConfig, "kind name content", func(read *oas.Configuration) [][]string {
+		rows := make([][]string, 0, 1+len(read.Templates)+len(read.Customers)+len(read.Services))
+		rows = append(rows, []string{"version", strconv.FormatInt(read.Version, 10), "-"})
 		for _, template := range read.Templates {
-			classes := strings.Join(slices.Sorted(maps.Keys(template.Classes)), ",")
-			rows = append(rows, []string{
-				"template", template.Name, fmt.Sprintf("weight %d, classes %s", template.Weight, optional(classes)),
-			})
+			content := fmt.Sprintf("weight %d, classes %s", template.Weight, names(template.Classes))
+			rows = append(rows, []string{"template", template.Name, content})
 		}
 		for _, customer := range read.Customers {
-			rows = append(rows, []string{
-				"customer", customer.Name,
-				fmt.Sprintf("number %d, template %s, keys %d", customer.Number.Or(0), customer.Template, len(customer.KeyHashes)),
-			})
+			content := fmt.Sprintf("number %d, template %s, keys %d",
+				customer.Number.Or(0), customer.Template, len(customer.KeyHashes))
+			rows = append(rows, []string{"customer", customer.Name, content})
 		}
 		for _, service := range read.Services {
-			operations := strings.Join(slices.Sorted(maps.Keys(service.Operations)), ",")
-			rows = append(rows, []string{"service", service.Name, "operations " + optional(operations)})
+			rows = append(rows, []string{"service", service.Name, "operations " + names(service.Operations)})
 		}
-		return a.print(read, "kind name content", rows)
-	}))
+		return rows
+	})
+}
+
+// names returns the sorted keys of a map in one text.
+func names[V any](of map[string]V) string {
+	return optional(strings.Join(slices.Sorted(maps.Keys(of)), ","))
 }
--- a/internal/cmd/history.go
+++ b/internal/cmd/history.go
@@ -1,7 +1,6 @@
 package cmd
 
 import (
-	"context"
 	"strconv"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -12,14 +11,8 @@
 // addHistory adds the command that prints the latest changes.
 func (a *app) addHistory(config *kingpin.CmdClause) {
 	command := config.Command("history", "Print the latest changes, oldest first.")
-	a.withJSON(command)
-	command.Action(a.run(func(ctx context.Context) error {
-		entries, err := ask(ctx, a, func(ctx context.Context, router *oas.Client) ([]oas.HistoryEntry, error) {
-			return router.GetConfigHistory(ctx)
-		})
-		if err != nil {
-			return err
-		}
+	const heading = "offset change author base version result reason"
+	query(a, command, (*oas.Client).GetConfigHistory, heading, func(entries []oas.HistoryEntry) [][]string {
 		rows := make([][]string, 0, len(entries))
 		for _, entry := range entries {
 			result := "accepted"
@@ -32,6 +25,6 @@
 				optional(entry.Reason.Or("")),
 			})
 		}
-		return a.print(entries, "offset change author base version result reason", rows)
-	}))
+		return rows
+	})
 }
--- a/internal/cmd/operator.go
+++ b/internal/cmd/operator.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"net/netip"
 
+	"github.com/alecthomas/kingpin/v2"
+
 	"github.com/chicorydale/chicorydale/internal/oas"
 )
 
@@ -27,7 +29,7 @@
 }
 
 // ask sends an operator's request to the first router that can be reached.
-func ask[T any](ctx context.Context, a *app, request func(context.Context, *oas.Client) (T, error)) (T, error) {
+func ask[T any](ctx context.Context, a *app, request func(*oas.Client, context.Context) (T, error)) (T, error) {
 	var answer T
 	err := a.checkAddresses()
 	if err != nil {
@@ -39,10 +41,25 @@
 		if err != nil {
 			return answer, err
 		}
-		answer, err = request(ctx, router)
+		answer, err = request(router, ctx)
 		if !unreachable(err) {
 			return answer, err
 		}
 	}
 	return answer, err
 }
+
+// query makes a command one that reads something from a router and prints it.
+func query[T any](
+	a *app, command *kingpin.CmdClause, read func(*oas.Client, context.Context) (T, error),
+	heading string, rows func(T) [][]string,
+) {
+	a.withJSON(command)
+	command.Action(a.run(func(ctx context.Context) error {
+		answer, err := ask(ctx, a, read)
+		if err != nil {
+			return err
+		}
+		return a.print(answer, heading, rows(answer))
+	}))
+}
--- a/internal/cmd/publish.go
+++ b/internal/cmd/publish.go
@@ -23,7 +23,7 @@
 		if err != nil {
 			return inFile(*path, err)
 		}
-		result, err := ask(ctx, a, func(ctx context.Context, router *oas.Client) (*oas.ChangeResult, error) {
+		result, err := ask(ctx, a, func(router *oas.Client, ctx context.Context) (*oas.ChangeResult, error) {
 			return router.PublishChange(ctx, change)
 		})
 		if err != nil {
--- a/internal/cmd/status.go
+++ b/internal/cmd/status.go
@@ -1,7 +1,6 @@
 package cmd
 
 import (
-	"context"
 	"maps"
 	"slices"
 	"strconv"
@@ -12,21 +11,15 @@
 // addStatus adds the command that prints the state of a router.
 func (a *app) addStatus() {
 	command := a.kingpin.Command("status", "Print the state of the router.")
-	a.withJSON(command)
-	command.Action(a.run(func(ctx context.Context) error {
-		status, err := ask(ctx, a, func(ctx context.Context, router *oas.Client) (*oas.Status, error) {
-			return router.GetStatus(ctx)
-		})
-		if err != nil {
-			return err
-		}
-		rows := [][]string{
+	query(a, command, (*oas.Client).GetStatus, "name value", func(status *oas.Status) [][]string {
+		head := [][]string{
 			{"host", status.Host},
 			{"region", status.Region},
 			{"zone", status.Zone},
 			{"ready", strconv.FormatBool(status.Ready)},
 			{"version", strconv.FormatInt(status.ConfigVersion, 10)},
 		}
+		rows := append(make([][]string, 0, len(head)+len(status.Peers)+len(status.Roles)+len(status.Counters)), head...)
 		for _, peer := range status.Peers {
 			rows = append(rows, []string{"peer " + peer.Host, string(peer.State) + " in " + peer.Zone})
 		}
@@ -36,6 +29,6 @@
 		for _, name := range slices.Sorted(maps.Keys(status.Counters)) {
 			rows = append(rows, []string{name, strconv.FormatInt(status.Counters[name], 10)})
 		}
-		return a.print(status, "name value", rows)
-	}))
+		return rows
+	})
 }
--- a/internal/cmd/targets.go
+++ b/internal/cmd/targets.go
@@ -1,7 +1,6 @@
 package cmd
 
 import (
-	"context"
 	"strconv"
 
 	"github.com/chicorydale/chicorydale/internal/oas"
@@ -10,14 +9,8 @@
 // addTargets adds the command that prints the targets.
 func (a *app) addTargets() {
 	command := a.kingpin.Command("targets", "Print the targets as the router knows them.")
-	a.withJSON(command)
-	command.Action(a.run(func(ctx context.Context) error {
-		targets, err := ask(ctx, a, func(ctx context.Context, router *oas.Client) ([]oas.TargetStatus, error) {
-			return router.GetTargets(ctx)
-		})
-		if err != nil {
-			return err
-		}
+	const heading = "name role model zone slots running state"
+	query(a, command, (*oas.Client).GetTargets, heading, func(targets []oas.TargetStatus) [][]string {
 		rows := make([][]string, 0, len(targets))
 		for _, t := range targets {
 			state := "live"
@@ -28,6 +21,6 @@
 				t.Name, t.Role, t.Model, t.Zone, strconv.Itoa(t.Slots), strconv.Itoa(t.Running), state,
 			})
 		}
-		return a.print(targets, "name role model zone slots running state", rows)
-	}))
+		return rows
+	})
 }
