Add the demo of the whole path as separate processes

Ruled out: a demo inside the product (its processes start none); fixed ports (two demos at a time would collide).

--- a/Makefile
+++ b/Makefile
@@ -8,6 +8,10 @@
 build:
 	go build -o bin/ . ./cmd/...
 
+# demo runs a small fleet with emulated outside systems on loopback and checks one call of each kind.
+demo: build
+	scripts/demo.sh
+
 # test is what CI runs.
 test: format lint generated build vet unit
 
--- a/internal/cmd/call.go
+++ b/internal/cmd/call.go
@@ -22,6 +22,7 @@
 	tokens    int
 	arguments map[string]string
 	keyed     bool
+	repeat    string
 	customers map[string]string
 	classes   []string
 	rate      float64
@@ -44,6 +45,8 @@
 	command.Flag("argument", "Argument of service calls; may be given several times.").
 		PlaceHolder("NAME=VALUE").StringMapVar(&c.arguments)
 	command.Flag("keyed", "Send a new idempotency key with each service call.").BoolVar(&c.keyed)
+	command.Flag("repeat", "Idempotency key of an earlier service call to send again with --once.").
+		PlaceHolder("UUID").StringVar(&c.repeat)
 	command.Flag("class", "Class of the calls; of several, each is as likely as the others.").StringsVar(&c.classes)
 	command.Flag("customer", "Customer of the calls with its key instead of --key; of several, each is as likely.").
 		PlaceHolder("NAME=KEY").StringMapVar(&c.customers)
@@ -73,6 +76,10 @@
 		return "--service and --operation go together"
 	case c.keyed && c.service == "":
 		return "--keyed is for --service"
+	case c.repeat != "" && (c.service == "" || !c.once):
+		return "--repeat is for --service with --once"
+	case c.keyed && c.repeat != "":
+		return "--keyed makes a new key and --repeat sends an old one"
 	case c.model != "" && len(c.classes) == 0:
 		return "--model needs --class"
 	case c.rate <= 0 || c.duration <= 0 || c.deadline <= 0 || c.tokens <= 0 || c.open <= 0:
--- a/internal/cmd/measure.go
+++ b/internal/cmd/measure.go
@@ -58,7 +58,7 @@
 
 // invoke calls the service.
 func (c *call) invoke(ctx context.Context, caller *client.Client, class string, deadline time.Time) (answer, error) {
-	invocation := client.Invocation{Arguments: c.arguments, Class: class, Deadline: deadline}
+	invocation := client.Invocation{Arguments: c.arguments, Class: class, Deadline: deadline, Key: c.repeat}
 	if c.keyed {
 		key, err := uuid.NewV7()
 		if err != nil {
--- a/internal/emulator/command/command.go
+++ b/internal/emulator/command/command.go
@@ -19,6 +19,7 @@
 		"log":      addLog(app.Command("log", "Run a log service.")),
 		"hosts":    addHosts(app.Command("hosts", "Run a host list.")),
 		"register": addRegister(app.Command("register", "Change one entry of a host list.")),
+		"bookings": addBookings(app.Command("bookings", "Print how often a key ran at a replica of a service.")),
 		"engine":   addEngine(app.Command("engine", "Run a model engine.")),
 		"service":  addService(app.Command("service", "Run a replica of a plain service.")),
 	}
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,173 @@
+#!/usr/bin/env bash
+# Runs a small fleet on loopback with emulated outside systems, sends one call of each kind and checks the answers.
+# Ends every process that it started by its process id, also on failure or interrupt.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+readonly ROUTERS=("north-1 north" "north-2 north" "south-1 south")
+readonly START_LIMIT_S=20
+work=$(mktemp -d)
+pids=()
+routers=()
+sent=0 answered=0 refused=0 wrong=0
+
+# cleanup ends all processes, the last one first, and removes the working directory.
+cleanup() {
+  local i
+  for ((i = ${#pids[@]} - 1; i >= 0; i--)); do kill "${pids[i]}" 2>/dev/null || true; done
+  for ((i = ${#pids[@]} - 1; i >= 0; i--)); do wait "${pids[i]}" 2>/dev/null || true; done
+  rm -rf "$work"
+}
+trap cleanup EXIT
+trap 'exit 130' INT TERM
+
+fail() {
+  echo "demo: $*" >&2
+  tail -n 5 "$work"/*.log >&2 || true
+  exit 1
+}
+
+# await runs a command until it succeeds.
+await() {
+  local what=$1 limit=$((SECONDS + START_LIMIT_S))
+  shift
+  until "$@"; do
+    ((SECONDS < limit)) || fail "not in time: $what"
+    read -rt 0.05 <> <(:) || true
+  done
+}
+
+# emulate starts one emulated system and waits for its address, which it leaves in $address.
+emulate() {
+  local name=$1
+  shift
+  bin/emulator "$@" --name "$name" > "$work/$name.out" 2> "$work/$name.log" &
+  pids+=($!)
+  await "$name listens" test -s "$work/$name.out"
+  address=$(sed -n 's/.*"address":"\([^"]*\)".*/\1/p' "$work/$name.out")
+}
+
+# field prints a field of the log event "started" of a router.
+field() {
+  sed -n "s/.*\"$2\":\"\\([^\"]*\\)\".*\"message\":\"started\".*/\\1/p" "$work/$1.log"
+}
+
+started() { [ -n "$(field "$1" link)" ]; }
+
+# serve starts a router in an availability zone and lists it.
+serve() {
+  local name=$1 zone=$2
+  cat > "$work/$name.json" <<JSON
+{"host": "$name", "region": "home", "zone": "$zone", "listen": "127.0.0.1:0", "operate": "127.0.0.1:0",
+ "link": "127.0.0.1:0", "log": "$log", "hosts": "$hosts", "operator_hashes": ["$operator_hash"]}
+JSON
+  bin/chicorydale serve --settings "$work/$name.json" 2> "$work/$name.log" &
+  pids+=($!)
+  await "$name starts" started "$name"
+  routers+=("$(field "$name" listen)")
+  bin/emulator register --hosts "$hosts" --name "$name" --zone "$zone" --region home \
+    --address "$(field "$name" listen)" --link "$(field "$name" link)"
+}
+
+# key makes a key and prints it with its hash.
+key() { bin/chicorydale key | awk 'NR == 2 { print $1, $2 }'; }
+
+# uuid7 prints a new idempotency key.
+uuid7() {
+  local ms
+  ms=$(date +%s%3N)
+  printf '%08x-%04x-7%03x-%04x-%012x\n' $((ms >> 16)) $((ms & 0xffff)) $((RANDOM & 0xfff)) \
+    $((0x8000 | (RANDOM & 0x3fff))) $(((RANDOM << 30) | (RANDOM << 15) | RANDOM))
+}
+
+# call sends one request to the router with an index, shows the answer and counts it.
+call() {
+  local what=$1 router=${routers[$2]} status=0
+  shift 2
+  sent=$((sent + 1))
+  answer=$(bin/chicorydale --address "$router" --key "$customer_key" call --once "$@" 2>&1) || status=$?
+  echo "--- $what through $router"
+  echo "$answer"
+  case $status in
+    0) answered=$((answered + 1)) ;;
+    3) refused=$((refused + 1)) ;;
+    *) wrong=$((wrong + 1)) ;;
+  esac
+}
+
+# in_force reports whether every router has a version of the configuration.
+in_force() {
+  local router
+  for router in "${routers[@]}"; do
+    bin/chicorydale --address "$router" --key "$operator_key" config get --json 2>/dev/null \
+      | grep -q "\"version\": $1" || return 1
+  done
+}
+
+# listed reports whether every router knows all targets.
+listed() {
+  local router
+  for router in "${routers[@]}"; do
+    [ "$(bin/chicorydale --address "$router" --key "$operator_key" targets 2>/dev/null | wc -l)" -eq 5 ] || return 1
+  done
+}
+
+# linked reports whether every router sees the two others as up.
+linked() {
+  local router
+  for router in "${routers[@]}"; do
+    [ "$(bin/chicorydale --address "$router" --key "$operator_key" status --json 2>/dev/null \
+      | grep -c '"state": "up"')" -eq $((${#ROUTERS[@]} - 1)) ] || return 1
+  done
+}
+
+read -r operator_key operator_hash < <(key)
+read -r customer_key customer_hash < <(key)
+emulate log log
+log=$address
+emulate hosts hosts --lag 0s
+hosts=$address
+emulate engine-north engine --hosts "$hosts" --region home --zone north --model writer --interval 5ms
+emulate engine-south engine --hosts "$hosts" --region home --zone south --model writer --interval 5ms
+emulate shop-north service --hosts "$hosts" --region home --zone north --model shop
+shop=$address
+emulate shop-south service --hosts "$hosts" --region home --zone south --model shop
+other_shop=$address
+for router in "${ROUTERS[@]}"; do
+  # shellcheck disable=SC2086 # Name and availability zone are two words.
+  serve $router
+done
+await "all routers know all targets" listed
+await "all routers see each other" linked
+
+cat > "$work/change.json" <<JSON
+{"id": "demo-1", "base": 0, "author": "demo",
+ "put_templates": [{"name": "small", "weight": 1, "limits": {"waiting": 100, "connections": 50},
+   "classes": {"long": {"patience_ms": 30000, "long": true}, "quick": {"patience_ms": 1300},
+               "tagging": {"patience_ms": 500}}}],
+ "put_customers": [{"name": "printer", "template": "small", "weight": 2, "key_hashes": ["$customer_hash"]}],
+ "put_services": [{"name": "shop", "operations": {"stock": true, "book": false}}]}
+JSON
+bin/chicorydale --address "${routers[0]}" --key "$operator_key" config publish "$work/change.json"
+await "the configuration is in force everywhere" in_force 1
+
+call "a long streamed call" 0 --model writer --class long --tokens 200 --prompt "Draft a brief of a leaf pattern"
+call "a quick call" 1 --model writer --class quick --tokens 12 --prompt "Suggest a name for a blue"
+call "a tagging call" 2 --model writer --class tagging --tokens 4 --prompt "Tag this artwork"
+call "a stock look-up" 1 --service shop --operation stock --argument item=screen
+booking=$(uuid7)
+call "a booking" 0 --service shop --operation book --argument item=screen --repeat "$booking"
+first=$answer
+call "the same booking again" 2 --service shop --operation book --argument item=screen --repeat "$booking"
+[ "$first" = "$answer" ] || wrong=$((wrong + 1))
+
+booked=0
+for replica in "$shop" "$other_shop"; do
+  count=$(bin/emulator bookings --service "$replica" --key "$booking")
+  booked=$((booked + count))
+done
+[ "$booked" -eq 1 ] || wrong=$((wrong + 1))
+status=0
+[ $((answered + wrong)) -eq "$sent" ] && [ "$wrong" -eq 0 ] || status=1
+echo "sent $sent, answered $answered, refused $refused, wrong $wrong, bookings run $booked"
+exit "$status"
