--- /dev/null
+++ b/internal/claim/fakelog_test.go
@@ -0,0 +1,78 @@
+package claim_test
+
+import (
+	"errors"
+	"time"
+
+	"github.com/chicorydale/chicorydale/internal/platform"
+)
+
+// mode is what the fake log does with appends.
+type mode int
+
+const (
+	works mode = iota
+	// refuses answers that the append had no effect.
+	refuses
+	// loses applies the append and loses the answer.
+	loses
+	// delays loses the answer first and applies the append 400 ms later.
+	delays
+	// swallows loses the append and the answer.
+	swallows
+)
+
+var errLost = errors.New("answer lost")
+
+// fakeLog is a log service in memory whose appends never take effect twice.
+type fakeLog struct {
+	streams map[string][]platform.Record
+	first   map[string]uint64
+	mode    mode
+	unread  bool
+}
+
+// append adds a record and returns the error of the answer.
+func (l *fakeLog) append(w *world, stream string, data []byte) error {
+	apply := func() {
+		records := l.streams[stream]
+		offset := l.first[stream] + uint64(len(records))
+		l.streams[stream] = append(records, platform.Record{Offset: offset, At: w.now, Data: data})
+	}
+	switch l.mode {
+	case refuses:
+		return &platform.UnavailableError{System: "log", Cause: errLost}
+	case delays:
+		w.at(400*time.Millisecond, apply)
+		return &platform.UnsettledError{Stream: stream, Cause: errLost}
+	case swallows:
+		return &platform.UnsettledError{Stream: stream, Cause: errLost}
+	case loses:
+		apply()
+		return &platform.UnsettledError{Stream: stream, Cause: errLost}
+	default:
+		apply()
+		return nil
+	}
+}
+
+// read returns the records from an offset on.
+func (l *fakeLog) read(stream string, from uint64) platform.Page {
+	records, first := l.streams[stream], l.first[stream]
+	page := platform.Page{First: first, End: first + uint64(len(records))}
+	if from = max(from, first); from < page.End {
+		page.Records = records[from-first:]
+	}
+	return page
+}
+
+// expire removes the records from before an instant.
+func (l *fakeLog) expire(before time.Time) {
+	for stream, records := range l.streams {
+		for len(records) > 0 && records[0].At.Before(before) {
+			records = records[1:]
+			l.first[stream]++
+		}
+		l.streams[stream] = records
+	}
+}
--- a/internal/claim/fold.go
+++ b/internal/claim/fold.go
@@ -44,6 +44,9 @@
 // Dropped returns the number of parts that were dropped as garbage.
 func (f *Fold) Dropped() int { return f.dropped }
 
+// Clock returns the latest instant of any record by the log's clock.
+func (f *Fold) Clock() time.Time { return time.UnixMilli(f.clock) }
+
 // Lost notes that records from before an instant may be missing. Keys that such records can concern count as too old.
 func (f *Fold) Lost(before time.Time) {
 	f.horizon = max(f.horizon, before.UnixMilli()+2*f.skew)
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -116,8 +116,8 @@
 	case lost && len(records) > 0:
 		s.fold.Lost(records[0].At)
 	case lost:
-		// Nothing is left to tell how new the lost records are; the log keeps records for two windows.
-		s.fold.Lost(now.Add(-2 * s.limits.Window))
+		// Nothing is left to tell how new the lost records are.
+		s.fold.Lost(now)
 	}
 	for _, record := range records {
 		for _, folded := range s.fold.Apply(record) {
@@ -179,7 +179,7 @@
 		return nil
 	}
 	batch := s.batch(now)
-	if len(batch) == 0 {
+	if len(batch) == 0 && !s.idle(now) {
 		return nil
 	}
 	records := make([]Record, len(batch))
@@ -192,6 +192,12 @@
 	return Encode(records)
 }
 
+// idle tells whether the stream needs an empty record. A stream whose records have all expired tells its next batcher
+// nothing of their age, and that one refuses the keys of the last seconds.
+func (s *shard) idle(now time.Time) bool {
+	return len(s.flights) == 0 && now.Sub(s.fold.Clock()) > s.limits.Window/2
+}
+
 // clean ends the operations that nobody waits for any more, and refuses claims while the log cannot be read or the
 // table is full.
 func (s *shard) clean(now time.Time) {
