Test the cores of shares, schedules and entries

A customer that returned from idle was raised to a counter with the charges of requests in flight, so that estimates above the real cost made it wait for 3.4 s instead of one request. A lone router in a partition got little, because the other side replaced all of its ended runs at once; now only its fraction of them. Lost runs on targets outside of the pool stayed for five minutes. Progress below the estimate is not sent any more: it changed no charge and was a third of the bytes.

--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,178 @@
+package entry_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chicorydale/chicorydale/internal/entry"
+	"github.com/chicorydale/chicorydale/internal/fleetpb"
+	"github.com/chicorydale/chicorydale/internal/membership"
+	"github.com/chicorydale/chicorydale/internal/message"
+	"github.com/chicorydale/chicorydale/internal/refusal"
+)
+
+const pool = "z/drafts/0"
+
+var now = time.Date(2026, 1, 5, 9, 0, 0, 0, time.UTC)
+
+// view returns the view of the router "me" in which one other router schedules.
+func view(scheduler string) membership.View {
+	routers := []membership.Router{
+		{Name: "me", Zone: "y", State: membership.Up},
+		{Name: scheduler, Zone: "z", State: membership.Up},
+	}
+	return membership.NewView("me", routers, []membership.Target{{Name: "t", Zone: "z", Model: "drafts", Slots: 8}})
+}
+
+// newQueue returns a queue with one customer that is connected to the scheduler s1.
+func newQueue(limits entry.Limits) *entry.Queue {
+	q := entry.New("me", 1)
+	classes := map[string]entry.Class{"long": {Patience: time.Second, Long: true}}
+	q.Configure(now, map[uint32]entry.Customer{7: {Limits: limits, Classes: classes}})
+	q.Locate(now, view("s1"))
+	q.Connected(now, "s1", 1)
+	return q
+}
+
+// submit adds a request that the queue must accept.
+func submit(c *qt.C, q *entry.Queue, deadline time.Time) uint64 {
+	id, refused := q.Submit(now, entry.Request{Customer: 7, Model: "drafts", Class: "long", Bytes: 100, Deadline: deadline})
+	c.Assert(refused == nil, qt.IsTrue)
+	return id
+}
+
+// grant gives a request a slot of the scheduler s1.
+func grant(q *entry.Queue, at time.Time, request, number uint64) {
+	one := &fleetpb.Grant{Request: request, Target: "t", Number: number, Deadline: at.Add(time.Second).UnixMilli()}
+	grants := &fleetpb.Grants{Pool: pool, Grants: []*fleetpb.Grant{one}}
+	q.Receive(at, "s1", &fleetpb.Body{Kind: &fleetpb.Body_Grants{Grants: grants}})
+}
+
+// ends returns the ends of runs among messages by grant.
+func ends(envelopes []message.Envelope) map[uint64]*fleetpb.Ended {
+	all := make(map[uint64]*fleetpb.Ended)
+	for _, envelope := range envelopes {
+		for _, ended := range envelope.Body.GetFinish().GetRuns() {
+			all[ended.GetGrant()] = ended
+		}
+	}
+	return all
+}
+
+// Guards against a flood that is queued instead of refused, and against counts that are not given back.
+func TestFloodLimits(t *testing.T) {
+	for name, test := range map[string]struct {
+		limits entry.Limits
+		code   refusal.Code
+	}{
+		"waiting":     {entry.Limits{Waiting: 2}, refusal.FloodWaiting},
+		"bytes":       {entry.Limits{Bytes: 250}, refusal.FloodBytes},
+		"connections": {entry.Limits{Connections: 2}, refusal.FloodConnections},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			q := newQueue(test.limits)
+			first := submit(c, q, time.Time{})
+			submit(c, q, time.Time{})
+			_, refused := q.Submit(now, entry.Request{Customer: 7, Model: "drafts", Class: "long", Bytes: 100})
+			c.Assert(refused, qt.IsNotNil)
+			c.Check(refused.Code, qt.Equals, test.code)
+			c.Check(refused.Ran, qt.Equals, refusal.RanNo)
+			c.Check(refused.RetryAt.After(now), qt.IsTrue)
+			q.Cancel(now, first)
+			q.Cancel(now, first)
+			submit(c, q, time.Time{})
+		})
+	}
+}
+
+// Guards against a caller that waits beyond its deadline, and against a grant for a request that was refused.
+func TestExpiry(t *testing.T) {
+	c := qt.New(t)
+	q := newQueue(entry.Limits{})
+	id := submit(c, q, now.Add(time.Second))
+	_, decisions := q.Tick(now)
+	c.Assert(decisions, qt.HasLen, 0)
+	_, decisions = q.Tick(now.Add(time.Second))
+	c.Assert(decisions, qt.HasLen, 1)
+	c.Check(decisions[0].Refusal.Code, qt.Equals, refusal.Expired)
+	grant(q, now.Add(time.Second), id, 5)
+	envelopes, decisions := q.Tick(now.Add(time.Second))
+	c.Assert(decisions, qt.HasLen, 0)
+	c.Assert(ends(envelopes)[5].GetOutcome(), qt.Equals, fleetpb.Outcome_OUTCOME_UNUSED)
+}
+
+// Guards against one request that runs twice: by a second grant, by a grant of a former scheduler, or by a late one.
+func TestSecondGrant(t *testing.T) {
+	c := qt.New(t)
+	q := newQueue(entry.Limits{})
+	id, other := submit(c, q, time.Time{}), submit(c, q, time.Time{})
+	grant(q, now, id, 5)
+	grant(q, now, id, 6)
+	grant(q, now.Add(-time.Minute), other, 7)
+	q.Receive(now.Add(time.Minute), "s1", &fleetpb.Body{Kind: &fleetpb.Body_Grants{Grants: &fleetpb.Grants{
+		Pool: pool, Grants: []*fleetpb.Grant{{Request: other, Target: "t", Number: 8, Deadline: now.UnixMilli()}},
+	}}})
+	envelopes, decisions := q.Tick(now)
+	c.Assert(decisions, qt.HasLen, 2)
+	c.Check(decisions[0].Grant, qt.Equals, uint64(5))
+	c.Check(decisions[1].Grant, qt.Equals, uint64(7))
+	c.Check(ends(envelopes), qt.HasLen, 2)
+
+	third := submit(c, q, time.Time{})
+	q.Connected(now, "s2", 1)
+	q.Locate(now, view("s2"))
+	grant(q, now, third, 9)
+	envelopes, decisions = q.Tick(now)
+	c.Assert(decisions, qt.HasLen, 0)
+	c.Check(ends(envelopes)[9].GetOutcome(), qt.Equals, fleetpb.Outcome_OUTCOME_UNUSED)
+	var synced []string
+	for _, envelope := range envelopes {
+		if sync := envelope.Body.GetSync(); sync != nil {
+			synced = append(synced, envelope.To)
+			c.Check(len(sync.GetDemands())+len(sync.GetRuns()), qt.Equals, map[string]int{"s1": 0, "s2": 3}[envelope.To])
+		}
+	}
+	c.Check(synced, qt.DeepEquals, []string{"s1", "s2"})
+}
+
+// Guards against a failed request that is forgotten, that returns to the failed target, or that is reported twice.
+func TestPutBack(t *testing.T) {
+	c := qt.New(t)
+	q := newQueue(entry.Limits{})
+	id := submit(c, q, time.Time{})
+	q.Tick(now)
+	grant(q, now, id, 5)
+	q.Tick(now)
+	q.PutBack(now, id, fleetpb.Outcome_OUTCOME_CRASHED, []string{"t"}, true)
+	envelopes, _ := q.Tick(now)
+	c.Assert(envelopes, qt.HasLen, 2)
+	c.Check(ends(envelopes)[5].GetOutcome(), qt.Equals, fleetpb.Outcome_OUTCOME_CRASHED)
+	demand := envelopes[1].Body.GetAnnounce().GetDemands()[0]
+	c.Check(demand.GetApart(), qt.IsTrue)
+	c.Check(demand.GetAvoid(), qt.DeepEquals, []string{"t"})
+	grant(q, now, id, 6)
+	_, decisions := q.Tick(now)
+	c.Check(decisions, qt.HasLen, 0)
+	q.Finish(now, id, 0, fleetpb.Outcome_OUTCOME_DONE)
+	q.Finish(now, id, 0, fleetpb.Outcome_OUTCOME_DONE)
+	c.Check(q.Status(), qt.HasLen, 0)
+}
+
+// Guards against estimates that stay at the first guess.
+func TestEstimates(t *testing.T) {
+	c := qt.New(t)
+	q := newQueue(entry.Limits{})
+	for i := range uint64(3) {
+		id := submit(c, q, time.Time{})
+		grant(q, now, id, i)
+		q.Tick(now)
+		q.Finish(now, id, entry.TokenCost(0, 40), fleetpb.Outcome_OUTCOME_DONE)
+	}
+	q.Tick(now)
+	submit(c, q, time.Time{})
+	envelopes, _ := q.Tick(now)
+	c.Assert(envelopes[0].Body.GetAnnounce().GetDemands()[0].GetEstimate(), qt.Equals, entry.TokenCost(0, 40))
+}
--- a/internal/entry/lane.go
+++ b/internal/entry/lane.go
@@ -114,7 +114,8 @@
 	return &fleetpb.Body{Kind: &fleetpb.Body_Sync{Sync: sync}}
 }
 
-// report returns the progress of the runs that went on since the last report, nil if it is not due or there is none.
+// report returns the progress of new runs, and of those that went on beyond what the scheduler has charged; nil if it is
+// not due or there is none. Progress below the estimate changes no charge, and would be most of the traffic.
 func (l *lane) report(now time.Time, every time.Duration) *fleetpb.Body {
 	if now.Before(l.progress) {
 		return nil
@@ -122,7 +123,7 @@
 	progress := &fleetpb.Progress{Pool: l.pool.String()}
 	for _, id := range slices.Sorted(maps.Keys(l.running)) {
 		run := l.running[id].run
-		if !run.fresh && run.units == run.reported {
+		if !run.fresh && run.units <= max(run.reported, l.running[id].estimate) {
 			continue
 		}
 		run.fresh, run.reported = false, run.units
--- a/internal/entry/queue.go
+++ b/internal/entry/queue.go
@@ -207,11 +207,9 @@
 	delete(lane.running, c.id)
 	lane.ended = append(lane.ended, &fleetpb.Ended{Grant: run.grant, Units: units, Outcome: outcome})
 	q.release(run.owner, run.lender, &fleetpb.Ended{
-		Grant:    run.grant,
-		Units:    units,
-		Outcome:  outcome,
-		Target:   run.target,
-		Customer: c.request.Customer,
+		Grant:   run.grant,
+		Outcome: outcome,
+		Target:  run.target,
 	})
 }
 
--- a/internal/pool/backlog.go
+++ b/internal/pool/backlog.go
@@ -2,27 +2,41 @@
 
 import "slices"
 
-// scanLimit is the number of a customer's demands that are tried for a free slot if the first ones cannot use it.
+// scanLimit is the number of a customer's demands of each kind that are tried for a free slot if the first ones cannot
+// use it, because they avoid its target.
 const scanLimit = 16
 
-// backlog holds the waiting demands of one customer, each list in the order of due times.
+// Kinds of demands. Suspects are kept apart, so that many of them do not hide the other requests of their customer.
+const (
+	kindShort = iota
+	kindLong
+	kindApart
+	kinds
+)
+
+// backlog holds the waiting demands of one customer, each kind in the order of due times.
 type backlog struct {
 	customer uint32
-	short    []*demand
-	long     []*demand
+	lists    [kinds][]*demand
 	// counter is the customer's counter while customers are put into order.
 	counter uint64
 }
 
 // size returns the number of demands.
-func (b *backlog) size() int { return len(b.short) + len(b.long) }
+func (b *backlog) size() int {
+	return len(b.lists[kindShort]) + len(b.lists[kindLong]) + len(b.lists[kindApart])
+}
 
 // list returns the list that a demand belongs to.
 func (b *backlog) list(d *demand) *[]*demand {
-	if d.long {
-		return &b.long
+	switch {
+	case d.apart:
+		return &b.lists[kindApart]
+	case d.long:
+		return &b.lists[kindLong]
+	default:
+		return &b.lists[kindShort]
 	}
-	return &b.short
 }
 
 // add inserts a demand.
@@ -42,22 +56,23 @@
 
 // each calls visit with the first demands in the order of due times until it returns true; long ones only if asked for.
 func (b *backlog) each(long bool, visit func(*demand) bool) {
-	short, rest := b.short, b.long
-	if !long {
-		rest = nil
+	var heads [kinds][]*demand
+	for kind, list := range b.lists {
+		if kind != kindLong || long {
+			heads[kind] = list[:min(len(list), scanLimit)]
+		}
 	}
-	for range scanLimit {
-		var next *demand
-		switch {
-		case len(short) == 0 && len(rest) == 0:
-			return
-		case len(rest) == 0 || len(short) > 0 && compareDemands(short[0], rest[0]) < 0:
-			next, short = short[0], short[1:]
-		default:
-			next, rest = rest[0], rest[1:]
+	for {
+		var next *[]*demand
+		for kind := range heads {
+			list := &heads[kind]
+			if len(*list) > 0 && (next == nil || compareDemands((*list)[0], (*next)[0]) < 0) {
+				next = list
+			}
 		}
-		if visit(next) {
+		if next == nil || visit((*next)[0]) {
 			return
 		}
+		*next = (*next)[1:]
 	}
 }
--- a/internal/pool/expire.go
+++ b/internal/pool/expire.go
@@ -22,30 +22,20 @@
 
 // expire ends grants that were not used, runs that nobody reports any more, and loans past their deadline.
 func (s *schedule) expire(now time.Time) {
-	for _, r := range s.sortedRuns() {
-		switch {
-		case r.lost.IsZero() && !r.started && now.Sub(r.deadline) > startGrace:
-			s.end(now, r, 0)
-		case !r.lost.IsZero() && s.overdue(now, r):
-			s.end(now, r, r.units)
-		}
+	for _, r := range s.runsWhere(func(r *run) bool { return r.unused(now) }) {
+		s.end(now, r, 0)
+	}
+	for _, r := range s.runsWhere(func(r *run) bool { return r.overdue(now, s.target(r.target) != nil) }) {
+		s.end(now, r, r.units)
 	}
 	for _, row := range s.targets {
-		s.settle(now, now.Add(-time.Second), row)
+		s.settle(now.Add(-time.Second), row)
 		if s.limited() && now.Sub(row.refilled) > time.Second {
 			row.refill(now, row.slots-row.occupied(now), s.fraction)
 		}
 	}
 }
 
-// overdue reports whether a lost run must have ended.
-func (s *schedule) overdue(now time.Time, r *run) bool {
-	if r.expiry.IsZero() {
-		return now.Sub(r.lost) > lostLimit
-	}
-	return now.After(r.expiry) && now.Sub(r.lost) > lostGrace
-}
-
 // observe takes over a target's load report. A report that is older than the last one changes nothing.
 func (s *schedule) observe(now time.Time, name string, load platform.Load) {
 	row := s.target(name)
@@ -53,7 +43,7 @@
 		return
 	}
 	row.observe(now, load)
-	s.settle(now, load.At.Add(-arrivalGrace), row)
+	s.settle(load.At.Add(-arrivalGrace), row)
 	s.reap(now, row)
 	s.recount(row)
 	if s.limited() {
@@ -67,8 +57,8 @@
 	if excess <= 0 {
 		return
 	}
-	lost := slices.DeleteFunc(s.sortedRuns(), func(r *run) bool {
-		return r.target != row.name || r.lost.IsZero() || row.load.At.Sub(r.lost) < lostGrace
+	lost := s.runsWhere(func(r *run) bool {
+		return r.target == row.name && !r.lost.IsZero() && row.load.At.Sub(r.lost) >= lostGrace
 	})
 	slices.SortStableFunc(lost, func(a, b *run) int { return a.granted.Compare(b.granted) })
 	for _, r := range lost[:min(excess, len(lost))] {
--- a/internal/pool/grant.go
+++ b/internal/pool/grant.go
@@ -100,7 +100,7 @@
 // dispatch grants a slot, charges the customer with the estimate and enters the run.
 func (s *schedule) dispatch(now time.Time, out *outbox, d *demand, target string, slot *borrowed) {
 	s.drop(d.key)
-	s.level = max(s.level, s.ledger.Counter(d.customer))
+	s.level = max(s.level, s.settled(d.customer))
 	deadline := now.Add(s.life)
 	if slot != nil {
 		deadline = slot.deadline
--- a/internal/pool/lend.go
+++ b/internal/pool/lend.go
@@ -34,11 +34,8 @@
 	return farMargin * p.mean()
 }
 
-// lendIdle lends the slots that no waiting request of this pool can use, to pools of the same region first.
+// lendIdle lends the slots that were left after grants, to pools of the same region first.
 func (s *schedule) lendIdle(now time.Time, out *outbox, peers []*peer) {
-	if len(s.demands) > 0 {
-		return
-	}
 	for {
 		var best *peer
 		for _, p := range peers {
@@ -116,25 +113,25 @@
 	s.loans = slices.DeleteFunc(s.loans, func(l *loan) bool { return l.left == 0 })
 }
 
-// settle takes back the loans on a target whose deadline lies before an instant. Their runs are in the load report.
-func (s *schedule) settle(now, before time.Time, row *target) {
+// settle takes back the loans on a target whose deadline lies before an instant. If their slots are in use, the load
+// report shows it from now on.
+func (s *schedule) settle(before time.Time, row *target) {
+	kept := len(s.loans)
 	s.loans = slices.DeleteFunc(s.loans, func(l *loan) bool {
 		if l.target != row.name || !l.deadline.Before(before) {
 			return false
 		}
-		for range l.left {
-			row.remove(now, l.granted, false)
-		}
+		row.own -= l.left
 		return true
 	})
+	if len(s.loans) < kept {
+		s.recount(row)
+	}
 }
 
-// giveBack returns borrowed slots that no waiting request uses.
-func (s *schedule) giveBack(now time.Time, out *outbox) {
-	s.borrowed = slices.DeleteFunc(s.borrowed, func(b *borrowed) bool {
-		if now.Before(b.deadline.Add(-s.life/10)) && len(s.demands) > 0 {
-			return false
-		}
+// giveBack returns the borrowed slots that were left after grants.
+func (s *schedule) giveBack(out *outbox) {
+	for _, b := range s.borrowed {
 		for range b.left {
 			out.finish(b.owner, b.lender, &fleetpb.Ended{
 				Grant:   b.number,
@@ -142,6 +139,6 @@
 				Target:  b.target,
 			})
 		}
-		return true
-	})
+	}
+	s.borrowed = nil
 }
--- a/internal/pool/receive.go
+++ b/internal/pool/receive.go
@@ -47,8 +47,8 @@
 	case *fleetpb.Body_Report:
 		s.report(now, from, kind.Report)
 	case *fleetpb.Body_Totals:
-		if ledger := s.ledgers[kind.Totals.GetSource()]; ledger != nil {
-			ledger.Receive(kind.Totals)
+		if row := s.schedules[kind.Totals.GetSource()]; row != nil {
+			row.totals(kind.Totals)
 		}
 	}
 }
--- a/internal/pool/run.go
+++ b/internal/pool/run.go
@@ -32,3 +32,23 @@
 	// lost is the instant at which the session with the entry router broke, zero while it holds.
 	lost time.Time
 }
+
+// unused reports whether the grant must have run out without being used.
+func (r *run) unused(now time.Time) bool {
+	return r.lost.IsZero() && !r.started && now.Sub(r.deadline) > startGrace
+}
+
+// overdue reports whether a lost run must have ended. Load reports show when it did if its target is in the pool; else
+// the run holds no slot of the pool.
+func (r *run) overdue(now time.Time, member bool) bool {
+	if r.lost.IsZero() {
+		return false
+	}
+	if !member {
+		return now.Sub(r.lost) > lostGrace
+	}
+	if r.expiry.IsZero() {
+		return now.Sub(r.lost) > lostLimit
+	}
+	return now.After(r.expiry) && now.Sub(r.lost) > lostGrace
+}
--- a/internal/pool/schedule.go
+++ b/internal/pool/schedule.go
@@ -2,10 +2,10 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
+	"github.com/chicorydale/chicorydale/internal/fleetpb"
 	"github.com/chicorydale/chicorydale/internal/membership"
 	"github.com/chicorydale/chicorydale/internal/share"
 )
@@ -30,15 +30,22 @@
 	meter     meter
 	estimated uint64
 	// level is the counter of the last granted customer before its charge: the floor if nobody is backlogged.
-	level  uint64
-	nearAt time.Time
-	farAt  time.Time
-	told   map[string]bool
-	orphan bool
+	level uint64
+	// remote is the lowest level of the other pools that want slots, zero if there is none.
+	remote uint64
+	// fresh holds customers of whom the owner of their shard knew nothing.
+	fresh map[uint32]struct{}
+	// flying is the charge of each customer's runs in weighted milli-units.
+	flying  map[uint32]uint64
+	created time.Time
+	nearAt  time.Time
+	farAt   time.Time
+	told    map[string]bool
+	orphan  bool
 }
 
 // newSchedule returns an empty schedule; grant numbers are drawn from number.
-func newSchedule(pool membership.Pool, settings settings, ledger *share.Ledger, number *uint64) *schedule {
+func newSchedule(now time.Time, pool membership.Pool, settings settings, ledger *share.Ledger, number *uint64) *schedule {
 	return &schedule{
 		settings: settings,
 		pool:     pool,
@@ -51,6 +58,9 @@
 		fraction: 1,
 		number:   number,
 		told:     make(map[string]bool),
+		fresh:    make(map[uint32]struct{}),
+		flying:   make(map[uint32]uint64),
+		created:  now,
 	}
 }
 
@@ -61,7 +71,7 @@
 	whole := !s.limited()
 	s.fraction = 1
 	if live, listed := view.Heard(s.pool.Zone); listed > 0 && live < listed {
-		s.fraction = float64(live) / float64(listed)
+		s.fraction = max(float64(live), 0.5) / float64(listed)
 	}
 	members := view.Members(s.pool)
 	targets := make([]*target, 0, len(members))
@@ -74,7 +84,7 @@
 		if row.heard.IsZero() || row.load.Slots <= 0 {
 			row.slots = max(1, listed.Slots)
 		}
-		row.leaving = listed.Leaving
+		row.leaving, row.fraction = listed.Leaving, s.fraction
 		if whole && s.limited() {
 			row.budget = 0
 		}
@@ -157,14 +167,69 @@
 	}
 }
 
-// floor returns the least counter of a customer that returns from idle: the lowest one of the backlogged customers, or
-// the counter of the last grant if nobody is backlogged.
+// floor returns the least counter of a customer that returns from idle: the lowest one of the customers that are
+// backlogged here, else that of the other pools' backlogged customers, else the counter of the last grant. Charges of
+// requests in flight do not count: they may be too high, and the returning customer has nothing in flight itself.
 func (s *schedule) floor() uint64 {
-	lowest, found := s.lowest()
-	if !found {
-		return s.level
+	lowest, found := uint64(0), false
+	for customer := range s.backlogs {
+		if counter := s.settled(customer); !found || counter < lowest {
+			lowest, found = counter, true
+		}
+	}
+	if found {
+		return lowest
+	}
+	if s.remote > 0 {
+		return s.remote
+	}
+	return s.level
+}
+
+// settled returns a customer's counter without the charges of its requests in flight here.
+func (s *schedule) settled(customer uint32) uint64 {
+	counter := s.ledger.Counter(customer)
+	return counter - min(counter, s.flying[customer])
+}
+
+// place runs the floor for what only other routers know: the level of other pools, and in the first seconds the
+// customers whose service the owner of their shard has lost.
+func (s *schedule) place(now time.Time, peers []*peer) {
+	s.remote = 0
+	for _, p := range peers {
+		if p.wants(now, s.region) && p.level > 0 && (s.remote == 0 || p.level < s.remote) {
+			s.remote = p.level
+		}
+	}
+	if now.Sub(s.created) > placeTime {
+		clear(s.fresh)
+	}
+	if len(s.fresh) == 0 {
+		return
+	}
+	lowest, found := uint64(0), false
+	for customer := range s.backlogs {
+		if counter := s.ledger.Counter(customer); s.ledger.Placed(customer) && (!found || counter < lowest) {
+			lowest, found = counter, true
+		}
+	}
+	if found {
+		for customer := range s.fresh {
+			s.ledger.Raise(customer, lowest)
+		}
+		clear(s.fresh)
+	}
+}
+
+// placeTime is how long a new schedule looks for customers whose shard's owner lost its state at the same time. They
+// would start from zero among customers with a history and hold back all others for that history's length.
+const placeTime = 3 * time.Second
+
+// totals takes over the answer of a shard's owner.
+func (s *schedule) totals(totals *fleetpb.Totals) {
+	for _, customer := range s.ledger.Receive(totals) {
+		s.fresh[customer] = struct{}{}
 	}
-	return lowest
 }
 
 // lowest returns the lowest counter of the backlogged customers.
@@ -181,6 +246,7 @@
 // start enters a run.
 func (s *schedule) start(r *run) {
 	s.runs[r.key] = r
+	s.flying[r.customer] += r.paid
 	if row := s.target(r.target); row != nil {
 		row.add(r.granted, r.apart)
 	}
@@ -190,6 +256,10 @@
 func (s *schedule) end(now time.Time, r *run, units uint64) {
 	s.correct(r, units)
 	delete(s.runs, r.key)
+	s.flying[r.customer] -= r.paid
+	if s.flying[r.customer] == 0 {
+		delete(s.flying, r.customer)
+	}
 	if row := s.target(r.target); row != nil {
 		row.remove(now, r.granted, r.apart)
 	}
@@ -211,12 +281,20 @@
 	} else {
 		s.ledger.Refund(r.customer, r.paid-due)
 	}
+	s.flying[r.customer] += due - r.paid
 	r.units, r.paid = units, due
 }
 
-// sortedRuns returns the runs in the order of their keys.
-func (s *schedule) sortedRuns() []*run {
-	return slices.SortedFunc(maps.Values(s.runs), func(a, b *run) int {
+// runsWhere returns the runs that match, in the order of their keys.
+func (s *schedule) runsWhere(match func(*run) bool) []*run {
+	var out []*run
+	for _, r := range s.runs {
+		if match(r) {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b *run) int {
 		return cmp.Or(cmp.Compare(a.key.entry, b.key.entry), cmp.Compare(a.key.grant, b.key.grant))
 	})
+	return out
 }
--- a/internal/pool/scheduler.go
+++ b/internal/pool/scheduler.go
@@ -55,13 +55,13 @@
 }
 
 // firstNumber returns where the grant numbers of an incarnation start. Entry routers hold grants of several schedulers
-// of one pool at a time, so that two incarnations should not use the same numbers.
+// of one pool at a time, so that two incarnations should not use the same numbers. Small ones take fewer bytes.
 func firstNumber(self string, incarnation uint64) uint64 {
 	var seed [8]byte
 	for i := range seed {
 		seed[i] = byte(incarnation >> (8 * i))
 	}
-	return xxhash.Sum64(append([]byte(self), seed[:]...)) % (1 << 31)
+	return xxhash.Sum64(append([]byte(self), seed[:]...)) % (1 << 20)
 }
 
 // Locate takes over a new view: schedules of pools that this router schedules now are created, those of other pools are
@@ -111,7 +111,7 @@
 	if s.ledgers[name] == nil {
 		s.ledgers[name] = share.NewLedger(pool.Model, name, s.incarnation)
 	}
-	row := newSchedule(pool, s.settings, s.ledgers[name], &s.number)
+	row := newSchedule(now, pool, s.settings, s.ledgers[name], &s.number)
 	row.weights = s.weights
 	s.schedules[name] = row
 	row.locate(now, s.view)
@@ -171,8 +171,9 @@
 	for _, row := range s.sorted() {
 		peers := s.peersOf(row)
 		row.expire(now)
-		row.giveBack(now, out)
+		row.place(now, peers)
 		row.grant(now, out, peers)
+		row.giveBack(out)
 		row.lendIdle(now, out, peers)
 		row.meter.roll(now)
 		row.mark(now)
--- a/internal/pool/sync.go
+++ b/internal/pool/sync.go
@@ -14,10 +14,9 @@
 	for _, run := range state.GetRuns() {
 		listed[run.GetGrant()] = true
 	}
-	for _, r := range s.sortedRuns() {
-		if r.key.entry != from || r.incarnation != incarnation || listed[r.key.grant] {
-			continue
-		}
+	for _, r := range s.runsWhere(func(r *run) bool {
+		return r.key.entry == from && r.incarnation == incarnation && !listed[r.key.grant]
+	}) {
 		if r.started {
 			s.end(now, r, r.units)
 		} else {
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -35,6 +35,8 @@
 	// budget is the number of grants left in this report period, for a scheduler that hears a part of the routers only.
 	budget   float64
 	refilled time.Time
+	// fraction is the part of the slots of ended runs that may be granted again before the next load report.
+	fraction float64
 }
 
 // ended is the life of a run that is over.
@@ -104,7 +106,7 @@
 // remove notes the end of a run or of a lent slot.
 func (t *target) remove(now, granted time.Time, apart bool) {
 	t.own--
-	t.budget++
+	t.budget += t.fraction
 	t.end(now, granted)
 	if apart {
 		t.suspects--
--- a/internal/share/ledger.go
+++ b/internal/share/ledger.go
@@ -106,21 +106,34 @@
 	return []*fleetpb.Account{{Customer: customer}, entry}
 }
 
-// Receive takes over an owner's answer. An answer to another source or incarnation changes nothing.
-func (l *Ledger) Receive(totals *fleetpb.Totals) {
+// Receive takes over an owner's answer. An answer to another source or incarnation changes nothing. It returns the
+// customers that were answered for the first time and of whom the owner knew nothing but this ledger's own service.
+func (l *Ledger) Receive(totals *fleetpb.Totals) []uint32 {
 	if totals.GetModel() != l.model || totals.GetSource() != l.source || totals.GetIncarnation() != l.incarnation {
-		return
+		return nil
 	}
+	var fresh []uint32
 	for _, total := range totals.GetTotals() {
 		found, ok := l.accounts[total.GetCustomer()]
 		if !ok {
 			continue
 		}
+		first := !found.known
 		found.settle(total.GetTotal(), total.GetIncluded())
+		if first && found.base == 0 {
+			fresh = append(fresh, total.GetCustomer())
+		}
 		if found.pending() {
 			l.mark(total.GetCustomer())
 		}
 	}
+	return fresh
+}
+
+// Placed reports whether more than this ledger's own service is known of a customer.
+func (l *Ledger) Placed(customer uint32) bool {
+	found, ok := l.accounts[customer]
+	return ok && found.base > 0
 }
 
 // account returns the account of a customer and creates it if there is none.
--- /dev/null
+++ b/internal/share/share_test.go
@@ -0,0 +1,134 @@
+package share_test
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/chicorydale/chicorydale/internal/fleetpb"
+	"github.com/chicorydale/chicorydale/internal/message"
+	"github.com/chicorydale/chicorydale/internal/share"
+)
+
+// Rapid draws the same cases in each run unless its flags say otherwise, and leaves no files.
+func init() {
+	for name, value := range map[string]string{"seed": "1", "checks": "200", "nofailfile": "true"} {
+		if err := flag.Set("rapid."+name, value); err != nil {
+			panic(err)
+		}
+	}
+}
+
+const model = "drafts"
+
+var start = time.Date(2026, 1, 5, 9, 0, 0, 0, time.UTC)
+
+// toOwner is a route to one owner without a period.
+func toOwner(uint32) (string, time.Duration) { return "owner", 0 }
+
+// exchange carries all reports of a ledger to an owner and the answers back.
+func exchange(now time.Time, ledger *share.Ledger, from string, owner *share.Owner) {
+	for _, envelope := range ledger.Report(now, toOwner) {
+		owner.Receive(now, from, envelope.Body.GetReport())
+	}
+	for _, envelope := range owner.Tick(now) {
+		ledger.Receive(envelope.Body.GetTotals())
+	}
+}
+
+// Guards against service that is counted twice, or not at all, when messages are repeated, late or reordered and when
+// schedulers restart.
+func TestTotalsAreExact(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		owner := share.NewOwner()
+		ledgers := [2]*share.Ledger{share.NewLedger(model, "z/drafts/0", 1), share.NewLedger(model, "z/drafts/1", 1)}
+		var sent []message.Envelope
+		var senders []string
+		served, incarnation, now := uint64(0), uint64(1), start
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Second)
+			i := rapid.IntRange(0, 1).Draw(t, "ledger")
+			from := []string{"r0", "r1"}[i]
+			switch rapid.IntRange(0, 4).Draw(t, "action") {
+			case 0, 1:
+				units := rapid.Uint64Range(0, 1000).Draw(t, "units")
+				ledgers[i].Charge(7, units)
+				served += units
+				for _, envelope := range ledgers[i].Report(now, toOwner) {
+					sent, senders = append(sent, envelope), append(senders, from)
+					owner.Receive(now, from, envelope.Body.GetReport())
+				}
+			case 2:
+				if len(sent) > 0 {
+					late := rapid.IntRange(0, len(sent)-1).Draw(t, "late")
+					owner.Receive(now, senders[late], sent[late].Body.GetReport())
+				}
+			case 3:
+				incarnation++
+				ledgers[i] = share.NewLedger(model, "z/drafts/"+string(rune('0'+i)), incarnation)
+			case 4:
+				for _, envelope := range owner.Tick(now) {
+					ledgers[i].Receive(envelope.Body.GetTotals())
+				}
+			}
+		}
+		if total := owner.Total(model, 7); total != served {
+			t.Fatalf("total %d instead of %d", total, served)
+		}
+	})
+}
+
+// Guards against a new owner that starts from zero, and against one that counts old service again when a scheduler
+// reports late.
+func TestNewOwner(t *testing.T) {
+	c := qt.New(t)
+	old, now := share.NewOwner(), start
+	first, second := share.NewLedger(model, "z/drafts/0", 1), share.NewLedger(model, "z/drafts/1", 1)
+	first.Charge(7, 600)
+	second.Charge(7, 400)
+	for range 2 {
+		exchange(now, first, "r0", old)
+		exchange(now, second, "r1", old)
+		first.Mark(7)
+	}
+	c.Assert(first.Counter(7), qt.Equals, uint64(1000))
+	owner := share.NewOwner()
+	for range 4 {
+		now = now.Add(time.Second)
+		first.Mark(7)
+		exchange(now, first, "r0", owner)
+	}
+	c.Assert(owner.Total(model, 7), qt.Equals, uint64(1000))
+	second.Charge(7, 50)
+	exchange(now, second, "r1", owner)
+	c.Assert(owner.Total(model, 7) <= 1050, qt.IsTrue)
+	for range 4 {
+		second.Mark(7)
+		exchange(now, second, "r1", owner)
+	}
+	c.Assert(owner.Total(model, 7), qt.Equals, uint64(1050))
+	c.Assert(second.Counter(7), qt.Equals, uint64(1050))
+	c.Assert(first.Counter(7), qt.Equals, uint64(1000))
+}
+
+// Guards against a counter that falls, or that charges a customer for service it did not get.
+func TestRefund(t *testing.T) {
+	c := qt.New(t)
+	owner, ledger := share.NewOwner(), share.NewLedger(model, "z/drafts/0", 1)
+	ledger.Charge(7, 500)
+	exchange(start, ledger, "r0", owner)
+	ledger.Refund(7, 400)
+	c.Assert(ledger.Counter(7), qt.Equals, uint64(100))
+	ledger.Charge(7, 300)
+	c.Assert(ledger.Counter(7), qt.Equals, uint64(400))
+	ledger.Charge(7, 200)
+	exchange(start, ledger, "r0", owner)
+	c.Assert(owner.Total(model, 7), qt.Equals, uint64(600))
+	ledger.Receive(&fleetpb.Totals{
+		Model: model, Source: "z/drafts/0", Incarnation: 2, Totals: []*fleetpb.Total{{Customer: 7, Total: 9000}},
+	})
+	c.Assert(ledger.Counter(7), qt.Equals, uint64(600))
+}
