Test every refusal that a request brings about by itself

Cause: each refusal has a documented status, code, counter and word on whether the request ran; nothing held them. Conclusion: refusals that come before the claim stream was read say "unknown" for keyed calls.

--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -16,7 +16,8 @@
 
 // handler returns the HTTP handler for callers and operators.
 func (r *Router) handler() (http.Handler, error) {
-	server, err := oas.NewServer(r, r, oas.WithNotFound(notFound), oas.WithErrorHandler(r.writeError))
+	server, err := oas.NewServer(r, r, oas.WithNotFound(r.notFound),
+		oas.WithMethodNotAllowed(r.notAllowed), oas.WithErrorHandler(r.writeError))
 	if err != nil {
 		return nil, err
 	}
@@ -27,8 +28,17 @@
 }
 
 // notFound answers a path that the interface does not have.
-func notFound(w http.ResponseWriter, request *http.Request) {
-	writeRefusal(w, refusal.Newf(refusal.Malformed, "there is no %s", request.URL.Path))
+func (r *Router) notFound(w http.ResponseWriter, request *http.Request) {
+	refused := refusal.Newf(refusal.Malformed, "there is no %s", request.URL.Path)
+	r.count(request.Context(), refused)
+	writeRefusal(w, refused)
+}
+
+// notAllowed answers a method that a path does not have.
+func (r *Router) notAllowed(w http.ResponseWriter, request *http.Request, allowed string) {
+	refused := refusal.Newf(refusal.Malformed, "%s takes %s", request.URL.Path, allowed)
+	r.count(request.Context(), refused)
+	writeRefusal(w, refused)
 }
 
 // writeError answers a request that the generated code could not take apart.
--- /dev/null
+++ b/internal/router/refusal_test.go
@@ -0,0 +1,198 @@
+package router_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chicorydale/chicorydale/internal/refusal"
+)
+
+// refusalCase is one request that must be refused.
+type refusalCase struct {
+	name    string
+	method  string
+	path    string
+	key     string
+	body    string
+	headers map[string]string
+	status  int
+	code    refusal.Code
+	ran     refusal.Ran
+}
+
+// refusalCases returns one request for each reason that a request can give by itself.
+func refusalCases(t *testing.T) []refusalCase {
+	t.Helper()
+	generate, book := "/v1/models/m/generate", "/v1/services/shop/book"
+	call := `{"class":"quick","prompt":"p"}`
+	keyed := map[string]string{"Idempotency-Key": newKey(t)}
+	past := time.Now().Add(-time.Hour).UTC().Format(time.RFC3339)
+	return []refusalCase{
+		{"missing key", "POST", generate, "", call, nil, 401, refusal.Unauthenticated, refusal.RanNo},
+		{"wrong key", "POST", generate, "nobody", call, nil, 401, refusal.Unauthenticated, refusal.RanNo},
+		{"operator's call with a customer's key", "GET", "/v1/status", customerKey, "", nil,
+			403, refusal.Forbidden, refusal.RanNo},
+		{"operator's call with a wrong key", "GET", "/v1/status", "nobody", "", nil,
+			401, refusal.Unauthenticated, refusal.RanNo},
+		{"malformed JSON", "POST", generate, customerKey, `{"class":`, nil, 400, refusal.Malformed, refusal.RanNo},
+		{"unknown field", "POST", generate, customerKey, `{"class":"quick","prompt":"p","x":1}`, nil,
+			400, refusal.Malformed, refusal.RanNo},
+		{"body over the router's limit", "POST", generate, customerKey,
+			`{"class":"quick","prompt":"` + strings.Repeat("x", 2<<20) + `"}`, nil, 413, refusal.TooLarge, refusal.RanNo},
+		{"body over the customer's limit", "POST", generate, customerKey,
+			`{"class":"quick","prompt":"` + strings.Repeat("x", 5000) + `"}`, nil, 413, refusal.TooLarge, refusal.RanNo},
+		{"unknown model", "POST", "/v1/models/none/generate", customerKey, call, nil,
+			404, refusal.UnknownModel, refusal.RanNo},
+		{"unknown class", "POST", generate, customerKey, `{"class":"none","prompt":"p"}`, nil,
+			422, refusal.UnknownClass, refusal.RanNo},
+		{"deadline in the past", "POST", generate, customerKey, `{"class":"quick","prompt":"p","deadline":"` + past + `"}`,
+			nil, 422, refusal.DeadlinePast, refusal.RanNo},
+		{"unknown stream", "GET", "/v1/streams/none", customerKey, "", nil, 404, refusal.UnknownStream, refusal.RanNo},
+		{"unknown service", "POST", "/v1/services/none/book", customerKey, `{}`, nil,
+			404, refusal.UnknownService, refusal.RanNo},
+		{"unknown operation", "POST", "/v1/services/shop/none", customerKey, `{}`, nil,
+			404, refusal.UnknownOperation, refusal.RanNo},
+		{"booking without a key", "POST", book, customerKey, `{}`, nil, 400, refusal.KeyMissing, refusal.RanNo},
+		{"key of another version", "POST", book, customerKey, `{}`,
+			map[string]string{"Idempotency-Key": "d4c1a2f0-3f53-4d3a-9c83-000000000000"}, 400, refusal.KeyInvalid, refusal.RanNo},
+		{"key of last year", "POST", book, customerKey, `{}`,
+			map[string]string{"Idempotency-Key": "01890a5d-ac96-774b-bcce-b302099a8057"},
+			410, refusal.KeyExpired, refusal.RanUnknown},
+		{"keyed call with a deadline in the past", "POST", book, customerKey, `{"deadline":"` + past + `"}`, keyed,
+			422, refusal.DeadlinePast, refusal.RanUnknown},
+		{"no such method", "DELETE", generate, customerKey, "", nil, 400, refusal.Malformed, refusal.RanNo},
+		{"no such path", "GET", "/v2/none", customerKey, "", nil, 400, refusal.Malformed, refusal.RanNo},
+	}
+}
+
+// metrics returns the text of a router's metrics.
+func (f *fleet) metrics(index int) string {
+	f.t.Helper()
+	response, err := http.Get(f.operate[index] + "/metrics")
+	qt.Assert(f.t, err, qt.IsNil)
+	defer response.Body.Close() //nolint:errcheck // The body is read to its end.
+	text, err := io.ReadAll(response.Body)
+	qt.Assert(f.t, err, qt.IsNil)
+	return string(text)
+}
+
+// refusals returns the count of a refusal code at a router.
+func (f *fleet) refusals(index int, code refusal.Code) int {
+	f.t.Helper()
+	prefix := fmt.Sprintf("chicorydale_refusals_total{code=%q} ", code)
+	for line := range strings.Lines(f.metrics(index)) {
+		if rest, found := strings.CutPrefix(line, prefix); found {
+			var count int
+			_, err := fmt.Sscan(rest, &count)
+			qt.Assert(f.t, err, qt.IsNil)
+			return count
+		}
+	}
+	f.t.Fatalf("no counter for %s", code)
+	return 0
+}
+
+// TestRefusals guards each refusal that a request can bring about by itself: status, code, whether it ran, and counter.
+func TestRefusals(t *testing.T) {
+	f := newFleet(t)
+	f.addRouter("r1", "a")
+	f.ready(0)
+	f.configure(0)
+	f.limitBody(0)
+	for _, c := range refusalCases(t) {
+		t.Run(c.name, func(t *testing.T) {
+			before := f.refusals(0, c.code)
+			request, err := http.NewRequestWithContext(t.Context(), c.method, f.urls[0]+c.path, strings.NewReader(c.body))
+			qt.Assert(t, err, qt.IsNil)
+			request.Header.Set("Content-Type", "application/json")
+			if c.key != "" {
+				request.Header.Set("Authorization", "Bearer "+c.key)
+			}
+			for name, value := range c.headers {
+				request.Header.Set(name, value)
+			}
+			response, err := http.DefaultClient.Do(request)
+			qt.Assert(t, err, qt.IsNil)
+			defer response.Body.Close() //nolint:errcheck // The body is read to its end.
+			var got struct {
+				Code refusal.Code `json:"code"`
+				Ran  refusal.Ran  `json:"ran"`
+			}
+			qt.Assert(t, json.NewDecoder(response.Body).Decode(&got), qt.IsNil)
+			qt.Check(t, response.StatusCode, qt.Equals, c.status)
+			qt.Check(t, got.Code, qt.Equals, c.code)
+			qt.Check(t, got.Ran, qt.Equals, c.ran)
+			qt.Check(t, f.refusals(0, c.code), qt.Equals, before+1)
+		})
+	}
+}
+
+// limitBody publishes a body limit of 4,000 bytes for the customer.
+func (f *fleet) limitBody(index int) {
+	f.t.Helper()
+	_, body := f.do(http.MethodGet, f.urls[index]+"/v1/config", operatorKey, nil, nil)
+	var current struct {
+		Version   int              `json:"version"`
+		Customers []map[string]any `json:"customers"`
+	}
+	qt.Assert(f.t, json.Unmarshal(body, &current), qt.IsNil)
+	customer := current.Customers[0]
+	customer["limits"] = map[string]any{"body_bytes": 4000}
+	delete(customer, "number")
+	change := map[string]any{"id": "limit", "base": current.Version, "put_customers": []any{customer}}
+	status, answer := f.do(http.MethodPost, f.urls[index]+"/v1/config/changes", operatorKey, change, nil)
+	qt.Assert(f.t, status, qt.Equals, http.StatusOK, qt.Commentf("%s", answer))
+}
+
+// TestKeyConflict guards against a key that is used again with another body, through another router.
+func TestKeyConflict(t *testing.T) {
+	f := newFleet(t)
+	f.addRouter("r1", "a")
+	f.addRouter("r2", "b")
+	f.ready(0)
+	f.ready(1)
+	f.configure(0)
+	headers := map[string]string{"Idempotency-Key": newKey(t)}
+	book := func(url, item string) (int, string) {
+		body := map[string]any{"arguments": map[string]string{"item": item}}
+		status, answer := f.do(http.MethodPost, url+"/v1/services/shop/book", customerKey, body, headers)
+		return status, string(answer)
+	}
+	status, answer := book(f.urls[0], "screen")
+	qt.Assert(t, status, qt.Equals, http.StatusOK, qt.Commentf("%s", answer))
+	status, answer = book(f.urls[1], "ink")
+	qt.Assert(t, status, qt.Equals, http.StatusConflict)
+	qt.Assert(t, strings.Contains(answer, `"key_conflict"`), qt.IsTrue, qt.Commentf("%s", answer))
+	qt.Assert(t, f.service.Bookings().Bookings, qt.HasLen, 1)
+}
+
+// TestStaleChange guards against two operators whose changes build on the same version, and against a change whose
+// answer was lost counting twice.
+func TestStaleChange(t *testing.T) {
+	f := newFleet(t)
+	f.addRouter("r1", "a")
+	f.ready(0)
+	f.configure(0)
+	publish := func(id string, base int) (int, string) {
+		change := map[string]any{"id": id, "base": base, "put_services": []any{
+			map[string]any{"name": id, "operations": map[string]bool{"look": true}},
+		}}
+		status, answer := f.do(http.MethodPost, f.urls[0]+"/v1/config/changes", operatorKey, change, nil)
+		return status, string(answer)
+	}
+	status, answer := publish("second", 1)
+	qt.Assert(t, status, qt.Equals, http.StatusOK, qt.Commentf("%s", answer))
+	status, answer = publish("third", 1)
+	qt.Assert(t, status, qt.Equals, http.StatusConflict)
+	qt.Assert(t, strings.Contains(answer, `"version":2`), qt.IsTrue, qt.Commentf("%s", answer))
+	status, answer = publish("second", 1)
+	qt.Assert(t, status, qt.Equals, http.StatusOK)
+	qt.Assert(t, strings.Contains(answer, `"repeated":true`), qt.IsTrue, qt.Commentf("%s", answer))
+}
