End the host list of TestGrace before its requests are read

Closing the channel raced with the handler of the last request: found by the race detector in 20 runs of the package, the handler's connection being still open. The test now closes the server first, which waits for its handlers. 40 runs of the test and 20 of the package are clean.

--- a/internal/emulator/command/command_test.go
+++ b/internal/emulator/command/command_test.go
@@ -144,6 +144,7 @@
 	process, _ := start(c, "engine", "--name", "e", "--hosts", hosts.Listener.Addr().String(), "--grace", "1ms")
 	c.Assert(process.Process.Signal(syscall.SIGTERM), qt.IsNil)
 	c.Assert(process.Wait(), qt.IsNil)
+	hosts.Close()
 	close(requests)
 	for _, want := range []string{"PUT /hosts/e", "POST /hosts/e/leaving", "DELETE /hosts/e"} {
 		c.Assert(<-requests, qt.Equals, want)
