Test the membership tracker over links in virtual time

Cause: random schedules showed views that stay different: a starting router dropped leaving marks of targets that its list did not name yet.

--- /dev/null
+++ b/internal/membership/fleet_test.go
@@ -0,0 +1,200 @@
+package membership_test
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/chicorydale/chicorydale/internal/membership"
+	"github.com/chicorydale/chicorydale/internal/message"
+	"github.com/chicorydale/chicorydale/internal/platform"
+)
+
+const step = 50 * time.Millisecond
+
+// fleet is several trackers with links that obey Silent and Probe, stepped in virtual time. Each router wants links to
+// its two successors.
+type fleet struct {
+	now      time.Time
+	random   *rand.Rand
+	trackers map[string]*membership.Tracker
+	// sessions are open links, by both names in order.
+	sessions map[[2]string]bool
+	// blocked are directions in which nothing is delivered.
+	blocked map[[2]string]bool
+	inbox   []letter
+	list    platform.HostList
+	// stuck are routers that get no lists from the platform.
+	stuck        map[string]bool
+	incarnations map[string]uint64
+	seed         uint64
+}
+
+// letter is a message on its way.
+type letter struct {
+	from string
+	message.Envelope
+}
+
+func newFleet(routers, targets int) *fleet {
+	f := &fleet{
+		now: time.Unix(1_800_000_000, 0), random: rand.New(rand.NewPCG(1, 2)),
+		trackers: make(map[string]*membership.Tracker), sessions: make(map[[2]string]bool),
+		blocked: make(map[[2]string]bool), stuck: make(map[string]bool), list: hosts(routers, targets),
+		incarnations: make(map[string]uint64),
+	}
+	for i := range routers {
+		f.start(router(i))
+	}
+	return f
+}
+
+func router(i int) string { return fmt.Sprintf("r%02d", i) }
+
+// hosts returns a list of routers and targets in three availability zones of two regions and with two models, or, for
+// 1,000 routers, in six availability zones and with eight models.
+func hosts(routers, targets int) platform.HostList {
+	zones, models := 3, 2
+	if routers >= 1000 {
+		zones, models = 6, 8
+	}
+	list := platform.HostList{Version: 1}
+	for i := range routers + targets {
+		zone := i % zones
+		host := platform.Host{
+			Name: router(i), Role: platform.RoleRouter, Region: fmt.Sprint("g", zone*2/zones), Zone: fmt.Sprint("z", zone),
+		}
+		if i >= routers {
+			host.Name, host.Role = fmt.Sprintf("t%04d", i-routers), platform.RoleEngine
+			host.Model, host.Slots = fmt.Sprint("m", i/zones%models), 8
+		}
+		list.Hosts = append(list.Hosts, host)
+	}
+	return list
+}
+
+// publish lets the platform show a new list, changed by edit.
+func (f *fleet) publish(edit func(*platform.HostList)) {
+	f.list.Hosts = slices.Clone(f.list.Hosts)
+	f.list.Version++
+	edit(&f.list)
+}
+
+// names returns the running routers.
+func (f *fleet) names() []string { return slices.Sorted(maps.Keys(f.trackers)) }
+
+// start begins a new incarnation of a router, with links to its two successors.
+func (f *fleet) start(name string) {
+	f.stop(name)
+	f.seed++
+	f.incarnations[name] = 100 + f.seed
+	self := membership.Router{Name: name, Zone: "z0", Region: "g0"}
+	f.trackers[name] = membership.NewTracker(self, f.incarnations[name], f.seed)
+	names := f.names()
+	for i, other := range names {
+		f.connect(other, names[(i+1)%len(names)])
+		f.connect(other, names[(i+2)%len(names)])
+	}
+}
+
+// stop ends a router without a word.
+func (f *fleet) stop(name string) {
+	delete(f.trackers, name)
+	for _, other := range f.names() {
+		f.disconnect(name, other)
+	}
+}
+
+// connect tries to open a session.
+func (f *fleet) connect(from, to string) {
+	pair := [2]string{min(from, to), max(from, to)}
+	switch {
+	case from == to || f.sessions[pair]:
+	case f.trackers[to] == nil || f.blocked[[2]string{from, to}] || f.blocked[[2]string{to, from}]:
+		f.trackers[from].Failed(f.now, to)
+	default:
+		f.sessions[pair] = true
+		f.trackers[from].Connected(f.now, to, f.incarnations[to])
+		f.trackers[to].Connected(f.now, from, f.incarnations[from])
+	}
+}
+
+// disconnect ends a session on the side of from; the other side learns of it unless it is cut off, and then ends it
+// when it closes its own side.
+func (f *fleet) disconnect(from, to string) {
+	delete(f.sessions, [2]string{min(from, to), max(from, to)})
+	if tracker := f.trackers[from]; tracker != nil {
+		tracker.Disconnected(f.now, to)
+	}
+	if tracker := f.trackers[to]; tracker != nil && !f.blocked[[2]string{from, to}] {
+		tracker.Disconnected(f.now, from)
+	}
+}
+
+// run steps the fleet until the duration is over or until returns true; it returns the time taken.
+func (f *fleet) run(duration time.Duration, until func() bool) time.Duration {
+	begin := f.now
+	for f.now.Sub(begin) < duration && !until() {
+		f.step()
+	}
+	return f.now.Sub(begin)
+}
+
+func (f *fleet) step() {
+	f.now = f.now.Add(step)
+	inbox := f.inbox
+	f.inbox = nil
+	for _, letter := range inbox {
+		pair := [2]string{min(letter.from, letter.To), max(letter.from, letter.To)}
+		if f.trackers[letter.To] != nil && f.sessions[pair] && !f.blocked[[2]string{letter.from, letter.To}] {
+			f.trackers[letter.To].Receive(f.now, letter.from, letter.Body)
+		}
+	}
+	for i, name := range f.names() {
+		tracker := f.trackers[name]
+		if !f.stuck[name] && f.now.UnixMilli()/50%20 == int64(i)%20 {
+			tracker.List(f.now, f.list)
+		}
+		for _, peer := range tracker.Silent(f.now) {
+			f.disconnect(name, peer)
+		}
+		if peer, due := tracker.Probe(f.now); due {
+			f.connect(name, peer)
+		}
+		for _, envelope := range tracker.Tick(f.now) {
+			f.inbox = append(f.inbox, letter{from: name, Envelope: envelope})
+		}
+	}
+}
+
+// all tells whether a condition holds in the views of all running routers.
+func (f *fleet) all(condition func(self string, view membership.View) bool) func() bool {
+	return func() bool {
+		for _, name := range f.names() {
+			if !condition(name, f.trackers[name].View()) {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// state returns a condition: a router has a state in every view but its own.
+func state(name string, want membership.State) func(string, membership.View) bool {
+	return func(self string, view membership.View) bool {
+		router, _ := view.Router(name)
+		return self == name || router.State == want
+	}
+}
+
+// leaving returns a condition: a target has a leaving mark or has none.
+func leaving(name string, want bool) func(string, membership.View) bool {
+	return func(_ string, view membership.View) bool {
+		target, listed := view.Target(name)
+		return listed && target.Leaving == want
+	}
+}
+
+func never() bool { return false }
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -117,10 +117,8 @@
 	var news, corrections []string
 	for _, entry := range entries {
 		name, incarnation := entry.GetName(), entry.GetLink()
-		known, listed := t.known[name]
-		if !listed {
-			continue
-		}
+		known := t.host(name)
+		known.noted = now
 		other := incarnation != "" && known.incarnation != "" && incarnation != known.incarnation
 		certain := name == t.self.Name || now.Sub(known.seen) < direct || slices.Contains(known.retired, incarnation)
 		switch {
--- a/internal/membership/host.go
+++ b/internal/membership/host.go
@@ -21,6 +21,8 @@
 	seen time.Time
 	// reported is the instant that the newest load report describes.
 	reported time.Time
+	// noted is the last instant at which a peer told of the host.
+	noted time.Time
 	// retired are former incarnations, oldest first; the word of others about them is ignored.
 	retired []string
 }
--- a/internal/membership/tracker.go
+++ b/internal/membership/tracker.go
@@ -22,6 +22,8 @@
 	lag = time.Second
 	// refetch is the time after which another peer is asked.
 	refetch = time.Second
+	// unlistedMarks is the time for which marks of hosts that are not listed yet are kept.
+	unlistedMarks = time.Minute
 	// probe is the period of probes.
 	probe = time.Second
 )
@@ -81,10 +83,11 @@
 func (t *Tracker) Version() uint64 { return t.list.Version }
 
 // List takes a host list. One that is not newer changes nothing; the first version is one.
-func (t *Tracker) List(_ time.Time, list platform.HostList) {
+func (t *Tracker) List(now time.Time, list platform.HostList) {
 	if list.Version <= t.list.Version {
 		return
 	}
+	former := t.list
 	t.list, t.offer, t.changed = list, nil, true
 	listed := make(map[string]bool, len(list.Hosts))
 	var news []string
@@ -94,15 +97,21 @@
 			news = append(news, entry.Name)
 		}
 	}
-	t.forget(listed)
+	t.forget(now, former, listed)
 	t.spread(news, "")
 }
 
-// forget drops what is known of hosts that are neither listed nor linked.
-func (t *Tracker) forget(listed map[string]bool) {
+// forget drops what is known of hosts that left the list and have no link. Marks of hosts that are not listed yet are
+// kept for a while, since a peer may have a newer list.
+func (t *Tracker) forget(now time.Time, former platform.HostList, listed map[string]bool) {
 	maps.DeleteFunc(t.peers, func(name string, link *peer) bool { return !listed[name] && !link.session })
-	maps.DeleteFunc(t.known, func(name string, _ *host) bool {
-		return !listed[name] && t.peers[name] == nil && name != t.self.Name
+	gone := make(map[string]bool)
+	for _, entry := range former.Hosts {
+		gone[entry.Name] = !listed[entry.Name]
+	}
+	maps.DeleteFunc(t.known, func(name string, known *host) bool {
+		unlisted := gone[name] || !listed[name] && now.Sub(known.noted) > unlistedMarks
+		return unlisted && t.peers[name] == nil && name != t.self.Name
 	})
 }
 
--- /dev/null
+++ b/internal/membership/tracker_test.go
@@ -0,0 +1,229 @@
+package membership_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/chicorydale/chicorydale/internal/membership"
+	"github.com/chicorydale/chicorydale/internal/platform"
+)
+
+// TestMain fixes the seed of the random schedules.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// within asserts that a condition comes to hold in all views within a time.
+func within(c *qt.C, f *fleet, limit time.Duration, condition func(string, membership.View) bool) {
+	c.Helper()
+	taken := f.run(limit+step, f.all(condition))
+	c.Assert(taken <= limit, qt.IsTrue, qt.Commentf("not in all views after %v", taken))
+}
+
+// TestStuckList guards against a router that keeps an old view since the platform shows it an old list.
+func TestStuckList(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(8, 6)
+	f.run(2*time.Second, never)
+	f.stuck[router(3)], f.stuck[router(4)] = true, true
+	f.publish(func(list *platform.HostList) { list.Hosts[len(list.Hosts)-1].Slots = 99 })
+	within(c, f, 4*time.Second, func(_ string, view membership.View) bool {
+		target, _ := view.Target("t0005")
+		return target.Slots == 99
+	})
+	old := hosts(8, 6)
+	f.trackers[router(3)].List(f.now, old)
+	c.Assert(f.trackers[router(3)].Version(), qt.Equals, uint64(2), qt.Commentf("an old list was taken"))
+}
+
+// TestLeavingTarget guards against new work for a target that leaves while the list is stuck for all routers, and
+// against a mark that is lost, or that outlives the target's incarnation.
+func TestLeavingTarget(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(9, 6)
+	f.run(2*time.Second, never)
+	observer := f.trackers[router(5)]
+	report := func(incarnation string, leaving bool) {
+		observer.Observe(f.now, "t0001", platform.Load{At: f.now, Incarnation: incarnation, Leaving: leaving})
+	}
+	report("a", false)
+	report("a", true)
+	within(c, f, 3*time.Second, leaving("t0001", true))
+	report("a", false)
+	f.publish(func(*platform.HostList) {})
+	f.start(router(7))
+	f.run(3*time.Second, never)
+	within(c, f, 0, leaving("t0001", true))
+	report("b", false)
+	within(c, f, 3*time.Second, leaving("t0001", false))
+	late := platform.Load{At: f.now.Add(-10 * time.Second), Incarnation: "a", Leaving: true}
+	observer.Observe(f.now, "t0001", late)
+	f.run(3*time.Second, never)
+	within(c, f, 0, leaving("t0001", false))
+}
+
+// TestLeavingByList guards against a mark of the list that reaches only the routers whose list works.
+func TestLeavingByList(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(9, 6)
+	f.run(2*time.Second, never)
+	for i := 1; i < 9; i++ {
+		f.stuck[router(i)] = true
+	}
+	f.publish(func(list *platform.HostList) { list.Hosts[9].Leaving = true })
+	within(c, f, 3*time.Second, leaving("t0000", true))
+}
+
+// TestRestartedRouter guards against a leaving router that keeps roles, and a restarted one that gets none, also when
+// others still tell of its former incarnation.
+func TestRestartedRouter(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(9, 6)
+	f.run(2*time.Second, never)
+	f.trackers[router(2)].Leave(f.now)
+	within(c, f, 3*time.Second, state(router(2), membership.Leaving))
+	c.Assert(f.trackers[router(2)].View().Self().State, qt.Equals, membership.Leaving)
+	f.stop(router(2))
+	f.run(5*time.Second, never)
+	within(c, f, 0, state(router(2), membership.Leaving))
+	f.start(router(2))
+	within(c, f, 3*time.Second, state(router(2), membership.Up))
+	f.run(3*time.Second, never)
+	within(c, f, 0, state(router(2), membership.Up))
+	c.Assert(f.trackers[router(2)].View().Self().State, qt.Equals, membership.Up)
+}
+
+// TestCrashedRouter guards against a crashed router that stays up, and one that counts as down before any attempt to
+// reach it.
+func TestCrashedRouter(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(6, 3)
+	f.publish(func(list *platform.HostList) {
+		list.Hosts = append(list.Hosts, platform.Host{Name: "unstarted", Role: platform.RoleRouter, Zone: "z0"})
+	})
+	lone := membership.NewTracker(membership.Router{Name: router(0)}, 1, 1)
+	lone.List(f.now, f.list)
+	lone.Tick(f.now.Add(time.Hour))
+	unstarted, _ := lone.View().Router("unstarted")
+	c.Assert(unstarted.State, qt.Equals, membership.Up)
+	lone.Failed(f.now, "unstarted")
+	lone.Tick(f.now.Add(time.Hour))
+	unstarted, _ = lone.View().Router("unstarted")
+	c.Assert(unstarted.State, qt.Equals, membership.Down)
+
+	f.run(10*time.Second, never)
+	f.stop(router(4))
+	f.run(1500*time.Millisecond, never)
+	within(c, f, 0, state(router(4), membership.Up))
+	within(c, f, time.Second, state(router(4), membership.Down))
+}
+
+// TestOneWayPartition guards against a router that hears a peer which does not hear it, and takes it for up; after the
+// partition both must be up again.
+func TestOneWayPartition(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(4, 3)
+	f.run(5*time.Second, never)
+	f.blocked[[2]string{router(0), router(1)}] = true
+	apart := func(self string, view membership.View) bool {
+		switch self {
+		case router(0):
+			return state(router(1), membership.Down)(self, view)
+		case router(1):
+			return state(router(0), membership.Down)(self, view)
+		}
+		return true
+	}
+	within(c, f, 5*time.Second, apart)
+	f.run(10*time.Second, never)
+	within(c, f, 0, apart)
+	clear(f.blocked)
+	within(c, f, 5*time.Second, func(self string, view membership.View) bool {
+		return state(router(0), membership.Up)(self, view) && state(router(1), membership.Up)(self, view)
+	})
+}
+
+// TestUnlistedRouter guards against a router that schedules for itself while no other router knows it.
+func TestUnlistedRouter(t *testing.T) {
+	c := qt.New(t)
+	tracker := membership.NewTracker(membership.Router{Name: "new", Zone: "z1"}, 1, 1)
+	c.Assert(tracker.View().Owner("key"), qt.Equals, "new")
+	tracker.List(time.Now(), hosts(1, 3))
+	c.Assert(tracker.View().Owner("key"), qt.Equals, router(0))
+	c.Assert(tracker.View().Self().Zone, qt.Equals, "z1")
+}
+
+// TestRandomFaults guards against views that stay different after crashes, restarts, partitions, stuck lists and
+// leaving marks in any order.
+func TestRandomFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := newFleet(6, 4)
+		crashed := make(map[string]bool)
+		marked := make(map[string]bool)
+		for range rapid.IntRange(5, 25).Draw(rt, "actions") {
+			i := rapid.IntRange(0, 5).Draw(rt, "router")
+			name, other := router(i), router(rapid.IntRange(0, 5).Draw(rt, "other"))
+			target := fmt.Sprintf("t%04d", i%4)
+			switch rapid.IntRange(0, 6).Draw(rt, "action") {
+			case 0:
+				f.stop(name)
+				crashed[name] = true
+			case 1:
+				f.start(name)
+				delete(crashed, name)
+			case 2:
+				f.blocked[[2]string{name, other}] = true
+			case 3:
+				clear(f.blocked)
+			case 4:
+				f.stuck[name] = !f.stuck[name]
+				f.publish(func(*platform.HostList) {})
+			case 5, 6:
+				if tracker := f.trackers[name]; tracker != nil && tracker.Version() > 0 {
+					tracker.Observe(f.now, target, platform.Load{At: f.now, Incarnation: "a", Leaving: true})
+					marked[target] = true
+				}
+			}
+			f.run(time.Duration(rapid.IntRange(1, 80).Draw(rt, "steps"))*step, never)
+		}
+		clear(f.blocked)
+		if len(f.trackers) == 0 {
+			return
+		}
+		f.run(30*time.Second, never)
+		for i := range 6 {
+			want := membership.Up
+			if crashed[router(i)] {
+				want = membership.Down
+			}
+			if !f.all(state(router(i), want))() {
+				rt.Fatalf("%s is not %s in all views", router(i), want)
+			}
+		}
+		for i := range 4 {
+			target := fmt.Sprintf("t%04d", i)
+			for _, name := range f.names() {
+				if got, _ := f.trackers[name].View().Target(target); got.Leaving && !marked[target] {
+					rt.Fatalf("%s is leaving in the view of %s", target, name)
+				}
+			}
+			if first := f.trackers[f.names()[0]].View(); true {
+				want, _ := first.Target(target)
+				if !f.all(leaving(target, want.Leaving))() {
+					rt.Fatalf("views differ in %s", target)
+				}
+			}
+		}
+	})
+}
