--- a/internal/claim/codec.go
+++ b/internal/claim/codec.go
@@ -3,30 +3,27 @@
 import (
 	"encoding/binary"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/chicorydale/chicorydale/internal/frame"
 )
 
-// A log record is a header of magic byte, version and the low half of the xxhash of the rest, followed by records that
-// are each preceded by their length. A change of the version needs two releases: the first only reads the new version,
-// since a reader that drops a claim of a newer writer would give the key away twice.
+// A log record is a frame with records that are each preceded by their length. A change of the version needs two
+// releases: the first only reads the new version, since a reader that drops a claim of a newer writer would give the key
+// away twice.
 const (
-	magic      = 'c'
-	version    = 1
-	headerSize = 6
+	magic   = 'c'
+	version = 1
 )
 
 // Encode joins records into one log record.
 func Encode(records []Record) []byte {
-	data := make([]byte, headerSize, headerSize+128*len(records))
-	data[0], data[1] = magic, version
+	data := frame.New(128 * len(records))
 	var body []byte
 	for _, record := range records {
 		body = appendRecord(body[:0], record)
 		data = binary.AppendUvarint(data, uint64(len(body)))
 		data = append(data, body...)
 	}
-	binary.LittleEndian.PutUint32(data[2:], uint32(xxhash.Sum64(data[headerSize:])))
-	return data
+	return frame.Seal(data, magic, version)
 }
 
 // appendRecord appends the fields of a record.
@@ -55,11 +52,11 @@
 // Decode returns the records of a log record and the number of parts that were dropped because they are garbage or of
 // an unknown version or kind. The records share memory with the data.
 func Decode(data []byte) (records []Record, dropped int) {
-	if len(data) < headerSize || data[0] != magic || data[1] != version ||
-		binary.LittleEndian.Uint32(data[2:]) != uint32(xxhash.Sum64(data[headerSize:])) {
+	content, ok := frame.Open(data, magic, version)
+	if !ok {
 		return nil, 1
 	}
-	outer := reader{data: data[headerSize:]}
+	outer := reader{data: content}
 	for len(outer.data) > 0 {
 		inner := reader{data: outer.bytes()}
 		if outer.bad {
