Bound the memory of claims by bytes and shrink entries

Cause: the number of keys said nothing of stored answers, which can be most of the memory. Conclusion: a batcher refuses new claims from 64 MB on, about 300,000 keys without answers.

--- a/internal/claim/batcher.go
+++ b/internal/claim/batcher.go
@@ -12,11 +12,8 @@
 	"github.com/chicorydale/chicorydale/internal/platform"
 )
 
-// maxClaimBytes and maxHashBytes bound what a request brings into the memory of each batcher.
-const (
-	maxClaimBytes = 256
-	maxHashBytes  = 64
-)
+// maxClaimBytes bounds the length of a claim id.
+const maxClaimBytes = 256
 
 // Batcher appends claims to the streams of the shards that the view gives it and answers from what it read back.
 type Batcher struct {
@@ -97,8 +94,9 @@
 // Tick returns the verdicts to send and the appends to start.
 func (b *Batcher) Tick(now time.Time) message.Effects {
 	var effects message.Effects
+	full := b.Memory() >= b.limits.Memory
 	for _, shard := range b.shards {
-		if data := shard.tick(now, b.number+1); data != nil {
+		if data := shard.tick(now, b.number+1, full); data != nil {
 			b.number++
 			b.flights[b.number] = shard
 			effects.Appends = append(effects.Appends, message.Append{ID: b.number, Stream: shard.stream, Data: data})
@@ -109,13 +107,13 @@
 	return effects
 }
 
-// Keys returns the number of keys that the batcher holds in memory.
-func (b *Batcher) Keys() int {
-	keys := 0
+// Memory returns the approximate size of the folds in bytes.
+func (b *Batcher) Memory() int {
+	size := 0
 	for _, shard := range b.shards {
-		keys += shard.fold.Keys()
+		size += shard.fold.Memory()
 	}
-	return keys
+	return size
 }
 
 // Dropped returns the number of log records and requests that were dropped as garbage since the roles were taken.
@@ -149,7 +147,7 @@
 	key, err := uuid.FromBytes(request.GetKey())
 	kind := kinds[request.GetStep()]
 	claim := request.GetClaim()
-	if err != nil || kind == 0 || claim == "" || len(claim) > maxClaimBytes || len(request.GetBodyHash()) > maxHashBytes {
+	if err != nil || kind == 0 || claim == "" || len(claim) > maxClaimBytes || len(request.GetBodyHash()) > hashBytes {
 		return Record{}, false
 	}
 	return Record{
--- a/internal/claim/fold.go
+++ b/internal/claim/fold.go
@@ -26,6 +26,8 @@
 	// horizon is the instant up to which records may be missing, in Unix milliseconds.
 	horizon int64
 	dropped int
+	// answers is the size of all stored answers in bytes.
+	answers int
 }
 
 // NewFold returns the fold of an empty stream.
@@ -41,6 +43,9 @@
 // Keys returns the number of keys in the fold.
 func (f *Fold) Keys() int { return len(f.entries) }
 
+// Memory returns the approximate size of the fold in bytes.
+func (f *Fold) Memory() int { return len(f.entries)*entrySize + f.answers }
+
 // Dropped returns the number of parts that were dropped as garbage.
 func (f *Fold) Dropped() int { return f.dropped }
 
@@ -87,7 +92,9 @@
 	case Claimed:
 		found.claimed(record, offset)
 	case Done:
+		size := len(found.answer)
 		found.finished(record)
+		f.answers += len(found.answer) - size
 	case Released:
 		found.released(record.Claim)
 	}
@@ -109,6 +116,7 @@
 			continue
 		}
 		for _, key := range keys {
+			f.answers -= len(f.entries[key].answer)
 			delete(f.entries, key)
 		}
 		delete(f.buckets, bucket)
@@ -134,11 +142,11 @@
 	}
 	verdict.Deadline, verdict.Offset = found.deadline, found.offset
 	switch {
-	case found.customer != asked.Customer || found.bodyHash != string(asked.BodyHash):
+	case found.customer != asked.Customer || found.bodyHash != shortHash(asked):
 		verdict.State = fleetpb.ClaimState_CLAIM_STATE_CONFLICT
 	case found.done:
 		verdict.State = fleetpb.ClaimState_CLAIM_STATE_DONE
-		verdict.Status, verdict.Answer = found.status, found.answer
+		verdict.Status, verdict.Answer = found.status, []byte(found.answer)
 	case found.claim == asked.Claim:
 		verdict.State = fleetpb.ClaimState_CLAIM_STATE_HELD
 	case now.UnixMilli() < found.deadline:
--- a/internal/claim/fold_test.go
+++ b/internal/claim/fold_test.go
@@ -25,7 +25,7 @@
 func claimed(at time.Time, number int) claim.Record {
 	return claim.Record{
 		Kind: claim.Claimed, Key: keyAt(at, number), Claim: fmt.Sprintf("router-%03d/k2jx8q1a/%x", number%1000, number),
-		Customer: uint32(number % 5800), BodyHash: make([]byte, 32), Deadline: at.Add(time.Second).UnixMilli(),
+		Customer: uint32(number % 5800), BodyHash: make([]byte, 16), Deadline: at.Add(time.Second).UnixMilli(),
 	}
 }
 
--- a/internal/claim/holder.go
+++ b/internal/claim/holder.go
@@ -55,7 +55,8 @@
 		h.conclude(Verdict{Claim: id, Outcome: Unknown, RetryAt: now})
 	default:
 		begun := &attempt{
-			id: id, key: key, customer: request.Customer, bodyHash: request.BodyHash, deadline: request.Deadline,
+			id: id, key: key, customer: request.Customer, deadline: request.Deadline,
+			bodyHash: slices.Clone(request.BodyHash[:min(len(request.BodyHash), hashBytes)]),
 		}
 		h.attempts[id] = begun
 		h.order = append(h.order, begun)
--- a/internal/claim/limits.go
+++ b/internal/claim/limits.go
@@ -18,8 +18,8 @@
 	Flights int
 	// BatchBytes is the size from which a batch takes no further record.
 	BatchBytes int
-	// Keys is the number of keys in one shard from which new claims are refused.
-	Keys int
+	// Memory is the size of a batcher's folds in bytes from which it refuses new claims.
+	Memory int
 }
 
 // DefaultLimits returns the limits of a deployment that sets none.
@@ -32,6 +32,6 @@
 		Grace:      500 * time.Millisecond,
 		Flights:    8,
 		BatchBytes: 256 << 10,
-		Keys:       500_000,
+		Memory:     64 << 20,
 	}
 }
--- a/internal/claim/record.go
+++ b/internal/claim/record.go
@@ -15,6 +15,9 @@
 	Released Kind = 3
 )
 
+// hashBytes is the number of bytes of a body hash that count; 128 bits of a cryptographic hash do not collide by chance.
+const hashBytes = 16
+
 // Record is one record of a claim stream.
 type Record struct {
 	// Kind selects the fields that are set.
@@ -25,7 +28,7 @@
 	Claim string
 	// Customer is the number of the customer, for Claimed.
 	Customer uint32
-	// BodyHash is a hash of the request body, for Claimed.
+	// BodyHash is the beginning of a cryptographic hash of the request body, for Claimed.
 	BodyHash []byte
 	// Deadline is the instant after which the holder does not send, in Unix milliseconds, for Claimed.
 	Deadline int64
--- a/internal/claim/request.go
+++ b/internal/claim/request.go
@@ -8,7 +8,7 @@
 	Key string
 	// Customer is the number of the customer.
 	Customer uint32
-	// BodyHash is a hash of the request body of at most 64 bytes.
+	// BodyHash is a cryptographic hash of the request body, of which the first 16 bytes count.
 	BodyHash []byte
 	// Deadline is the instant at which the caller gives up.
 	Deadline time.Time
--- a/internal/claim/schedule_test.go
+++ b/internal/claim/schedule_test.go
@@ -33,7 +33,7 @@
 // schedules draws calls of few keys among faults of the log, the network and the routers.
 var schedules = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) action {
 	return action{
-		Kind:     rapid.IntRange(0, 18).Draw(t, "kind"),
+		Kind:     rapid.IntRange(0, 19).Draw(t, "kind"),
 		Node:     rapid.IntRange(0, 2).Draw(t, "node"),
 		Key:      rapid.IntRange(0, 2).Draw(t, "key"),
 		Body:     rapid.IntRange(0, 5).Draw(t, "body"),
@@ -81,6 +81,8 @@
 		w.sending = a.Patience / 8
 	case 18:
 		w.log.expire(w.now.Add(-a.Pause * time.Duration(a.Body%2)))
+	case 19:
+		w.rejects = !w.rejects
 	default:
 		w.call(n, keys[a.Key], strings.Repeat("b", a.Body/5), a.Patience)
 	}
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -172,9 +172,9 @@
 	})
 }
 
-// tick returns the data of an append, or nil if there is nothing to append now.
-func (s *shard) tick(now time.Time, id uint64) []byte {
-	s.clean(now)
+// tick returns the data of an append, or nil if there is nothing to append now. New claims are refused if memory is full.
+func (s *shard) tick(now time.Time, id uint64, full bool) []byte {
+	s.clean(now, full)
 	if !s.ready() || now.Before(s.next) || len(s.flights) >= s.limits.Flights || s.cursor.Down(now, 0) {
 		return nil
 	}
@@ -198,10 +198,10 @@
 	return len(s.flights) == 0 && now.Sub(s.fold.Clock()) > s.limits.Window/2
 }
 
-// clean ends the operations that nobody waits for any more, and refuses claims while the log cannot be read or the
-// table is full.
-func (s *shard) clean(now time.Time) {
-	refused := s.owned && (s.cursor.Down(now, s.limits.Grace) || s.fold.Keys() >= s.limits.Keys)
+// clean ends the operations that nobody waits for any more, and refuses claims while the log cannot be read or memory
+// is full.
+func (s *shard) clean(now time.Time, full bool) {
+	refused := s.owned && (full || s.cursor.Down(now, s.limits.Grace))
 	for _, asked := range s.queue {
 		if s.over(now, asked) {
 			s.drop(asked)
@@ -212,12 +212,13 @@
 	s.queue = slices.DeleteFunc(s.queue, func(o *operation) bool { return s.operations[o.id()] != o })
 }
 
-// over tells whether the holder has given a claim up, or the key of another record is past its window.
+// over tells whether the holder has given a claim up, or the key of another record is past its window. Without the role
+// only claims are kept, since their askers do not repeat them.
 func (s *shard) over(now time.Time, asked *operation) bool {
 	if asked.record.Kind == Claimed {
 		return now.UnixMilli() > asked.record.Deadline
 	}
-	return now.UnixMilli() > KeyTime(asked.record.Key)+s.limits.Window.Milliseconds()
+	return !s.owned || now.UnixMilli() > KeyTime(asked.record.Key)+s.limits.Window.Milliseconds()
 }
 
 // batch takes the next operations to append, and answers those that the fold has settled in the meantime. A claim that
--- a/internal/claim/world_test.go
+++ b/internal/claim/world_test.go
@@ -77,6 +77,8 @@
 	wrong  []string
 	// sending is the time from a verdict to the sending of the request.
 	sending time.Duration
+	// rejects is set while the target refuses requests without running them.
+	rejects bool
 	// bytes counts the messages.
 	bytes int
 	// lag is the time after which the first node learns that the view has changed.
@@ -204,6 +206,11 @@
 		w.answer(made, claim.Unknown, n.holder.Abandon(w.now, made.claim), "")
 		return
 	}
+	if w.rejects {
+		n.holder.TakeBack(w.now, made.claim)
+		w.answer(made, claim.Unknown, n.holder.Abandon(w.now, made.claim), "")
+		return
+	}
 	if w.now.After(made.deadline) {
 		w.wrong = append(w.wrong, "sent after the deadline: "+made.claim)
 	}
