Name a crash of a target by its incarnation

Cause: routers must name the same crash alike, or one crash counts as several against its innocent requests; a stream did not tell which incarnation of the target answered. Ruled out: the incarnation of the last load report (only the scheduler has it, and it lags). Conclusion: the stream carries the incarnation in a header; a target that tells none crashes at most once in 30 s.

--- a/internal/emulator/engineserver/sender.go
+++ b/internal/emulator/engineserver/sender.go
@@ -13,6 +13,7 @@
 
 // send streams a generation from a token index on.
 func (s *Server) send(w http.ResponseWriter, r *http.Request, g *generation, from int64) {
+	w.Header().Set(wire.IncarnationHeader, s.board.Incarnation())
 	w.Header().Set("Content-Type", "application/x-ndjson")
 	w.WriteHeader(http.StatusOK)
 	control := http.NewResponseController(w)
--- a/internal/emulator/report/board.go
+++ b/internal/emulator/report/board.go
@@ -53,6 +53,13 @@
 	b.change(func(load *platform.Load) { load.Leaving = true })
 }
 
+// Incarnation names the present run of the target.
+func (b *Board) Incarnation() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.current.Incarnation
+}
+
 // Restart notes a new incarnation of an idle target.
 func (b *Board) Restart() {
 	b.change(func(load *platform.Load) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -50,7 +50,7 @@
 		scheduler: pool.New(self.Name, incarnation),
 		batcher:   claim.NewBatcher(o.claims),
 		holder:    claim.NewHolder(self.Name, incarnation, o.claims),
-		suspects:  suspect.New(),
+		suspects:  suspect.New(self.Name, suspect.DefaultLimits()),
 		outbox:    newOutbox(self.Name),
 		contacts:  make(contacts),
 		appends:   newAppends(),
--- a/internal/platform/engine.go
+++ b/internal/platform/engine.go
@@ -44,6 +44,9 @@
 type Stream interface {
 	// Next waits for the next token.
 	Next() (Token, error)
+	// Incarnation names the run of the target's process that answers, so that all callers name a crash alike; it is
+	// empty if the target does not tell.
+	Incarnation() string
 	// Close releases the stream; it does not cancel the call.
 	Close() error
 }
--- a/internal/platform/engineclient/client.go
+++ b/internal/platform/engineclient/client.go
@@ -85,7 +85,7 @@
 		cancel(nil)
 		return nil, err
 	}
-	return newStream(ctx, c, response.Body, cancel, from), nil
+	return newStream(ctx, c, response, cancel, from), nil
 }
 
 // request returns a request to the engine.
--- a/internal/platform/engineclient/stream.go
+++ b/internal/platform/engineclient/stream.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/chicorydale/chicorydale/internal/platform"
@@ -21,6 +22,7 @@
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
 	target  string
+	process string
 	silence time.Duration
 	body    io.ReadCloser
 	lines   *bufio.Scanner
@@ -29,17 +31,21 @@
 	err     error
 }
 
-// newStream returns the stream of a response body, whose first token has index from.
-func newStream(ctx context.Context, client *Client, body io.ReadCloser, cancel context.CancelCauseFunc,
+// newStream returns the stream of a response, whose first token has index from.
+func newStream(ctx context.Context, client *Client, response *http.Response, cancel context.CancelCauseFunc,
 	from int64,
 ) *stream {
-	lines := bufio.NewScanner(body)
+	lines := bufio.NewScanner(response.Body)
 	lines.Buffer(nil, lineBytes)
 	return &stream{
-		ctx: ctx, cancel: cancel, target: client.name, silence: client.silence, body: body, lines: lines, next: from,
+		ctx: ctx, cancel: cancel, target: client.name, process: response.Header.Get(wire.IncarnationHeader),
+		silence: client.silence, body: response.Body, lines: lines, next: from,
 	}
 }
 
+// Incarnation names the engine's process that answers.
+func (s *stream) Incarnation() string { return s.process }
+
 // Next waits for the next token. It returns io.EOF only after the engine's end marker and the number of tokens that it
 // gives, else a *platform.CrashedError; after an error it returns the same error again.
 func (s *stream) Next() (platform.Token, error) {
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -85,8 +85,8 @@
 	})
 }
 
-// addRouter starts a router and returns its index.
-func (f *fleet) addRouter(name, zone string) int {
+// addRouter starts a router.
+func (f *fleet) addRouter(name, zone string) {
 	f.t.Helper()
 	sum := sha256.Sum256([]byte(operatorKey))
 	data := fmt.Sprintf(`{"host":%q,"region":"r","zone":%q,"listen":"127.0.0.1:0","operate":"127.0.0.1:0",
@@ -115,7 +115,6 @@
 	f.stops = append(f.stops, halt)
 	f.urls = append(f.urls, "http://"+addresses.Listen)
 	f.operate = append(f.operate, "http://"+addresses.Operate)
-	return len(f.urls) - 1
 }
 
 // eventually waits for a condition.
@@ -174,8 +173,8 @@
 	})
 }
 
-// configure publishes a template, a customer and the service through a router, and waits until all have it.
-func (f *fleet) configure(index int) {
+// configure publishes a template, a customer and the service through the first router, and waits until all have it.
+func (f *fleet) configure() {
 	f.t.Helper()
 	sum := sha256.Sum256([]byte(customerKey))
 	change := map[string]any{
@@ -193,7 +192,7 @@
 			"name": "shop", "operations": map[string]bool{"stock": true, "book": false},
 		}},
 	}
-	status, body := f.do(http.MethodPost, f.urls[index]+"/v1/config/changes", operatorKey, change, nil)
+	status, body := f.do(http.MethodPost, f.urls[0]+"/v1/config/changes", operatorKey, change, nil)
 	qt.Assert(f.t, status, qt.Equals, http.StatusOK, qt.Commentf("%s", body))
 	for _, url := range f.urls {
 		f.eventually("configuration in force", func() bool {
@@ -260,7 +259,7 @@
 	for i := range f.urls {
 		f.ready(i)
 	}
-	f.configure(0)
+	f.configure()
 	for _, url := range f.urls {
 		response := f.open(http.MethodPost, url+"/v1/models/m/generate", customerKey,
 			map[string]any{"class": "long", "prompt": "draw a leaf", "max_tokens": 20}, nil)
--- a/internal/router/refusal_test.go
+++ b/internal/router/refusal_test.go
@@ -37,36 +37,63 @@
 	return []refusalCase{
 		{"missing key", "POST", generate, "", call, nil, 401, refusal.Unauthenticated, refusal.RanNo},
 		{"wrong key", "POST", generate, "nobody", call, nil, 401, refusal.Unauthenticated, refusal.RanNo},
-		{"operator's call with a customer's key", "GET", "/v1/status", customerKey, "", nil,
-			403, refusal.Forbidden, refusal.RanNo},
-		{"operator's call with a wrong key", "GET", "/v1/status", "nobody", "", nil,
-			401, refusal.Unauthenticated, refusal.RanNo},
+		{
+			"operator's call with a customer's key", "GET", "/v1/status", customerKey, "", nil,
+			403, refusal.Forbidden, refusal.RanNo,
+		},
+		{
+			"operator's call with a wrong key", "GET", "/v1/status", "nobody", "", nil,
+			401, refusal.Unauthenticated, refusal.RanNo,
+		},
 		{"malformed JSON", "POST", generate, customerKey, `{"class":`, nil, 400, refusal.Malformed, refusal.RanNo},
-		{"unknown field", "POST", generate, customerKey, `{"class":"quick","prompt":"p","x":1}`, nil,
-			400, refusal.Malformed, refusal.RanNo},
-		{"body over the router's limit", "POST", generate, customerKey,
-			`{"class":"quick","prompt":"` + strings.Repeat("x", 2<<20) + `"}`, nil, 413, refusal.TooLarge, refusal.RanNo},
-		{"body over the customer's limit", "POST", generate, customerKey,
-			`{"class":"quick","prompt":"` + strings.Repeat("x", 5000) + `"}`, nil, 413, refusal.TooLarge, refusal.RanNo},
-		{"unknown model", "POST", "/v1/models/none/generate", customerKey, call, nil,
-			404, refusal.UnknownModel, refusal.RanNo},
-		{"unknown class", "POST", generate, customerKey, `{"class":"none","prompt":"p"}`, nil,
-			422, refusal.UnknownClass, refusal.RanNo},
-		{"deadline in the past", "POST", generate, customerKey, `{"class":"quick","prompt":"p","deadline":"` + past + `"}`,
-			nil, 422, refusal.DeadlinePast, refusal.RanNo},
+		{
+			"unknown field", "POST", generate, customerKey, `{"class":"quick","prompt":"p","x":1}`, nil,
+			400, refusal.Malformed, refusal.RanNo,
+		},
+		{
+			"body over the router's limit", "POST", generate, customerKey,
+			`{"class":"quick","prompt":"` + strings.Repeat("x", 2<<20) + `"}`, nil, 413, refusal.TooLarge, refusal.RanNo,
+		},
+		{
+			"body over the customer's limit", "POST", generate, customerKey,
+			`{"class":"quick","prompt":"` + strings.Repeat("x", 5000) + `"}`, nil, 413, refusal.TooLarge, refusal.RanNo,
+		},
+		{
+			"unknown model", "POST", "/v1/models/none/generate", customerKey, call, nil,
+			404, refusal.UnknownModel, refusal.RanNo,
+		},
+		{
+			"unknown class", "POST", generate, customerKey, `{"class":"none","prompt":"p"}`, nil,
+			422, refusal.UnknownClass, refusal.RanNo,
+		},
+		{
+			"deadline in the past", "POST", generate, customerKey, `{"class":"quick","prompt":"p","deadline":"` + past + `"}`,
+			nil, 422, refusal.DeadlinePast, refusal.RanNo,
+		},
 		{"unknown stream", "GET", "/v1/streams/none", customerKey, "", nil, 404, refusal.UnknownStream, refusal.RanNo},
-		{"unknown service", "POST", "/v1/services/none/book", customerKey, `{}`, nil,
-			404, refusal.UnknownService, refusal.RanNo},
-		{"unknown operation", "POST", "/v1/services/shop/none", customerKey, `{}`, nil,
-			404, refusal.UnknownOperation, refusal.RanNo},
+		{
+			"unknown service", "POST", "/v1/services/none/book", customerKey, `{}`, nil,
+			404, refusal.UnknownService, refusal.RanNo,
+		},
+		{
+			"unknown operation", "POST", "/v1/services/shop/none", customerKey, `{}`, nil,
+			404, refusal.UnknownOperation, refusal.RanNo,
+		},
 		{"booking without a key", "POST", book, customerKey, `{}`, nil, 400, refusal.KeyMissing, refusal.RanNo},
-		{"key of another version", "POST", book, customerKey, `{}`,
-			map[string]string{"Idempotency-Key": "d4c1a2f0-3f53-4d3a-9c83-000000000000"}, 400, refusal.KeyInvalid, refusal.RanNo},
-		{"key of last year", "POST", book, customerKey, `{}`,
+		{
+			"key of another version", "POST", book, customerKey, `{}`,
+			map[string]string{"Idempotency-Key": "d4c1a2f0-3f53-4d3a-9c83-000000000000"},
+			400, refusal.KeyInvalid, refusal.RanNo,
+		},
+		{
+			"key of last year", "POST", book, customerKey, `{}`,
 			map[string]string{"Idempotency-Key": "01890a5d-ac96-774b-bcce-b302099a8057"},
-			410, refusal.KeyExpired, refusal.RanUnknown},
-		{"keyed call with a deadline in the past", "POST", book, customerKey, `{"deadline":"` + past + `"}`, keyed,
-			422, refusal.DeadlinePast, refusal.RanUnknown},
+			410, refusal.KeyExpired, refusal.RanUnknown,
+		},
+		{
+			"keyed call with a deadline in the past", "POST", book, customerKey, `{"deadline":"` + past + `"}`, keyed,
+			422, refusal.DeadlinePast, refusal.RanUnknown,
+		},
 		{"no such method", "DELETE", generate, customerKey, "", nil, 400, refusal.Malformed, refusal.RanNo},
 		{"no such path", "GET", "/v2/none", customerKey, "", nil, 400, refusal.Malformed, refusal.RanNo},
 	}
@@ -104,7 +131,7 @@
 	f := newFleet(t)
 	f.addRouter("r1", "a")
 	f.ready(0)
-	f.configure(0)
+	f.configure()
 	f.limitBody(0)
 	for _, c := range refusalCases(t) {
 		t.Run(c.name, func(t *testing.T) {
@@ -158,7 +185,7 @@
 	f.addRouter("r2", "b")
 	f.ready(0)
 	f.ready(1)
-	f.configure(0)
+	f.configure()
 	headers := map[string]string{"Idempotency-Key": newKey(t)}
 	book := func(url, item string) (int, string) {
 		body := map[string]any{"arguments": map[string]string{"item": item}}
@@ -179,7 +206,7 @@
 	f := newFleet(t)
 	f.addRouter("r1", "a")
 	f.ready(0)
-	f.configure(0)
+	f.configure()
 	publish := func(id string, base int) (int, string) {
 		change := map[string]any{"id": id, "base": base, "put_services": []any{
 			map[string]any{"name": id, "operations": map[string]bool{"look": true}},
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -24,6 +24,8 @@
 	resumeLimit = 3
 	// resumePause is the time between these attempts.
 	resumePause = 300 * time.Millisecond
+	// crashSpan is the time in which a target is taken to crash once if it does not tell its incarnation.
+	crashSpan = 30 * time.Second
 )
 
 // run is one model call from its submission to the end of its stream.
@@ -41,6 +43,7 @@
 	units       atomic.Uint64
 	attempts    int
 	target      string
+	incarnation string
 }
 
 // submit puts the run's request into the queue.
@@ -82,8 +85,10 @@
 			return nil, u.judge(decision.Refusal)
 		}
 		u.target = decision.Target
+		u.incarnation = ""
 		stream, err := u.send(life, decision)
 		if err == nil {
+			u.incarnation = stream.Incarnation()
 			return stream, nil
 		}
 		if refused := u.again(err); refused != nil {
@@ -132,7 +137,7 @@
 	doErr := u.router.do(context.Background(), func(now time.Time) {
 		if crashed {
 			event.TargetCrashed.Log(u.router.logger, u.target, err)
-			u.router.node.Suspects().Crashed(now, u.target, u.call.Stream, []uint64{u.fingerprint})
+			u.router.node.Suspects().Crashed(now, u.target, u.crash(now), []uint64{u.fingerprint})
 		}
 		verdict = u.router.node.Suspects().Verdict(now, u.fingerprint)
 		if verdict != suspect.Quarantined && u.attempts < runLimit {
@@ -244,13 +249,22 @@
 func (u *run) crashed(err error) {
 	u.router.post(func(now time.Time) {
 		event.TargetCrashed.Log(u.router.logger, u.target, err)
-		u.router.node.Suspects().Crashed(now, u.target, u.call.Stream, []uint64{u.fingerprint})
+		u.router.node.Suspects().Crashed(now, u.target, u.crash(now), []uint64{u.fingerprint})
 	})
 	u.finish(fleetpb.Outcome_OUTCOME_CRASHED)
 	refused := refusal.Newf(refusal.TargetFailed, "the target failed during the answer: %v", err)
 	u.answer.end(refused.WithUnknown().WithRetry(time.Now().Add(time.Second)))
 }
 
+// crash returns the id of a crash of the run's target, the same for all routers. A target that does not tell its
+// incarnation is taken to crash at most once in crashSpan.
+func (u *run) crash(now time.Time) string {
+	if u.incarnation != "" {
+		return u.target + "/" + u.incarnation
+	}
+	return u.target + "/" + now.Truncate(crashSpan).Format(time.RFC3339)
+}
+
 // finish ends the request in the queue.
 func (u *run) finish(outcome fleetpb.Outcome) {
 	u.router.post(func(now time.Time) {
