--- a/internal/pool/expire.go
+++ b/internal/pool/expire.go
@@ -70,17 +70,17 @@
 func (s *schedule) recount(row *target) {
 	row.before = 0
 	for _, r := range s.runs {
-		if r.target == row.name && !r.granted.After(row.load.At) {
+		if r.target == row.name && r.granted.Before(row.load.At) {
 			row.before++
 		}
 	}
 	for _, l := range s.loans {
-		if l.target == row.name && !l.granted.After(row.load.At) {
+		if l.target == row.name && l.granted.Before(row.load.At) {
 			row.before += l.left
 		}
 	}
 	for _, e := range row.ended {
-		if !e.granted.After(row.load.At) {
+		if e.granted.Before(row.load.At) {
 			row.before++
 		}
 	}
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -95,7 +95,7 @@
 func (t *target) add(granted time.Time, apart bool) {
 	t.own++
 	t.budget--
-	if !t.heard.IsZero() && !granted.After(t.load.At) {
+	if !t.heard.IsZero() && granted.Before(t.load.At) {
 		t.before++
 	}
 	if apart {
