--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -163,25 +163,39 @@
 	qt.Assert(t, errors.As(err, &unreachable), qt.IsTrue)
 }
 
-// TestInvoke guards against a call without key that is sent twice, and against one with key that is given up.
+// TestInvoke guards against a call without key that is sent twice, and against one with key that is given up, when the
+// connection breaks before or within the answer.
 func TestInvoke(t *testing.T) {
-	for _, key := range []string{"", "018f0000-0000-7000-8000-000000000000"} {
-		breaking := &fake{cut: 0, answer: func(int64, bool) string { return "x" }}
-		keys := ""
-		second := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			keys += r.Header.Get("Idempotency-Key")
-			_, _ = w.Write([]byte(`{"result":{"number":"7"},"replayed":true}`))
+	const uuid = "018f0000-0000-7000-8000-000000000000"
+	before := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	within := func() http.Handler { return &fake{cut: 0, answer: func(int64, bool) string { return "x" }} }
+	tests := []struct {
+		name, key string
+		first     http.Handler
+	}{
+		{"before, without key", "", before},
+		{"before, with key", uuid, before},
+		{"within, without key", "", within()},
+		{"within, with key", uuid, within()},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			keys := ""
+			second := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				keys += r.Header.Get("Idempotency-Key")
+				_, _ = w.Write([]byte(`{"result":{"number":"7"},"replayed":true}`))
+			})
+			caller, err := client.New([]string{serve(t, test.first), serve(t, second)}, "key", client.WithPause(0))
+			qt.Assert(t, err, qt.IsNil)
+			result, err := caller.Invoke(t.Context(), "s", "o", client.Invocation{Key: test.key})
+			qt.Assert(t, keys, qt.Equals, test.key)
+			if test.key == "" {
+				var broken *client.BrokenError
+				qt.Assert(t, errors.As(err, &broken), qt.IsTrue)
+				return
+			}
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, result, qt.DeepEquals, client.Result{Values: map[string]string{"number": "7"}, Replayed: true})
 		})
-		caller, err := client.New([]string{breaking.serve(t), serve(t, second)}, "key", client.WithPause(0))
-		qt.Assert(t, err, qt.IsNil)
-		result, err := caller.Invoke(t.Context(), "s", "o", client.Invocation{Key: key})
-		qt.Assert(t, keys, qt.Equals, key)
-		if key == "" {
-			var broken *client.BrokenError
-			qt.Assert(t, errors.As(err, &broken), qt.IsTrue)
-			continue
-		}
-		qt.Assert(t, err, qt.IsNil)
-		qt.Assert(t, result, qt.DeepEquals, client.Result{Values: map[string]string{"number": "7"}, Replayed: true})
 	}
 }
