Measure the cost slopes of router processes

Cause: the page on capacity rests on measured slopes; nothing measured a router process. Ruled out: routers and outside systems in one process (their costs cannot be told apart).

--- /dev/null
+++ b/cmd/slope/main.go
@@ -0,0 +1,47 @@
+// Command slope measures what routers cost at several sizes; docs/CAPACITY.md says how to read its table.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/chicorydale/chicorydale/internal/slope"
+)
+
+func main() {
+	app := kingpin.New("slope", "Measures what routers cost at several sizes.")
+	binary := app.Flag("binary", "Router program.").Default("bin/chicorydale").String()
+	period := app.Flag("period", "Time over which each size is measured.").Default("8s").Duration()
+	path := app.Flag("json", "File for the figures as JSON.").String()
+	series := app.Arg("series", "Series to measure; all without any.").Strings()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	measured, err := slope.Bench{Binary: *binary, Period: *period}.Run(ctx, *series)
+	if writeErr := slope.Write(os.Stdout, measured); err == nil {
+		err = writeErr
+	}
+	if err == nil && *path != "" {
+		err = writeJSON(*path, measured)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "slope:", err)
+		stop()
+		os.Exit(1) //nolint:gocritic // The context has been stopped.
+	}
+}
+
+// writeJSON writes the figures to a file.
+func writeJSON(path string, measured []slope.Series) error {
+	encoded, err := json.MarshalIndent(measured, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, encoded, 0o600)
+}
