--- a/internal/config/customer.go
+++ b/internal/config/customer.go
@@ -1,9 +1,6 @@
 package config
 
-import (
-	"slices"
-	"strings"
-)
+import "slices"
 
 // Customer is one customer of the fleet.
 type Customer struct {
@@ -24,11 +21,8 @@
 // key returns the name.
 func (c *Customer) key() string { return c.Name }
 
-// clone returns a copy that shares nothing, with key hashes in lower case.
+// clone returns a copy that shares nothing.
 func (c Customer) clone() *Customer {
 	c.KeyHashes = slices.Clone(c.KeyHashes)
-	for i, hash := range c.KeyHashes {
-		c.KeyHashes[i] = strings.ToLower(hash)
-	}
 	return &c
 }
--- a/internal/config/schedule.go
+++ b/internal/config/schedule.go
@@ -18,7 +18,9 @@
 	// anchor is the oldest record that a starting reader needs.
 	anchor   uint64
 	anchored bool
-	due      time.Time
+	// at is the instant of the anchor's append, or an assumed one.
+	at  time.Time
+	due time.Time
 	// late is set once the anchor has expired.
 	late bool
 	// sent is the id of the append in flight, zero for none.
@@ -27,7 +29,7 @@
 
 // confirm notes a current snapshot in the log, appended at the given instant.
 func (s *schedule) confirm(offset uint64, at time.Time) {
-	s.anchor, s.anchored, s.late = offset, true, false
+	s.anchor, s.anchored, s.at, s.late = offset, true, at, false
 	s.due = at.Add(s.retention/2 + s.between(s.retention/4))
 }
 
@@ -44,12 +46,14 @@
 	s.confirm(offset, now.Add(-s.retention/4))
 }
 
-// expired notes the oldest offset that the log keeps. If the anchor is gone, a snapshot is due soon.
+// expired notes the oldest offset that the log keeps. If the anchor is gone, a snapshot is due soon, and the log keeps
+// its records no longer than the anchor's age.
 func (s *schedule) expired(now time.Time, first uint64) {
 	if !s.anchored || s.late || first <= s.anchor {
 		return
 	}
 	s.late = true
+	s.retention = min(s.retention, max(now.Sub(s.at), hurry))
 	if soon := now.Add(s.between(hurry)); soon.Before(s.due) {
 		s.due = soon
 	}
--- a/internal/config/state_test.go
+++ b/internal/config/state_test.go
@@ -44,6 +44,8 @@
 	change.PutServices = []config.Service{{Name: "stock", Operations: map[string]bool{"look": true, "book": false}}}
 	state, err := config.State{}.WithChange(change)
 	c.Assert(err, qt.IsNil)
+	change.PutCustomers[0].KeyHashes[0] = "reused" // The state must not share what its caller goes on using.
+	delete(change.PutTemplates[0].Classes, "quick")
 	return state
 }
 
@@ -97,6 +99,7 @@
 	c.Assert([]uint32{zinc.Number, acid.Number}, qt.DeepEquals, []uint32{1, 2})
 	_, found = state.Owner("z3")
 	c.Assert(found, qt.IsFalse)
+	c.Assert(state.Customers()[1].KeyHashes[0], qt.Equals, keyHash("z1"))
 	idempotent, found := state.Idempotent("stock", "book")
 	c.Assert([]bool{idempotent, found}, qt.DeepEquals, []bool{false, true})
 
@@ -104,12 +107,14 @@
 		ID: "move", Base: 1, DeleteCustomers: []string{"acid"}, PutTemplates: template("", 0, 5).PutTemplates,
 		PutCustomers: []config.Customer{
 			{Name: "new", Template: "standard", KeyHashes: []string{keyHash("z1")}},
-			{Name: "zinc", Template: "standard", KeyHashes: []string{keyHash("z2")}},
+			{Name: "zinc", Template: "standard", KeyHashes: []string{keyHash("z3")}},
 		},
 	})
 	c.Assert(err, qt.IsNil)
 	owner, _ := changed.Owner("z1")
 	c.Assert([]any{owner.Name, owner.Number, owner.Weight}, qt.DeepEquals, []any{"new", uint32(3), 5})
+	_, found = changed.Owner("z2")
+	c.Assert(found, qt.IsFalse)
 	zinc, _ = changed.Numbered(1)
 	c.Assert(zinc.Name, qt.Equals, "zinc")
 	_, found = changed.Numbered(2)
--- a/internal/config/store_test.go
+++ b/internal/config/store_test.go
@@ -138,10 +138,9 @@
 		w.publish(n%8, template(fmt.Sprintf("c%d", n), uint64(n), n+1))
 		w.run(30 * time.Second)
 		snapshot := config.NewSnapshot(w.stores[n%8].State(), w.stores[n%8].Offset())
-		if n%5 == 0 { // A writer that was paused between its decision and its append, and another of the same instant.
+		if n%5 == 0 { // A writer that was paused between its decision and its append.
 			w.put(old)
 			old = config.Record{Snapshot: &snapshot}.Encode()
-			w.put(old)
 		}
 	}
 	c.Assert(w.stores[0].State().Version(), qt.Equals, uint64(120))
@@ -175,6 +174,12 @@
 	w.run(step)
 	c.Assert(w.stores[1].State().Version(), qt.Equals, uint64(1))
 	c.Assert(w.snapshots <= 8, qt.IsTrue, qt.Commentf("%d snapshots", w.snapshots))
+
+	w.retention = 2 * time.Minute // The log keeps less than it was assumed to.
+	w.run(150 * time.Second)
+	w.restart(1)
+	w.run(step)
+	c.Assert(w.stores[1].State().Version(), qt.Equals, uint64(1))
 }
 
 // TestResumeAfterAllMissedRecords guards against a configuration that can never change again: a record that no store
--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -27,9 +27,12 @@
 	inbox   []letter
 	list    platform.HostList
 	// stuck are routers that get no lists from the platform.
-	stuck        map[string]bool
+	stuck map[string]bool
+	// quiet is set if probes open no links.
+	quiet        bool
 	incarnations map[string]uint64
 	seed         uint64
+	size         int
 }
 
 // letter is a message on its way.
@@ -43,7 +46,7 @@
 		now: time.Unix(1_800_000_000, 0), random: rand.New(rand.NewPCG(1, 2)),
 		trackers: make(map[string]*membership.Tracker), sessions: make(map[[2]string]bool),
 		blocked: make(map[[2]string]bool), stuck: make(map[string]bool), list: hosts(routers, targets),
-		incarnations: make(map[string]uint64),
+		incarnations: make(map[string]uint64), size: routers,
 	}
 	for i := range routers {
 		f.start(router(i))
@@ -85,17 +88,20 @@
 // names returns the running routers.
 func (f *fleet) names() []string { return slices.Sorted(maps.Keys(f.trackers)) }
 
-// start begins a new incarnation of a router, with links to its two successors.
+// start begins a new incarnation of a router, with links to its two neighbours on each side of a ring.
 func (f *fleet) start(name string) {
 	f.stop(name)
 	f.seed++
 	f.incarnations[name] = 100 + f.seed
 	self := membership.Router{Name: name, Zone: "z0", Region: "g0"}
 	f.trackers[name] = membership.NewTracker(self, f.incarnations[name], f.seed)
-	names := f.names()
-	for i, other := range names {
-		f.connect(other, names[(i+1)%len(names)])
-		f.connect(other, names[(i+2)%len(names)])
+	for i := range f.size {
+		for _, j := range []int{i + 1, i + 2} {
+			from, to := router(i), router(j%f.size)
+			if (from == name || to == name) && f.trackers[from] != nil && f.trackers[to] != nil {
+				f.connect(from, to)
+			}
+		}
 	}
 }
 
@@ -160,7 +166,7 @@
 		for _, peer := range tracker.Silent(f.now) {
 			f.disconnect(name, peer)
 		}
-		if peer, due := tracker.Probe(f.now); due {
+		if peer, due := tracker.Probe(f.now); due && !f.quiet {
 			f.connect(name, peer)
 		}
 		for _, envelope := range tracker.Tick(f.now) {
--- a/internal/membership/peer.go
+++ b/internal/membership/peer.go
@@ -2,14 +2,12 @@
 
 import "time"
 
-// peer is what a router knows of its link to another router.
+// peer is what a router knows of another one that it had a session with, or tried to reach.
 type peer struct {
 	// session is set while there is a session.
 	session bool
 	// incarnation is that of the latest session.
 	incarnation string
-	// linked is set once there was a session or an attempt at one.
-	linked bool
 	// heard is the last instant at which the peer was heard, zero if never.
 	heard time.Time
 	// hosts is the version of the peer's host list.
@@ -18,7 +16,7 @@
 
 // state returns whether the peer is up: heard in the last 2 s, or never linked.
 func (p *peer) state(now time.Time) State {
-	if p == nil || !p.linked || !p.heard.IsZero() && now.Sub(p.heard) <= silence {
+	if p == nil || !p.heard.IsZero() && now.Sub(p.heard) <= silence {
 		return Up
 	}
 	return Down
--- a/internal/membership/tracker.go
+++ b/internal/membership/tracker.go
@@ -156,7 +156,7 @@
 // Connected notes a session with a peer.
 func (t *Tracker) Connected(now time.Time, name string, incarnation uint64) {
 	text := formatIncarnation(incarnation)
-	*t.peer(name) = peer{session: true, linked: true, heard: now, incarnation: text}
+	*t.peer(name) = peer{session: true, heard: now, incarnation: text}
 	t.hear(now, name, text, false)
 	t.send(name, t.heartbeat())
 	if marks := t.marks(); len(marks) > 0 {
@@ -165,14 +165,18 @@
 }
 
 // Disconnected notes the end of a session. The peer is down 2 s after it was last heard.
-func (t *Tracker) Disconnected(_ time.Time, name string) { t.peer(name).session = false }
+func (t *Tracker) Disconnected(_ time.Time, name string) {
+	if link := t.peers[name]; link != nil {
+		link.session = false
+	}
+}
 
 // Released notes that this router closed a session that it does not need. The peer counts as up, like one that was
 // never linked.
 func (t *Tracker) Released(_ time.Time, name string) { delete(t.peers, name) }
 
 // Failed notes that an attempt to link to a peer failed. The peer is down unless it was heard in the last 2 s.
-func (t *Tracker) Failed(_ time.Time, name string) { t.peer(name).linked = true }
+func (t *Tracker) Failed(_ time.Time, name string) { t.peer(name) }
 
 // Silent returns the peers whose sessions are to be closed, since nothing was heard on them for 2 s. This router sends
 // no heartbeats on them any more, so that the other side of a one-way partition ends the session too.
--- a/internal/membership/tracker_test.go
+++ b/internal/membership/tracker_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"github.com/chicorydale/chicorydale/internal/fleetpb"
 	"github.com/chicorydale/chicorydale/internal/membership"
 	"github.com/chicorydale/chicorydale/internal/platform"
 )
@@ -52,6 +53,7 @@
 func TestLeavingTarget(t *testing.T) {
 	c := qt.New(t)
 	f := newFleet(9, 6)
+	f.quiet = true
 	f.run(2*time.Second, never)
 	observer := f.trackers[router(5)]
 	report := func(incarnation string, leaving bool) {
@@ -62,6 +64,8 @@
 	within(c, f, 3*time.Second, leaving("t0001", true))
 	report("a", false)
 	f.publish(func(*platform.HostList) {})
+	f.run(2*time.Second, never)
+	within(c, f, 0, leaving("t0001", true))
 	f.start(router(7))
 	f.run(3*time.Second, never)
 	within(c, f, 0, leaving("t0001", true))
@@ -76,12 +80,13 @@
 // TestLeavingByList guards against a mark of the list that reaches only the routers whose list works.
 func TestLeavingByList(t *testing.T) {
 	c := qt.New(t)
-	f := newFleet(9, 6)
+	f := newFleet(24, 6)
+	f.quiet = true
 	f.run(2*time.Second, never)
-	for i := 1; i < 9; i++ {
+	for i := 1; i < 24; i++ {
 		f.stuck[router(i)] = true
 	}
-	f.publish(func(list *platform.HostList) { list.Hosts[9].Leaving = true })
+	f.publish(func(list *platform.HostList) { list.Hosts[24].Leaving = true })
 	within(c, f, 3*time.Second, leaving("t0000", true))
 }
 
@@ -104,6 +109,65 @@
 	c.Assert(f.trackers[router(2)].View().Self().State, qt.Equals, membership.Up)
 }
 
+// TestOldMarks guards against marks of former incarnations that take effect or keep going round, and against marks that
+// are lost because they come before the host is listed.
+func TestOldMarks(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	tracker := membership.NewTracker(membership.Router{Name: router(0)}, 5, 1)
+	tracker.List(now, hosts(2, 1))
+	tracker.Connected(now, router(1), 8)
+	tracker.Observe(now, "t0000", platform.Load{At: now, Incarnation: "j"})
+	tracker.Observe(now, "t0000", platform.Load{At: now.Add(1), Incarnation: "k"})
+	now = now.Add(time.Minute)
+	tracker.Tick(now)
+	told := []*fleetpb.HostEntry{
+		{Name: router(0), Leaving: true, Link: "4"},
+		{Name: "t0000", Leaving: true, Link: "j"},
+		{Name: "t0009", Leaving: true, Link: "a"},
+	}
+	tracker.Receive(now, router(1), &fleetpb.Body{Kind: &fleetpb.Body_HostsOffer{
+		HostsOffer: &fleetpb.HostsOffer{Hosts: told},
+	}})
+	answers := make(map[string]string)
+	for _, envelope := range tracker.Tick(now) {
+		for _, entry := range envelope.Body.GetHostsOffer().GetHosts() {
+			answers[entry.GetName()] = entry.GetLink()
+		}
+	}
+	c.Assert(answers, qt.DeepEquals, map[string]string{router(0): "5", "t0000": "k"})
+	c.Assert(tracker.View().Self().State, qt.Equals, membership.Up)
+	for version := uint64(2); version < 4; version++ {
+		list := hosts(2, 7+int(version)) // The third list is the first one that names t0009.
+		list.Version = version
+		tracker.List(now, list)
+	}
+	target, _ := tracker.View().Target("t0000")
+	c.Assert(target.Leaving, qt.IsFalse)
+	target, listed := tracker.View().Target("t0009")
+	c.Assert([]bool{listed, target.Leaving}, qt.DeepEquals, []bool{true, true})
+}
+
+// TestProbes guards against a router that comes back and is not found for minutes in a large fleet.
+func TestProbes(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	tracker := membership.NewTracker(membership.Router{Name: router(0)}, 1, 1)
+	tracker.List(now, hosts(200, 0))
+	tracker.Connected(now, router(1), 1)
+	tracker.Failed(now, router(7))
+	probed := make(map[string]int)
+	for range 100 {
+		now = now.Add(time.Second)
+		name, due := tracker.Probe(now)
+		c.Assert(due, qt.IsTrue)
+		probed[name]++
+	}
+	c.Assert(probed[router(7)] >= 50, qt.IsTrue)
+	c.Assert(len(probed) > 30, qt.IsTrue)
+	c.Assert(probed[router(0)]+probed[router(1)], qt.Equals, 0)
+}
+
 // TestCrashedRouter guards against a crashed router that stays up, and one that counts as down before any attempt to
 // reach it.
 func TestCrashedRouter(t *testing.T) {
@@ -148,6 +212,12 @@
 	within(c, f, 5*time.Second, apart)
 	f.run(10*time.Second, never)
 	within(c, f, 0, apart)
+
+	lone := membership.NewTracker(membership.Router{Name: router(0)}, 1, 1)
+	lone.Connected(f.now, router(1), 1)
+	c.Assert(lone.Tick(f.now), qt.HasLen, 2)
+	c.Assert(lone.Tick(f.now.Add(2*time.Second+1)), qt.HasLen, 0, qt.Commentf("heartbeat to a silent peer"))
+
 	clear(f.blocked)
 	within(c, f, 5*time.Second, func(self string, view membership.View) bool {
 		return state(router(0), membership.Up)(self, view) && state(router(1), membership.Up)(self, view)
