--- a/internal/metric/metric_test.go
+++ b/internal/metric/metric_test.go
@@ -91,3 +91,26 @@
 	}
 	qt.Assert(t, documented, qt.DeepEquals, refusal.Codes())
 }
+
+// TestOperationsPage guards against a metric or a reason of retries that operators cannot look up.
+func TestOperationsPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operations.md")
+	qt.Assert(t, err, qt.IsNil)
+	scrape := text(metric.New().Registry())
+	var documented, reasons []string
+	for _, cells := range regexp.MustCompile("(?m)^\\| `([a-z_]+)` \\|( gauge| counter)?").FindAllStringSubmatch(string(page), -1) {
+		if cells[2] == "" {
+			reasons = append(reasons, cells[1])
+			continue
+		}
+		documented = append(documented, cells[1])
+		qt.Check(t, scrape, qt.Contains, "# TYPE "+cells[1]+cells[2]+"\n")
+	}
+	for _, family := range metric.Families() {
+		qt.Check(t, documented, qt.Any(qt.Equals), string(family))
+	}
+	qt.Check(t, documented, qt.HasLen, len(metric.Families()))
+	for _, reason := range metric.Retries() {
+		qt.Check(t, reasons, qt.Any(qt.Equals), string(reason))
+	}
+}
