Resume a stream at the router after the one that failed it

All calls of a client shared one turn, so that a stream could be resumed at the router that had just failed it; a test with a second call between start and break showed it. Each call now goes on from its own entry.

--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -53,15 +53,19 @@
 	return client, nil
 }
 
-// entry returns the address of the next router.
-func (c *Client) entry() string {
-	return c.addresses[(c.turn.Add(1)-1)%uint64(len(c.addresses))]
+// entry returns the number of the router that gets the next call. A call goes on from its own entry, so that other calls
+// of the client do not lead it back to the router that failed it.
+func (c *Client) entry() uint64 { return c.turn.Add(1) - 1 }
+
+// address returns the address of the router with a number, counted round all addresses.
+func (c *Client) address(entry uint64) string {
+	return c.addresses[entry%uint64(len(c.addresses))]
 }
 
 // send sends one request to one router. An error is a *Refusal, a *ProtocolError or the error of the connection.
-func (c *Client) send(ctx context.Context, method, address, path string, header http.Header, body []byte,
+func (c *Client) send(ctx context.Context, method string, entry uint64, path string, header http.Header, body []byte,
 ) (*http.Response, error) {
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.address(entry)+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
@@ -90,11 +94,11 @@
 }
 
 // wait pauses after each round over all addresses without success.
-func (c *Client) wait(ctx context.Context, failures int) error {
-	if failures%len(c.addresses) != 0 || c.pause <= 0 {
+func (c *Client) wait(ctx context.Context, failures int, pause time.Duration) error {
+	if failures%len(c.addresses) != 0 || pause <= 0 {
 		return ctx.Err()
 	}
-	timer := time.NewTimer(c.pause)
+	timer := time.NewTimer(pause)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -104,12 +108,14 @@
 	}
 }
 
-// dispatch sends a request to one router after the other until one takes it. It goes on only if the call certainly did
-// not run, or if repeatable is set, because another run does no harm then.
-func (c *Client) dispatch(ctx context.Context, path string, header http.Header, body []byte, repeatable bool,
+// dispatch sends a request to one router after the other, from the entry on, until one takes it, and moves the entry to
+// that one. It goes on only if the call certainly did not run, or if repeatable is set, because another run does no harm
+// then.
+func (c *Client) dispatch(
+	ctx context.Context, entry *uint64, path string, header http.Header, body []byte, repeatable bool,
 ) (*http.Response, error) {
 	for failures := 1; ; failures++ {
-		response, err := c.send(ctx, http.MethodPost, c.entry(), path, header, body)
+		response, err := c.send(ctx, http.MethodPost, *entry, path, header, body)
 		if err == nil {
 			return response, nil
 		}
@@ -125,7 +131,8 @@
 		if !unsent && !repeatable || failures >= c.attempts {
 			return nil, final(err, unsent && !refused, 0)
 		}
-		if err := c.wait(ctx, failures); err != nil {
+		*entry++
+		if err := c.wait(ctx, failures, c.pause); err != nil {
 			return nil, err
 		}
 	}
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -120,6 +120,27 @@
 	qt.Assert(t, second.asked, qt.HasLen, 1)
 }
 
+// TestOtherRouter guards against a stream that is resumed at the router that failed it, because another call of the client
+// has moved the turn on.
+func TestOtherRouter(t *testing.T) {
+	answer := func(from int64, _ bool) string { return events(from) }
+	first, second := &fake{cut: 150, answer: answer}, &fake{cut: -1, answer: answer}
+	caller, err := client.New([]string{first.serve(t), second.serve(t)}, "key", client.WithPause(0))
+	qt.Assert(t, err, qt.IsNil)
+	stream, err := caller.Generate(t.Context(), "m", client.Generation{})
+	qt.Assert(t, err, qt.IsNil)
+	other, err := caller.Generate(t.Context(), "m", client.Generation{})
+	qt.Assert(t, err, qt.IsNil)
+	other.Close()
+	for err == nil {
+		_, err = stream.Next()
+	}
+	qt.Assert(t, err, qt.Equals, io.EOF)
+	qt.Assert(t, stream.Resumes(), qt.Equals, 1)
+	qt.Assert(t, first.asked, qt.HasLen, 1)
+	qt.Assert(t, second.asked, qt.HasLen, 2)
+}
+
 // TestRefusals guards against a refused call that is sent again although it may have run, and against one that is not
 // sent to another router although it did not run.
 func TestRefusals(t *testing.T) {
--- a/pkg/client/generation.go
+++ b/pkg/client/generation.go
@@ -27,10 +27,10 @@
 	if err != nil {
 		return nil, err
 	}
-	stream := &Stream{client: c, context: ctx}
+	stream := &Stream{client: c, context: ctx, entry: c.entry()}
 	path := "/v1/models/" + url.PathEscape(model) + "/generate"
 	err = stream.open(func(connection context.Context) (*http.Response, error) {
-		return c.dispatch(connection, path, http.Header{"Accept": {eventStream}}, body, false)
+		return c.dispatch(connection, &stream.entry, path, http.Header{"Accept": {eventStream}}, body, false)
 	})
 	if err != nil {
 		return nil, err
--- a/pkg/client/invocation.go
+++ b/pkg/client/invocation.go
@@ -42,8 +42,9 @@
 		header.Set("Idempotency-Key", call.Key)
 	}
 	path := "/v1/services/" + url.PathEscape(service) + "/" + url.PathEscape(operation)
+	entry := c.entry()
 	for failures := 1; ; failures++ {
-		response, err := c.dispatch(ctx, path, header, body, call.Key != "")
+		response, err := c.dispatch(ctx, &entry, path, header, body, call.Key != "")
 		if err != nil {
 			return Result{}, err
 		}
@@ -55,6 +56,7 @@
 		if call.Key == "" || failures >= c.attempts || ctx.Err() != nil {
 			return Result{}, final(err, false, 0)
 		}
+		entry++
 	}
 }
 
--- a/pkg/client/option.go
+++ b/pkg/client/option.go
@@ -13,7 +13,8 @@
 	return func(c *Client) { c.attempts = max(1, count) }
 }
 
-// WithPause sets the pause after each round over all addresses; the default is 100 ms.
+// WithPause sets the pause after each round over all addresses, which grows while a stream is resumed; the default is
+// 100 ms.
 func WithPause(pause time.Duration) Option {
 	return func(c *Client) { c.pause = pause }
 }
--- a/pkg/client/stream.go
+++ b/pkg/client/stream.go
@@ -16,13 +16,17 @@
 // eventStream is the media type of a streamed answer.
 const eventStream = "text/event-stream"
 
+// maxDoublings bounds the pause between two rounds to 16 pauses, with the default 1.6 s.
+const maxDoublings = 4
+
 // errSilent is the cause of a connection that was given up because nothing came.
 var errSilent = errors.New("the router was silent for too long")
 
 // Stream is a streamed answer. It must not be used by several goroutines at once.
 type Stream struct {
 	client   *Client
-	context  context.Context //nolint:containedctx // The stream connects again for as long as its call lasts.
+	context  context.Context
+	entry    uint64
 	reader   *reader
 	close    func()
 	alarm    *time.Timer
@@ -143,13 +147,16 @@
 
 // resume connects to the next router at the next token. It returns an error if the stream cannot go on.
 func (s *Stream) resume() error {
-	if err := s.client.wait(s.context, s.failures); err != nil {
+	// The pause doubles with each round, since a router may need seconds to start again.
+	round := min(s.failures/len(s.client.addresses), maxDoublings)
+	if err := s.client.wait(s.context, s.failures, s.client.pause<<round); err != nil {
 		return err
 	}
+	s.entry++
 	path := "/v1/streams/" + url.PathEscape(s.token) + "?from=" + strconv.FormatInt(s.next, 10)
 	header := http.Header{"Accept": {eventStream}}
 	err := s.open(func(connection context.Context) (*http.Response, error) {
-		return s.client.send(connection, http.MethodGet, s.client.entry(), path, header, nil)
+		return s.client.send(connection, http.MethodGet, s.entry, path, header, nil)
 	})
 	if err == nil {
 		s.resumes++
