Test a silent router in virtual time

The test waited for 50 ms of real silence; on a busy machine the second router may need longer and would be given up too. It now runs in virtual time over a network in memory and also covers a request that waits an hour for its slot.

--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -110,14 +111,21 @@
 	qt.Assert(t, router.asked, qt.HasLen, 4)
 }
 
-// TestSilence guards against a stream that waits for ever for a router that has lost its network.
+// TestSilence guards against a stream that waits for ever for a router that has lost its network, and against one that
+// gives a router up while its request waits for a slot.
 func TestSilence(t *testing.T) {
-	answer := func(from int64, _ bool) string { return events(from) }
-	silent, second := &fake{cut: 150, answer: answer, silence: true}, &fake{cut: -1, answer: answer}
-	texts, err := read(t, []string{silent.serve(t), second.serve(t)}, client.WithSilence(50*time.Millisecond))
-	qt.Assert(t, err, qt.Equals, io.EOF)
-	qt.Assert(t, texts, qt.DeepEquals, whole)
-	qt.Assert(t, second.asked, qt.HasLen, 1)
+	synctest.Test(t, func(t *testing.T) {
+		answer := func(from int64, _ bool) string { return events(from) }
+		silent, second := &fake{cut: 150, answer: answer, silence: true, queue: time.Hour}, &fake{cut: -1, answer: answer}
+		network := pipes{"10.0.0.1:1": silent, "10.0.0.2:1": second}
+		start := time.Now()
+		texts, err := read(t, []string{"10.0.0.1:1", "10.0.0.2:1"}, client.WithTransport(network))
+		qt.Assert(t, err, qt.Equals, io.EOF)
+		qt.Assert(t, texts, qt.DeepEquals, whole)
+		qt.Assert(t, silent.asked, qt.HasLen, 1)
+		qt.Assert(t, second.asked, qt.HasLen, 1)
+		qt.Assert(t, time.Since(start), qt.Equals, time.Hour+15*time.Second)
+	})
 }
 
 // TestOtherRouter guards against a stream that is resumed at the router that failed it, because another call of the client
--- a/pkg/client/fake_test.go
+++ b/pkg/client/fake_test.go
@@ -1,13 +1,16 @@
 package client_test
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -20,6 +23,8 @@
 	asked   []string
 	refuse  func(path string) (status int, body string)
 	silence bool
+	// queue is the time before the first event.
+	queue time.Duration
 }
 
 // serve returns the address of the fake.
@@ -46,6 +51,9 @@
 		}
 	}
 	w.Header().Set("Content-Type", "text/event-stream; charset=utf-8")
+	if f.queue > 0 {
+		<-time.After(f.queue)
+	}
 	from, _ := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
 	text := f.answer(from, r.Method == http.MethodGet)
 	if f.cut < 0 || f.cut >= len(text) {
@@ -82,3 +90,29 @@
 	qt.Assert(t, listener.Close(), qt.IsNil)
 	return listener.Addr().String()
 }
+
+// pipes is a network in memory, for tests in virtual time.
+type pipes map[string]http.Handler
+
+func (p pipes) RoundTrip(request *http.Request) (*http.Response, error) {
+	reader, writer := io.Pipe()
+	context.AfterFunc(request.Context(), func() { _ = writer.CloseWithError(context.Canceled) })
+	header := http.Header{"Content-Type": {"text/event-stream"}}
+	go func() {
+		p[request.URL.Host].ServeHTTP(&pipeWriter{writer, header.Clone()}, request)
+		_ = writer.Close()
+	}()
+	return &http.Response{StatusCode: http.StatusOK, Header: header, Body: reader, Request: request}, nil
+}
+
+// pipeWriter writes the body of an answer into a pipe.
+type pipeWriter struct {
+	*io.PipeWriter
+	header http.Header
+}
+
+func (w *pipeWriter) Header() http.Header { return w.header }
+
+func (*pipeWriter) WriteHeader(int) {}
+
+func (*pipeWriter) Flush() {}
