Test claims against crawling appends, late roles and callers that give up

Cause: mutants of the cores survived the first tests (a refusal while an append is on its way, a release of a sent request, a lost role), because no fault of the schedules reached them.

--- a/internal/claim/fold_test.go
+++ b/internal/claim/fold_test.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 
 	"github.com/chicorydale/chicorydale/internal/claim"
+	"github.com/chicorydale/chicorydale/internal/fleetpb"
 	"github.com/chicorydale/chicorydale/internal/platform"
 )
 
@@ -53,6 +54,74 @@
 	c.Check(verdict.GetOffset(), qt.Equals, uint64(5))
 }
 
+// TestFoldOrder guards against a copy that lands after its deadline and blocks the key, and against a release that frees
+// an answered key.
+func TestFoldOrder(t *testing.T) {
+	c := qt.New(t)
+	fold := claim.NewFold(limits())
+	late, winner := claimed(start, 1), claimed(start, 1)
+	winner.Claim, winner.Deadline = "winner", start.Add(time.Minute).UnixMilli()
+	done := claim.Record{Kind: claim.Done, Key: late.Key, Claim: winner.Claim, Answer: []byte("a")}
+	release := claim.Record{Kind: claim.Released, Key: late.Key, Claim: winner.Claim}
+	fold.Apply(logged(start.Add(2*time.Second), 0, late, winner, done, release))
+	verdict, _ := fold.State(start, late)
+	c.Check(verdict.GetState().String(), qt.Equals, "CLAIM_STATE_DONE")
+}
+
+// TestBatcher guards against a batcher that appends or answers before it has read its stream to the end, that appends
+// more often than the log bears, or that takes claims without bound.
+func TestBatcher(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(variant{limits: limits()}, "r0")
+	n, key := w.nodes[0], claimed(start, 1).Key
+	w.call(n, key.String(), "a", time.Second)
+	envelopes, _ := n.holder.Tick(w.now)
+	n.batcher.Receive(w.now, n.name, envelopes[0].Body)
+	record := logged(w.now, 0, claim.Record{Kind: claim.Released, Key: key, Claim: "other"})
+	stream := claim.Stream(claim.Shard(key))
+	n.batcher.Page(w.now, stream, platform.Page{Records: []platform.Record{record}, End: 2})
+	n.batcher.Page(w.now, stream, platform.Page{Records: []platform.Record{{Offset: 7}}, End: 8})
+	effects := n.batcher.Tick(w.now)
+	c.Check(len(effects.Appends)+len(effects.Envelopes), qt.Equals, 0)
+	c.Check(n.batcher.Positions()[claim.Shard(key)].From, qt.Equals, uint64(1))
+
+	w = newWorld(variant{limits: limits()}, "r0")
+	for i := range 4000 {
+		w.call(w.nodes[0], keyAt(w.now, i).String(), "a", time.Minute)
+		w.pass(step * time.Duration(i%4/3))
+	}
+	for _, records := range w.log.streams {
+		c.Check(len(records) <= 5*50, qt.IsTrue, qt.Commentf("%d appends to a stream in 5 s", len(records)))
+	}
+	c.Check(w.outcomes()[:len("held,held")], qt.Equals, "held,held")
+
+	full := limits()
+	full.Memory = 100
+	w = newWorld(variant{limits: full}, "r0")
+	for i := range 2 {
+		w.call(w.nodes[0], keyAt(w.now, i).String(), "a", time.Minute)
+		w.pass(time.Second)
+	}
+	c.Check(w.outcomes(), qt.Equals, "held,unavailable")
+}
+
+// TestHolderRelease guards against a key that stays blocked by the copy of a claim that an earlier batcher appended.
+func TestHolderRelease(t *testing.T) {
+	w := newWorld(variant{limits: limits()}, "r0", "r1")
+	n := w.nodes[0]
+	request := claim.Request{Key: w.key(0, 0), Deadline: w.now.Add(time.Second)}
+	id := n.holder.Claim(w.now, request)
+	n.holder.Tick(w.now)
+	owner := w.owner(request.Key).name
+	n.holder.Connected(w.now, owner, 2)
+	n.holder.Tick(w.now)
+	verdict := &fleetpb.ClaimVerdict{Claim: id, State: fleetpb.ClaimState_CLAIM_STATE_BUSY}
+	n.holder.Receive(w.now, owner, &fleetpb.Body{Kind: &fleetpb.Body_ClaimVerdict{ClaimVerdict: verdict}})
+	envelopes, _ := n.holder.Tick(w.now)
+	qt.Assert(t, envelopes, qt.HasLen, 1)
+	qt.Check(t, envelopes[0].Body.GetClaimRequest().GetStep(), qt.Equals, fleetpb.ClaimStep_CLAIM_STEP_RELEASE)
+}
+
 // TestFoldExpiry guards against a table that grows without bound, and against a key that is free again once its entry
 // is gone.
 func TestFoldExpiry(t *testing.T) {
--- a/internal/claim/scenario_test.go
+++ b/internal/claim/scenario_test.go
@@ -153,6 +153,49 @@
 		w.call(w.nodes[1], key, "a", time.Second)
 		w.pass(time.Second)
 	}},
+	{name: "append crawls while reads fail", want: "held", play: func(w *world, key string) {
+		w.pass(100 * time.Millisecond)
+		w.log.mode = crawls
+		w.call(w.nodes[0], key, "a", 2*time.Second)
+		w.pass(100 * time.Millisecond)
+		w.log.unread = true
+		w.pass(time.Second)
+		w.log.unread = false
+		w.pass(time.Second)
+	}},
+	{name: "batcher learns late of its role", want: "held,replay", play: func(w *world, key string) {
+		owner := w.owner(key)
+		n := w.nodes[(slices.Index(w.nodes, owner)+1)%len(w.nodes)]
+		w.lagging = owner
+		w.restart(owner)
+		w.call(n, key, "a", time.Second)
+		w.until(func() bool { return len(w.runs[key]) > 0 })
+		w.restart(owner)
+		w.pass(2 * time.Second)
+		w.call(n, key, "a", time.Second)
+		w.pass(time.Second)
+	}},
+	{name: "role leaves and comes back unnoticed", want: "held", play: func(w *world, key string) {
+		w.pass(100 * time.Millisecond)
+		w.log.unread = true
+		w.call(w.nodes[0], key, "a", time.Second)
+		w.pass(100 * time.Millisecond)
+		w.owner(key).batcher.Locate(w.now, membership.NewView("", nil, nil))
+		w.pass(100 * time.Millisecond)
+		w.connect()
+		w.log.unread = false
+		w.pass(time.Second)
+	}},
+	{name: "key passes its window while the holder is paused", want: "unknown", play: func(w *world, _ string) {
+		key := w.key(0, limits().Window-200*time.Millisecond)
+		w.sending = 100 * time.Millisecond
+		w.call(w.nodes[0], key, "a", 3*time.Second)
+		w.until(func() bool { return w.claimed(key) })
+		w.nodes[0].paused = true
+		w.pass(time.Second)
+		w.nodes[0].paused = false
+		w.pass(time.Second)
+	}, without: func(v *variant) { v.late = true }, fails: "sent after the deadline"},
 	{name: "record expired while the caller comes again", want: "expired,held", play: func(w *world, key string) {
 		w.call(w.nodes[0], key, "a", time.Second)
 		w.pass(11 * time.Second)
