--- a/Makefile
+++ b/Makefile
@@ -35,3 +35,7 @@
 # generated fails if the committed generated code is not current.
 generated: generate
 	git diff --exit-code --stat -- internal/oas internal/fleetpb
+
+# measure prints fairness, utilisation and control traffic of the product and of baselines: see docs/measures.md.
+measure:
+	go run ./cmd/measure
