Keep the port of a refusing address bound in tests

Five runs of the tests beside other work on the machine failed twice: the port of a closed listener was given to a server of another process, which answered with 404 and with another refusal. A socket that is bound but does not listen refuses connections and keeps its port.

--- a/internal/cmd/cmd_test.go
+++ b/internal/cmd/cmd_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http/httptest"
 	"os"
 	"strconv"
@@ -50,19 +49,37 @@
 			}
 			server := httptest.NewServer(handler)
 			env.Defer(server.Close)
-			closed, err := net.Listen("tcp", "127.0.0.1:0")
+			closed, err := closedAddress(env)
 			if err != nil {
 				return err
 			}
 			env.Setenv("ROUTER", server.Listener.Addr().String())
-			env.Setenv("CLOSED", closed.Addr().String())
+			env.Setenv("CLOSED", closed)
 			env.Setenv("CHICORYDALE_KEY", "operator")
-			return closed.Close()
+			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){"code": code},
 	})
 }
 
+// closedAddress returns an address that refuses connections. Its port stays bound until the script ends, so that no other
+// process listens there.
+func closedAddress(env *testscript.Env) (string, error) {
+	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return "", err
+	}
+	env.Defer(func() { _ = syscall.Close(socket) })
+	if err := syscall.Bind(socket, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		return "", err
+	}
+	name, err := syscall.Getsockname(socket)
+	if err != nil {
+		return "", err
+	}
+	return "127.0.0.1:" + strconv.Itoa(name.(*syscall.SockaddrInet4).Port), nil
+}
+
 // code runs a command and compares its exit code: code NUMBER COMMAND...
 func code(ts *testscript.TestScript, neg bool, args []string) {
 	want, err := strconv.Atoi(args[0])
--- a/pkg/client/fake_test.go
+++ b/pkg/client/fake_test.go
@@ -4,11 +4,11 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -82,13 +82,16 @@
 	return text.String()
 }
 
-// closed returns an address that nobody listens at.
+// closed returns an address that refuses connections. Its port stays bound, so that no other process listens there.
 func closed(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, listener.Close(), qt.IsNil)
-	return listener.Addr().String()
+	t.Cleanup(func() { qt.Check(t, syscall.Close(socket), qt.IsNil) })
+	qt.Assert(t, syscall.Bind(socket, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), qt.IsNil)
+	name, err := syscall.Getsockname(socket)
+	qt.Assert(t, err, qt.IsNil)
+	return "127.0.0.1:" + strconv.Itoa(name.(*syscall.SockaddrInet4).Port)
 }
 
 // pipes is a network in memory, for tests in virtual time.
