Give long calls the slots that short floods leave

Cause: short classes may use one slot in eight beyond the batch size. Ruled out: no extra slots (short calls wait behind long ones); extra slots only for customers with the lowest counter (a light customer's short call would wait for a long one's end). Change: short runs count as using the extra slots first; a slot that becomes free is then open to long calls, and the order of counters decides. Same bound on the total.

--- a/internal/pool/grant.go
+++ b/internal/pool/grant.go
@@ -111,7 +111,7 @@
 		customer: d.customer,
 		target:   target,
 		weight:   s.weight(d.customer),
-		apart:    d.apart,
+		of:       kind{apart: d.apart, short: !d.long},
 		granted:  now,
 		deadline: deadline,
 	}
--- a/internal/pool/lend.go
+++ b/internal/pool/lend.go
@@ -70,7 +70,7 @@
 		return false
 	}
 	to.lend()
-	best.add(now, false)
+	best.add(now, kind{})
 	s.enter(now, out.lend(to, s.name, best.name, now.Add(s.life), s.number), best.name)
 	return true
 }
@@ -109,7 +109,7 @@
 		return
 	}
 	match.left--
-	row.remove(now, match.granted, false)
+	row.remove(now, match.granted, kind{})
 	s.loans = slices.DeleteFunc(s.loans, func(l *loan) bool { return l.left == 0 })
 }
 
--- a/internal/pool/run.go
+++ b/internal/pool/run.go
@@ -21,7 +21,7 @@
 	// units is the service charged so far in milli-units, paid the same in weighted milli-units.
 	units uint64
 	paid  uint64
-	apart bool
+	of    kind
 	// granted is zero for a run that a former scheduler granted.
 	granted  time.Time
 	deadline time.Time
--- a/internal/pool/schedule.go
+++ b/internal/pool/schedule.go
@@ -98,7 +98,7 @@
 	row := &target{name: name, added: now, refilled: now}
 	for _, r := range s.runs {
 		if r.target == name {
-			row.add(r.granted, r.apart)
+			row.add(r.granted, r.of)
 		}
 	}
 	for _, l := range s.loans {
@@ -248,7 +248,7 @@
 	s.runs[r.key] = r
 	s.flying[r.customer] += r.paid
 	if row := s.target(r.target); row != nil {
-		row.add(r.granted, r.apart)
+		row.add(r.granted, r.of)
 	}
 }
 
@@ -261,7 +261,7 @@
 		delete(s.flying, r.customer)
 	}
 	if row := s.target(r.target); row != nil {
-		row.remove(now, r.granted, r.apart)
+		row.remove(now, r.granted, r.of)
 	}
 }
 
--- a/internal/pool/sync.go
+++ b/internal/pool/sync.go
@@ -45,7 +45,7 @@
 			target:   state.GetTarget(),
 			weight:   s.weight(state.GetCustomer()),
 			units:    state.GetCharged(),
-			apart:    state.GetApart(),
+			of:       kind{apart: state.GetApart(), short: !state.GetLong()},
 		}
 		r.paid = r.units / r.weight
 		s.start(r)
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -28,8 +28,9 @@
 	own int
 	// before is the number of runs and lent slots of this schedule that the load report can include.
 	before int
-	// suspects is the number of runs of suspects.
+	// suspects is the number of runs of suspects, shorts that of runs of short classes.
 	suspects int
+	shorts   int
 	// ended lists runs that ended after the load report's instant.
 	ended []ended
 	// budget is the number of grants left in this report period, for a scheduler that hears a part of the routers only.
@@ -60,16 +61,19 @@
 // since then.
 func (t *target) occupied(now time.Time) int { return t.own + t.foreign(now) }
 
-// spare returns the number of free slots, with the extra ones for short classes if short is set.
+// spare returns the number of free slots, with the extra ones if short is set. Short runs count as using the extra slots
+// first: otherwise a customer whose short calls keep all slots and the extra ones busy shuts long calls out, because a
+// slot that becomes free leaves the target just at its batch size.
 func (t *target) spare(now time.Time, short, limited bool) int {
 	if t.leaving || t.load.Leaving || t.heard.IsZero() && now.Sub(t.added) < blindTime {
 		return 0
 	}
-	limit := t.slots
-	if short {
-		limit += t.extra()
+	occupied := t.occupied(now)
+	free := t.slots + t.extra() - occupied
+	if !short {
+		free = min(free, t.slots-occupied+min(t.shorts, t.extra()))
 	}
-	free := max(0, limit-t.occupied(now))
+	free = max(0, free)
 	if limited {
 		free = min(free, int(t.budget))
 	}
@@ -92,25 +96,31 @@
 }
 
 // add counts a run or a lent slot.
-func (t *target) add(granted time.Time, apart bool) {
+func (t *target) add(granted time.Time, of kind) {
 	t.own++
 	t.budget--
 	if !t.heard.IsZero() && granted.Before(t.load.At) {
 		t.before++
 	}
-	if apart {
+	if of.apart {
 		t.suspects++
 	}
+	if of.short {
+		t.shorts++
+	}
 }
 
 // remove notes the end of a run or of a lent slot.
-func (t *target) remove(now, granted time.Time, apart bool) {
+func (t *target) remove(now, granted time.Time, of kind) {
 	t.own--
 	t.budget += t.fraction
 	t.end(now, granted)
-	if apart {
+	if of.apart {
 		t.suspects--
 	}
+	if of.short {
+		t.shorts--
+	}
 }
 
 // removeForeign notes the end of a run that only the load report can show.
