Close the gaps that mutants of claims and suspects showed

Cause: six mutants survived: a page that does not join on, a key past its window at a woken holder, a release of a sent request, an early answer to a claim that may be in the log, and peers that append each record at once.

--- a/internal/claim/fakelog_test.go
+++ b/internal/claim/fakelog_test.go
@@ -16,7 +16,7 @@
 	refuses
 	// loses applies the append and loses the answer.
 	loses
-	// delays loses the answer first and applies the append 400 ms later.
+	// delays loses the answer first and applies the append 1200 ms later.
 	delays
 	// swallows loses the append and the answer.
 	swallows
@@ -48,7 +48,7 @@
 	case loses:
 		apply()
 	case delays:
-		w.at(400*time.Millisecond, apply)
+		w.at(1200*time.Millisecond, apply)
 	case crawls:
 		w.at(800*time.Millisecond, apply)
 		return nil, 800*time.Millisecond + latency
--- a/internal/claim/fold_test.go
+++ b/internal/claim/fold_test.go
@@ -80,7 +80,7 @@
 	record := logged(w.now, 0, claim.Record{Kind: claim.Released, Key: key, Claim: "other"})
 	stream := claim.Stream(claim.Shard(key))
 	n.batcher.Page(w.now, stream, platform.Page{Records: []platform.Record{record}, End: 2})
-	n.batcher.Page(w.now, stream, platform.Page{Records: []platform.Record{{Offset: 7}}, End: 8})
+	n.batcher.Page(w.now, stream, platform.Page{First: 3, Records: []platform.Record{{Offset: 7}}, End: 8})
 	effects := n.batcher.Tick(w.now)
 	c.Check(len(effects.Appends)+len(effects.Envelopes), qt.Equals, 0)
 	c.Check(n.batcher.Positions()[claim.Shard(key)].From, qt.Equals, uint64(1))
--- a/internal/claim/scenario_test.go
+++ b/internal/claim/scenario_test.go
@@ -153,6 +153,28 @@
 		w.call(w.nodes[1], key, "a", time.Second)
 		w.pass(time.Second)
 	}},
+	{name: "caller gives up while its request runs", want: "replay,unknown", play: func(w *world, key string) {
+		w.call(w.nodes[0], key, "a", time.Second)
+		w.until(func() bool { return len(w.runs[key]) > 0 })
+		w.abandon(w.nodes[0], w.calls[0])
+		w.pass(time.Second)
+		w.call(w.nodes[1], key, "a", time.Second)
+		w.pass(time.Second)
+	}},
+	{name: "copy of a refused claim lands after a release", want: "busy,held,unknown", play: func(w *world, key string) {
+		w.pass(100 * time.Millisecond)
+		w.log.mode, w.sending = delays, time.Minute
+		w.call(w.nodes[0], key, "a", 4*time.Second)
+		w.pass(50 * time.Millisecond)
+		w.log.mode = works
+		w.call(w.nodes[1], key, "a", 4*time.Second)
+		w.pass(1100 * time.Millisecond)
+		w.abandon(w.nodes[1], w.calls[1])
+		w.pass(time.Second)
+		w.sending = 0
+		w.call(w.nodes[2], key, "a", time.Second)
+		w.pass(time.Second)
+	}},
 	{name: "append crawls while reads fail", want: "held", play: func(w *world, key string) {
 		w.pass(100 * time.Millisecond)
 		w.log.mode = crawls
@@ -188,9 +210,10 @@
 	}},
 	{name: "key passes its window while the holder is paused", want: "unknown", play: func(w *world, _ string) {
 		key := w.key(0, limits().Window-200*time.Millisecond)
-		w.sending = 100 * time.Millisecond
+		w.sending = 150 * time.Millisecond
 		w.call(w.nodes[0], key, "a", 3*time.Second)
 		w.until(func() bool { return w.claimed(key) })
+		w.pass(100 * time.Millisecond)
 		w.nodes[0].paused = true
 		w.pass(time.Second)
 		w.nodes[0].paused = false
--- a/internal/suspect/table_test.go
+++ b/internal/suspect/table_test.go
@@ -56,9 +56,11 @@
 // pass lets time go by in steps of 100 ms.
 func (f *fleet) pass(duration time.Duration) {
 	for end := f.now.Add(duration); f.now.Before(end); f.now = f.now.Add(100 * time.Millisecond) {
+		for _, table := range f.tables {
+			f.read(table)
+		}
 		for _, name := range slices.Sorted(maps.Keys(f.tables)) {
 			table := f.tables[name]
-			f.read(table)
 			effects := table.Tick(f.now)
 			for _, envelope := range effects.Envelopes {
 				f.tables[envelope.To].Receive(f.now, name, envelope.Body)
