--- a/internal/config/exchange.go
+++ b/internal/config/exchange.go
@@ -23,6 +23,10 @@
 	}
 }
 
+// SetNear names the routers of the own region; configuration is fetched from another region only if none of them has
+// it, since regional links are billed by volume.
+func (s *Store) SetNear(near []string) { s.near = near }
+
 // Connected notes a session with a peer.
 func (s *Store) Connected(now time.Time, name string, _ uint64) {
 	s.start(now)
@@ -143,6 +147,10 @@
 	}
 	s.fetch.asked = now
 	question := &fleetpb.ConfigFetch{Version: s.state.version}
+	near := slices.DeleteFunc(slices.Clone(ahead), func(name string) bool { return !slices.Contains(s.near, name) })
+	if len(near) > 0 {
+		ahead = near
+	}
 	s.send(ahead[s.random.IntN(len(ahead))], &fleetpb.Body{Kind: &fleetpb.Body_ConfigFetch{ConfigFetch: question}})
 }
 
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -48,6 +48,7 @@
 	recent   recent
 	peers    map[string]*peer
 	listed   map[string]bool
+	near     []string
 	fetch    fetch
 	schedule schedule
 	encoded  encoded
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -54,11 +54,24 @@
 		return
 	}
 	t.asked = now
+	if near := t.near(ahead); len(near) > 0 {
+		ahead = near
+	}
 	t.send(ahead[t.random.IntN(len(ahead))], &fleetpb.Body{
 		Kind: &fleetpb.Body_HostsFetch{HostsFetch: &fleetpb.HostsFetch{Version: t.list.Version}},
 	})
 }
 
+// near returns the routers among names that are in the own region. A list is fetched from another region only if there
+// are none, since regional links are billed by volume.
+func (t *Tracker) near(names []string) []string {
+	view := t.View()
+	return slices.DeleteFunc(slices.Clone(names), func(name string) bool {
+		router, listed := view.Router(name)
+		return !listed || router.Region != t.self.Region
+	})
+}
+
 // answer sends the host list to a peer that has an older version.
 func (t *Tracker) answer(to string, version uint64) {
 	if version >= t.list.Version {
--- a/internal/membership/tracker.go
+++ b/internal/membership/tracker.go
@@ -17,9 +17,9 @@
 	beat = 500 * time.Millisecond
 	// silence is the time without a message after which a peer is down.
 	silence = 2 * time.Second
-	// lag is the time for which a host list may be older than a peer's before it is fetched: most routers get a new
-	// list from the platform at about the same time.
-	lag = time.Second
+	// lag is the time for which a host list may be older than a peer's before it is fetched: a list of 6,100 hosts takes
+	// hundreds of kilobytes, routers get a new one from the platform within seconds, and marks do not wait for it.
+	lag = 3 * time.Second
 	// refetch is the time after which another peer is asked.
 	refetch = time.Second
 	// unlistedMarks is the time for which marks of hosts that are not listed yet are kept.
