Refuse a model call that ends without a token by its own status

A call whose engine crashes after it accepted the call and before its first token runs again elsewhere. If it is then refused for good, for example because it crashed a second engine, the caller got status 200, a start event with an empty resume token and an error event, and pkg/client reported an answer that is not of the documented form.

The handler now waits for the first token or the end before it returns the stream, so that such a refusal has its own status (422 quarantined) and no start event. Headers leave with the first token; the start event had waited for it before, so callers see no token later than until now.

--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -62,6 +62,20 @@
 	a.changed = make(chan struct{})
 }
 
+// begun waits for the first token or the end. It returns a refusal if the answer ended without a token or if the
+// context ended: nothing was sent to the caller, so that the refusal can have its own status and needs no start event.
+func (a *answer) begun(ctx context.Context) *refusal.Error {
+	if _, err := a.opened(ctx); err != nil {
+		return refusal.New(refusal.Expired, "the caller has gone").WithUnknown()
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.tokens) > 0 {
+		return nil
+	}
+	return a.refused
+}
+
 // opened waits for the first token or the end, and returns the resume token.
 func (a *answer) opened(ctx context.Context) (string, error) {
 	for {
--- a/internal/router/generate.go
+++ b/internal/router/generate.go
@@ -56,6 +56,9 @@
 		defer r.open.Add(-1)
 		open.pump(life, stream)
 	})
+	if refused := open.answer.begun(ctx); refused != nil {
+		return nil, refused
+	}
 	return &oas.GenerateOKHeaders{
 		CacheControl: oas.NewOptString(cacheControl),
 		Response:     oas.GenerateOK{Data: newEventStream(ctx, open.answer, 0)},
