Do not count a caller that leaves as an internal refusal

When a caller closed its connection during a stream, the generated code reported the failed write to the error handler, which counted the refusal internal, logged event 601 and wrote a second header ('superfluous response.WriteHeader call' in the log of the router). The error handler now does nothing if the context of the request has ended, since nobody reads its answer.

--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -41,8 +41,12 @@
 	writeRefusal(w, refused)
 }
 
-// writeError answers a request that the generated code could not take apart.
+// writeError answers a request that the generated code could not take apart, or whose answer it could not write. The
+// latter means that the caller has gone, which is no refusal.
 func (r *Router) writeError(ctx context.Context, w http.ResponseWriter, request *http.Request, err error) {
+	if request.Context().Err() != nil {
+		return
+	}
 	refused := asRefusal(err)
 	if strings.HasPrefix(request.URL.Path, "/v1/services/") && request.Header.Get("Idempotency-Key") != "" {
 		refused = refused.WithUnknown()
