Let no older view overtake a newer one in the claim schedules

Ruled out: a fault of the holder; the batcher that the stale view named owned no role, as it should.

--- a/internal/claim/fakelog_test.go
+++ b/internal/claim/fakelog_test.go
@@ -34,8 +34,8 @@
 	unread  bool
 }
 
-// append adds a record and returns the error of the answer and the time until it.
-func (l *fakeLog) append(w *world, stream string, data []byte) (result error, after time.Duration) {
+// append adds a record and returns the time until the answer and its error.
+func (l *fakeLog) append(w *world, stream string, data []byte) (after time.Duration, result error) {
 	apply := func() {
 		records := l.streams[stream]
 		offset := l.first[stream] + uint64(len(records))
@@ -44,20 +44,20 @@
 	unsettled := &platform.UnsettledError{Stream: stream, Cause: errLost}
 	switch l.mode {
 	case refuses:
-		return &platform.UnavailableError{System: "log", Cause: errLost}, latency
+		return latency, &platform.UnavailableError{System: "log", Cause: errLost}
 	case loses:
 		apply()
 	case delays:
 		w.at(1200*time.Millisecond, apply)
 	case crawls:
 		w.at(800*time.Millisecond, apply)
-		return nil, 800*time.Millisecond + latency
+		return 800*time.Millisecond + latency, nil
 	case works:
 		apply()
-		return nil, latency
+		return latency, nil
 	case swallows:
 	}
-	return unsettled, latency
+	return latency, unsettled
 }
 
 // read returns the records from an offset on.
--- a/internal/claim/world_test.go
+++ b/internal/claim/world_test.go
@@ -58,6 +58,7 @@
 	batcher     *claim.Batcher
 	results     batcher
 	paused      bool
+	viewed      time.Time
 	inbox       []func()
 	calls       map[string]*call
 }
@@ -168,19 +169,23 @@
 			}
 		}
 		if n.holder != nil {
-			view := membership.NewView(n.name, routers, nil)
+			view, at := membership.NewView(n.name, routers, nil), w.now
 			if n == w.lagging {
-				w.later(n, 200*time.Millisecond, func() { n.locate(w.now, view) })
+				w.later(n, 200*time.Millisecond, func() { n.locate(at, view) })
 			} else {
-				n.locate(w.now, view)
+				n.locate(at, view)
 			}
 		}
 	}
 }
 
-func (n *node) locate(now time.Time, view membership.View) {
-	n.holder.Locate(now, view)
-	n.batcher.Locate(now, view)
+// locate takes a view unless a newer one was taken.
+func (n *node) locate(at time.Time, view membership.View) {
+	if !at.Before(n.viewed) {
+		n.viewed = at
+		n.holder.Locate(at, view)
+		n.batcher.Locate(at, view)
+	}
 }
 
 // send delivers messages later if both ends still are what they were.
@@ -268,7 +273,7 @@
 	effects := n.batcher.Tick(w.now)
 	w.send(n, effects.Envelopes)
 	for _, each := range effects.Appends {
-		result, after := w.log.append(w, each.Stream, each.Data)
+		after, result := w.log.append(w, each.Stream, each.Data)
 		w.later(n, after, func() { n.results.Appended(w.now, each.ID, result) })
 	}
 	envelopes, verdicts := n.holder.Tick(w.now)
