--- a/internal/membership/tracker.go
+++ b/internal/membership/tracker.go
@@ -245,35 +245,36 @@
 	t.envelopes = append(t.envelopes, message.Envelope{To: to, Body: body})
 }
 
-// Probe names a listed router without a session to link to, at most one a second. Every other probe goes to a router
-// that is down, so that one that rejoins is found soon.
+// Probe names a listed router without a session to link to, at most one a second. Probes go in turn to routers that are
+// down, so that one that rejoins is found soon, and to those that were never reached, so that each is tried in time.
 func (t *Tracker) Probe(now time.Time) (string, bool) {
 	if now.Before(t.nextProbe) {
 		return "", false
 	}
 	t.nextProbe = now.Add(probe)
 	t.turn = !t.turn
-	var all, down []string
+	var untried, down []string
 	for _, entry := range t.list.Hosts {
 		if entry.Role != platform.RoleRouter || entry.Name == t.self.Name {
 			continue
 		}
 		link := t.peers[entry.Name]
-		if link != nil && link.session {
-			continue
-		}
-		all = append(all, entry.Name)
-		if link.state(now) == Down {
+		switch {
+		case link != nil && link.session:
+		case link.state(now) == Down:
 			down = append(down, entry.Name)
+		default:
+			untried = append(untried, entry.Name)
 		}
 	}
-	if t.turn && len(down) > 0 {
-		all = down
+	choice := untried
+	if t.turn && len(down) > 0 || len(untried) == 0 {
+		choice = down
 	}
-	if len(all) == 0 {
+	if len(choice) == 0 {
 		return "", false
 	}
-	return all[t.random.IntN(len(all))], true
+	return choice[t.random.IntN(len(choice))], true
 }
 
 // View returns the present view. It is computed anew only after a change.
--- a/internal/membership/tracker_test.go
+++ b/internal/membership/tracker_test.go
@@ -251,6 +251,7 @@
 		if len(f.trackers) == 0 {
 			return
 		}
+		f.stuck[f.names()[0]] = false // Without any list no router can know the others.
 		f.run(30*time.Second, never)
 		for i := range 6 {
 			want := map[bool]membership.State{false: membership.Up, true: membership.Down}[crashed[router(i)]]
