--- /dev/null
+++ b/internal/wholepath/crash_test.go
@@ -0,0 +1,76 @@
+package wholepath_test
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chicorydale/chicorydale/pkg/client"
+)
+
+// TestRequestThatCrashesEngines guards against a request that crashes one engine after the other, and against harm to
+// the calls beside it beyond the crash itself.
+func TestRequestThatCrashesEngines(t *testing.T) {
+	t.Parallel()
+	const word = "boom"
+	f := newFleet(t)
+	for _, name := range []string{"e1", "e2", "e3", "e4"} {
+		f.addEngine(name, "--interval", "10ms", "--slots", "8", "--crash-word", word)
+	}
+	f.addRouters("r1", "r2", "r3")
+	f.settle()
+	streams := make([]*stream, 0, 12)
+	for i := range 12 {
+		through := f.routers[i%len(f.routers)].client(beta)
+		streams = append(streams, generate(t.Context(), through, "long", fmt.Sprintf("brief %d", i), 200))
+	}
+	eventually(t, "all answers have begun", func() bool { return allSeen(streams, 1) })
+	wantQuarantined(t, generate(t.Context(), f.routers[0].client(alpha), "quick", word, 10).wait(t))
+	crashed := f.crashed()
+	qt.Assert(t, crashed, qt.HasLen, 2)
+	for _, each := range streams {
+		err := each.wait(t)
+		if err == nil {
+			continue
+		}
+		var refusal *client.Refusal
+		qt.Assert(t, errors.As(err, &refusal), qt.IsTrue, qt.Commentf("%v", err))
+		qt.Check(t, refusal.Code, qt.Equals, "target_failed")
+		qt.Check(t, refusal.Ran, qt.Equals, "unknown")
+		qt.Check(t, slices.Contains(crashed, each.target()), qt.IsTrue, qt.Commentf("%s", each.target()))
+	}
+	for _, name := range crashed {
+		f.addEngine(name, "--interval", "10ms", "--slots", "8", "--crash-word", word)
+	}
+	for _, each := range f.routers {
+		wantQuarantined(t, generate(t.Context(), each.client(alpha), "quick", word, 10).wait(t))
+		qt.Check(t, f.crashed(), qt.HasLen, 0)
+	}
+	for i, each := range f.routers {
+		qt.Check(t, generate(t.Context(), each.client(beta), "quick", fmt.Sprintf("name %d", i), 10).wait(t), qt.IsNil)
+	}
+}
+
+// wantQuarantined checks that a call was refused for good.
+func wantQuarantined(t *testing.T, err error) {
+	t.Helper()
+	var refusal *client.Refusal
+	qt.Assert(t, errors.As(err, &refusal), qt.IsTrue, qt.Commentf("%v", err))
+	qt.Check(t, refusal.Code, qt.Equals, "quarantined")
+	qt.Check(t, refusal.RetryAt.IsZero(), qt.IsTrue)
+}
+
+// crashed returns the names of the engines that have ended, sorted.
+func (f *fleet) crashed() []string {
+	var names []string
+	for _, name := range slices.Sorted(maps.Keys(f.engines)) {
+		if f.engines[name].ended() {
+			names = append(names, name)
+		}
+	}
+	return names
+}
