--- a/internal/claim/operation.go
+++ b/internal/claim/operation.go
@@ -15,11 +15,5 @@
 	due time.Time
 }
 
-// operationID identifies an operation: a claim is released while its claim record may still be on the way.
-type operationID struct {
-	claim string
-	kind  Kind
-}
-
 // id returns the identity of the operation.
 func (o *operation) id() operationID { return operationID{claim: o.record.Claim, kind: o.record.Kind} }
--- a/internal/claim/record.go
+++ b/internal/claim/record.go
@@ -2,19 +2,6 @@
 
 import "github.com/google/uuid"
 
-// Kind is what a record of a claim stream says.
-type Kind byte
-
-// Kinds of records; the numbers are stored in the log.
-const (
-	// Claimed asks for a key.
-	Claimed Kind = 1
-	// Done stores the answer of a claim.
-	Done Kind = 2
-	// Released gives a claim up whose request was not and will not be sent.
-	Released Kind = 3
-)
-
 // hashBytes is the number of bytes of a body hash that count; 128 bits of a cryptographic hash do not collide by chance.
 const hashBytes = 16
 
--- a/internal/claim/schedule_test.go
+++ b/internal/claim/schedule_test.go
@@ -30,18 +30,21 @@
 	Key, Pause int
 }
 
-// verbs are the commands of schedules; those that are listed more often are drawn more often.
-var verbs = strings.Split("call NODE TIME,call NODE TIME,call NODE TIME,call NODE TIME,call NODE TIME,call NODE TIME,"+
-	"call NODE TIME,call NODE TIME b,abandon,append works,append works,append refuses,append loses,append delays,"+
-	"append swallows,append crawls,reads fail,reads work,part NODE,join,kill NODE,kill owner,pause NODE,wake NODE,wake NODE,"+
-	"lag NODE,sending TIME,sending 0s,expire 0s,expire TIME,target rejects,target runs,demote NODE", ",")
+// faults are the commands of schedules besides calls.
+var faults = strings.Split("call NODE TIME b;abandon;append works;append refuses;append loses;append delays;append swallows;"+
+	"append crawls;reads fail;reads work;part NODE;join;kill NODE;kill owner;pause NODE;wake NODE;lag NODE;sending TIME;"+
+	"sending 0s;expire 0s;expire TIME;target rejects;target runs;demote NODE", ";")
 
 // schedules draws calls of few keys among faults of the log, the network, the routers and the target.
 var schedules = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) action {
 	node := rapid.SampledFrom([]string{"r0", "r1", "r2"}).Draw(t, "node")
 	duration := rapid.SampledFrom([]string{"30ms", "300ms", "1500ms"}).Draw(t, "time")
+	verb := "call NODE TIME"
+	if rapid.IntRange(0, 2).Draw(t, "fault") > 0 {
+		verb = rapid.SampledFrom(faults).Draw(t, "verb")
+	}
 	return action{
-		Command: strings.NewReplacer("NODE", node, "TIME", duration).Replace(rapid.SampledFrom(verbs).Draw(t, "verb")),
+		Command: strings.NewReplacer("NODE", node, "TIME", duration).Replace(verb),
 		Key:     rapid.IntRange(0, 2).Draw(t, "key"),
 		Pause:   rapid.IntRange(0, 300).Draw(t, "pause"),
 	}
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -212,13 +212,16 @@
 	s.queue = slices.DeleteFunc(s.queue, func(o *operation) bool { return s.operations[o.id()] != o })
 }
 
-// over tells whether the holder has given a claim up, or the key of another record is past its window. Without the role
-// only claims are kept, since their askers do not repeat them.
+// over tells whether nobody waits for an operation any more: the holder has given a claim up, or the key is past its
+// window. Without the role only claims are kept, since their askers do not repeat them.
 func (s *shard) over(now time.Time, asked *operation) bool {
-	if asked.record.Kind == Claimed {
-		return now.UnixMilli() > asked.record.Deadline
+	if asked.record.Kind == Claimed && now.UnixMilli() > asked.record.Deadline {
+		return true
+	}
+	if asked.record.Kind != Claimed && !s.owned {
+		return true
 	}
-	return !s.owned || now.UnixMilli() > KeyTime(asked.record.Key)+s.limits.Window.Milliseconds()
+	return now.UnixMilli() > KeyTime(asked.record.Key)+s.limits.Window.Milliseconds()
 }
 
 // batch takes the next operations to append, and answers those that the fold has settled in the meantime. A claim that
--- a/internal/claim/verdict.go
+++ b/internal/claim/verdict.go
@@ -6,29 +6,6 @@
 	"github.com/chicorydale/chicorydale/internal/refusal"
 )
 
-// Outcome is what became of a claim.
-type Outcome string
-
-// Outcomes of claims.
-const (
-	// Held means that the request may be sent, see Holder.MaySend.
-	Held Outcome = "held"
-	// Replay means that the key has a stored answer.
-	Replay Outcome = "replay"
-	// Busy means that another claim holds the key and its deadline has not passed.
-	Busy Outcome = "busy"
-	// Unknown means that nobody can know whether the key ran.
-	Unknown Outcome = "unknown"
-	// Conflict means that the key was used with another body or by another customer.
-	Conflict Outcome = "conflict"
-	// Unavailable means that the log cannot be read or written.
-	Unavailable Outcome = "unavailable"
-	// Invalid means that the key is no UUID of version 7 or from the future.
-	Invalid Outcome = "invalid"
-	// Expired means that the key is older than the claim window.
-	Expired Outcome = "expired"
-)
-
 // Verdict is the outcome of one claim. Each claim gets exactly one.
 type Verdict struct {
 	// Claim is the id that Holder.Claim returned.
--- a/internal/suspect/evidence.go
+++ b/internal/suspect/evidence.go
@@ -45,7 +45,8 @@
 }
 
 // verdict weighs the records of a request. A crash counts half if the request was a suspect already and was not the
-// only one on the target, since then the evidence against each of them is the same.
+// only one on the target, since then the evidence against each of them is the same. A record that comes late can show
+// that, so a verdict can become milder.
 func (e *evidence) verdict(fingerprint uint64) Verdict {
 	records := e.requests[fingerprint]
 	if len(records) == 0 {
--- a/internal/suspect/record.go
+++ b/internal/suspect/record.go
@@ -7,12 +7,6 @@
 	"github.com/chicorydale/chicorydale/internal/fleetpb"
 )
 
-// recordID identifies a crash record.
-type recordID struct {
-	fingerprint uint64
-	crash       string
-}
-
 // record is one crash record in the table.
 type record struct {
 	recordID
--- /dev/null
+++ b/internal/suspect/recordid.go
@@ -0,0 +1,7 @@
+package suspect
+
+// recordID identifies a crash record.
+type recordID struct {
+	fingerprint uint64
+	crash       string
+}
--- a/internal/suspect/table.go
+++ b/internal/suspect/table.go
@@ -31,12 +31,6 @@
 	dropped  int
 }
 
-// peer is a linked router.
-type peer struct {
-	name string
-	news []*fleetpb.CrashRecord
-}
-
 // New returns an empty table; it fills from the beginning of the stream.
 func New(self string, limits Limits) *Table {
 	return &Table{limits: limits, self: self, evidence: newEvidence(limits.Records), cursor: cursor.New(Stream)}
@@ -185,31 +179,12 @@
 	}
 }
 
-// comparePeer orders peers by name.
-func comparePeer(p *peer, name string) int {
-	switch {
-	case p.name < name:
-		return -1
-	case p.name > name:
-		return 1
-	default:
-		return 0
-	}
-}
-
 // Tick returns the messages to send and the append to start.
 func (t *Table) Tick(now time.Time) message.Effects {
 	t.expire(now)
 	var effects message.Effects
 	for _, peer := range t.peers {
-		for len(peer.news) > 0 {
-			count := min(len(peer.news), maxBatch)
-			records := &fleetpb.CrashRecords{Records: peer.news[:count]}
-			body := &fleetpb.Body{Kind: &fleetpb.Body_CrashRecords{CrashRecords: records}}
-			effects.Envelopes = append(effects.Envelopes, message.Envelope{To: peer.name, Body: body})
-			peer.news = peer.news[count:]
-		}
-		peer.news = nil
+		effects.Envelopes = append(effects.Envelopes, peer.take()...)
 	}
 	if data := t.append(now); data != nil {
 		effects.Appends = []message.Append{{ID: t.flight, Stream: Stream, Data: data}}
