Release a claim whose caller gave up before the target refused it

Cause: a request that was abandoned while it was sent, and then taken back because the target could not be reached, kept its key until the key expired. An empty record is now written at most every quarter of a window, so that a log whose clock is behind is not filled with them. Conclusion: both cases hold no key; the test fails without the release.

--- a/internal/claim/attempt.go
+++ b/internal/claim/attempt.go
@@ -24,6 +24,8 @@
 	// asks counts the requests of the claim record. After more than one, a refusal of one batcher says nothing of what
 	// another one appended.
 	asks int
+	// abandoned is set if the caller gave the request up after it was sent.
+	abandoned bool
 	// repeatAt is the instant at which the request is sent again; zero for never.
 	repeatAt time.Time
 }
--- a/internal/claim/batcher.go
+++ b/internal/claim/batcher.go
@@ -15,7 +15,9 @@
 // maxClaimBytes bounds the length of a claim id.
 const maxClaimBytes = 256
 
-// Batcher appends claims to the streams of the shards that the view gives it and answers from what it read back.
+// Batcher appends claims to the streams of the shards that the view gives it and answers from what it read back. The
+// process around it reads the streams of Positions all the time, with a deadline below Limits.Grace for each read, since
+// a failed read counts until the next page.
 type Batcher struct {
 	limits  Limits
 	shards  [Shards]*shard
--- a/internal/claim/fold_test.go
+++ b/internal/claim/fold_test.go
@@ -105,7 +105,8 @@
 	c.Check(w.outcomes(), qt.Equals, "held,unavailable")
 }
 
-// TestHolderRelease guards against a key that stays blocked by the copy of a claim that an earlier batcher appended.
+// TestHolderRelease guards against a key that stays blocked: by the copy of a claim that an earlier batcher appended, or by
+// a request that its caller gave up before the target refused it.
 func TestHolderRelease(t *testing.T) {
 	w := newWorld(variant{limits: limits()}, "r0", "r1")
 	n := w.nodes[0]
@@ -120,6 +121,12 @@
 	envelopes, _ := n.holder.Tick(w.now)
 	qt.Assert(t, envelopes, qt.HasLen, 1)
 	qt.Check(t, envelopes[0].Body.GetClaimRequest().GetStep(), qt.Equals, fleetpb.ClaimStep_CLAIM_STEP_RELEASE)
+
+	w = newWorld(variant{limits: limits()}, "r0")
+	w.play("call r0 1s, until ran, abandon")
+	w.nodes[0].holder.TakeBack(w.now, w.calls[0].claim)
+	w.pass(200 * time.Millisecond)
+	qt.Check(t, w.nodes[0].holder.Claims(), qt.Equals, 0)
 }
 
 // TestFoldExpiry guards against a table that grows without bound, and against a key that is free again once its entry
--- a/internal/claim/holder.go
+++ b/internal/claim/holder.go
@@ -82,10 +82,15 @@
 }
 
 // TakeBack notes that the target certainly did not run the request that MaySend permitted, for example because it could
-// not be reached. MaySend may permit it again.
+// not be reached. MaySend may permit it again, unless the claim was abandoned.
 func (h *Holder) TakeBack(_ time.Time, claimID string) {
-	if found := h.attempts[claimID]; found != nil && found.phase == sent {
-		found.phase = held
+	found := h.attempts[claimID]
+	if found == nil || found.phase != sent {
+		return
+	}
+	found.phase = held
+	if found.abandoned {
+		found.giveUp()
 	}
 }
 
@@ -101,15 +106,20 @@
 // that was sent is not released, and its answer can still be stored.
 func (h *Holder) Abandon(_ time.Time, claimID string) refusal.Ran {
 	found := h.attempts[claimID]
-	if found == nil || found.phase != held && found.phase != asking {
+	if found == nil {
 		return refusal.RanUnknown
 	}
-	ran := refusal.RanUnknown
-	if found.phase == held {
-		ran = refusal.RanNo
+	switch found.phase {
+	case held:
+		found.giveUp()
+		return refusal.RanNo
+	case asking:
+		found.giveUp()
+	case sent:
+		found.abandoned = true
+	default:
 	}
-	found.giveUp()
-	return ran
+	return refusal.RanUnknown
 }
 
 // Locate takes the batchers of a view.
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -28,7 +28,9 @@
 	// failures counts the appends without success since the last one with.
 	failures int
 	// next is the earliest instant of the next append.
-	next    time.Time
+	next time.Time
+	// marked is the instant of the last empty record.
+	marked  time.Time
 	replies []message.Envelope
 }
 
@@ -193,9 +195,14 @@
 }
 
 // idle tells whether the stream needs an empty record. A stream whose records have all expired tells its next batcher
-// nothing of their age, and that one refuses the keys of the last seconds.
+// nothing of their age, and that one refuses the keys of the last seconds. The pause after each one keeps a log whose
+// clock is far behind from being filled.
 func (s *shard) idle(now time.Time) bool {
-	return len(s.flights) == 0 && now.Sub(s.fold.Clock()) > s.limits.Window/2
+	if len(s.flights) > 0 || now.Sub(s.fold.Clock()) <= s.limits.Window/2 || now.Sub(s.marked) <= s.limits.Window/4 {
+		return false
+	}
+	s.marked = now
+	return true
 }
 
 // clean ends the operations that nobody waits for any more, and refuses claims while the log cannot be read or memory
