Let callers in the claim tests give up only on sent requests by themselves

Cause: with callers that always gave up at their deadline, two mutants survived (no deadline at sending, no deadline of the holder), because the caller hid what the holder must do itself. Conclusion: the schedules find both again.

--- a/internal/claim/world_test.go
+++ b/internal/claim/world_test.go
@@ -210,7 +210,6 @@
 	request := claim.Request{Key: key, Customer: 1, BodyHash: []byte(body), Deadline: made.deadline}
 	made.claim = n.holder.Claim(w.now, request)
 	n.calls[made.claim] = made
-	w.later(n, patience, func() { w.abandon(made) })
 	if w.variant.eager {
 		w.run(n, made)
 	}
@@ -242,6 +241,7 @@
 	if len(w.runs[made.key]) == 1 {
 		w.ran[made.key] = w.now
 	}
+	w.later(n, made.deadline.Sub(w.now), func() { w.abandon(made) })
 	w.later(n, service, func() {
 		n.holder.Complete(w.now, made.claim, 200, []byte(made.claim))
 		w.answer(made, claim.Held, "", made.claim)
