--- a/internal/claim/schedule_test.go
+++ b/internal/claim/schedule_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"flag"
-	"maps"
 	"os"
-	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -32,33 +30,21 @@
 	Key, Pause int
 }
 
-// verbs are the commands of schedules; those with a greater weight are drawn more often.
-var verbs = weighted(map[string]int{
-	"call NODE TIME": 7, "call NODE TIME b": 1, "abandon": 1,
-	"append works": 2, "append refuses": 1, "append loses": 1, "append delays": 1, "append swallows": 1,
-	"append crawls": 1, "reads fail": 1, "reads work": 1,
-	"part NODE": 1, "join": 1, "kill NODE": 1, "kill owner": 1, "pause NODE": 1, "wake NODE": 2, "lag NODE": 1,
-	"sending TIME": 1, "sending 0s": 1, "expire 0s": 1, "expire TIME": 1,
-	"target rejects": 1, "target runs": 1, "demote NODE": 1,
-})
-
-// weighted returns each command as often as its weight, sorted.
-func weighted(weights map[string]int) []string {
-	var commands []string
-	for _, command := range slices.Sorted(maps.Keys(weights)) {
-		for range weights[command] {
-			commands = append(commands, command)
-		}
-	}
-	return commands
-}
+// faults are the commands of schedules besides calls.
+var faults = strings.Split("call NODE TIME b;abandon;append works;append refuses;append loses;append delays;append swallows;"+
+	"append crawls;reads fail;reads work;part NODE;join;kill NODE;kill owner;pause NODE;wake NODE;lag NODE;sending TIME;"+
+	"sending 0s;expire 0s;expire TIME;target rejects;target runs;demote NODE", ";")
 
 // schedules draws calls of few keys among faults of the log, the network, the routers and the target.
 var schedules = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) action {
 	node := rapid.SampledFrom([]string{"r0", "r1", "r2"}).Draw(t, "node")
 	duration := rapid.SampledFrom([]string{"30ms", "300ms", "1500ms"}).Draw(t, "time")
+	verb := "call NODE TIME"
+	if rapid.IntRange(0, 2).Draw(t, "fault") > 0 {
+		verb = rapid.SampledFrom(faults).Draw(t, "verb")
+	}
 	return action{
-		Command: strings.NewReplacer("NODE", node, "TIME", duration).Replace(rapid.SampledFrom(verbs).Draw(t, "verb")),
+		Command: strings.NewReplacer("NODE", node, "TIME", duration).Replace(verb),
 		Key:     rapid.IntRange(0, 2).Draw(t, "key"),
 		Pause:   rapid.IntRange(0, 300).Draw(t, "pause"),
 	}
