Test late load reports, grant numbers and the limit on questions

Each of these mechanisms could be taken out without a failing test. The customer that returns from idle now announces first in the test, since the order of the two announcements hid the floor of an idle pool.

--- a/internal/pool/fair_test.go
+++ b/internal/pool/fair_test.go
@@ -114,8 +114,8 @@
 		pause time.Duration
 		at    string
 	}{
-		"busy pool":       {[]string{"a"}, 0, "r0-1"},
-		"idle pool":       {[]string{"a"}, 5 * time.Second, "r0-1"},
+		"busy pool":       {[]string{"a"}, 0, "r0-0"},
+		"idle pool":       {[]string{"a"}, 5 * time.Second, "r0-0"},
 		"pool without it": {[]string{"a", "a"}, 0, "r1-0"},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -123,10 +123,10 @@
 			f := newFleet(test.zones, 2, 2)
 			f.customer(1, 1)
 			f.customer(2, 1)
-			f.flood("r0-0", 1, 50, 60, start.Add(20*time.Second-test.pause))
+			f.flood("r0-1", 1, 50, 60, start.Add(20*time.Second-test.pause))
 			f.run(20*time.Second, nil)
 			f.flood(test.at, 2, 50, 60, start.Add(time.Hour))
-			f.flood("r0-0", 1, 50, 60, start.Add(time.Hour))
+			f.flood("r0-1", 1, 50, 60, start.Add(time.Hour))
 			gap, watch := f.widest(f.now, 1, 2)
 			f.run(20*time.Second, watch)
 			// All slots may hold the first customer's requests when the second one returns.
--- a/internal/pool/scheduler_test.go
+++ b/internal/pool/scheduler_test.go
@@ -175,7 +175,7 @@
 	}
 }
 
-// Guards against charges for grants that were lost with their session.
+// Guards against charges for grants that were lost with their session, and against one number for two grants.
 func TestLostGrants(t *testing.T) {
 	c := qt.New(t)
 	s := newSingle(1, 0)
@@ -184,11 +184,43 @@
 	c.Assert(grants, qt.HasLen, slots)
 	c.Assert(s.Totals(model)[1], qt.Equals, uint64(1000*slots))
 	s.Connected(s.now, "e", 1)
-	s.Receive(s.now, "e", &fleetpb.Body{Kind: &fleetpb.Body_Sync{Sync: &fleetpb.Sync{Pool: poolName}}})
+	other := &fleetpb.Run{Request: 900, Grant: grants[slots-1].GetNumber() + 1, Target: "t0", Customer: 2}
+	sync := &fleetpb.Sync{Pool: poolName, Runs: []*fleetpb.Run{other}}
+	s.Receive(s.now, "e", &fleetpb.Body{Kind: &fleetpb.Body_Sync{Sync: sync}})
 	c.Assert(s.Totals(model)[1], qt.Equals, uint64(0))
 	s.announce(1, slots, nil)
 	grants, _ = s.tick(0)
-	c.Assert(grants, qt.HasLen, slots)
+	c.Assert(grants, qt.HasLen, slots-1)
+	c.Assert(grants[0].GetNumber(), qt.Equals, other.GetGrant()+1)
+}
+
+// Guards against free slots that stay empty because a late load report still shows the runs that have ended.
+func TestLateReport(t *testing.T) {
+	c := qt.New(t)
+	s := newSingle(1, 0)
+	s.announce(1, 2*slots, nil)
+	grants, _ := s.tick(0)
+	s.now = s.now.Add(time.Second)
+	s.finish(&fleetpb.Ended{Grant: grants[0].GetNumber(), Units: 1000, Outcome: fleetpb.Outcome_OUTCOME_DONE})
+	s.Observe(s.now, "t0", platform.Load{At: s.now.Add(-100 * time.Millisecond), Running: slots, Slots: slots})
+	grants, _ = s.tick(0)
+	c.Assert(grants, qt.HasLen, 1)
+}
+
+// Guards against traffic that grows with all backlogged customers, and against totals that nobody asks for again.
+func TestQuestions(t *testing.T) {
+	c := qt.New(t)
+	s := backlogged(1, 200)
+	asked := 0
+	for range 6 {
+		s.now = s.now.Add(500 * time.Millisecond)
+		asked = 0
+		for _, envelope := range append(s.Tick(s.now), s.Tick(s.now)...) {
+			asked += len(envelope.Body.GetReport().GetAccounts())
+			s.Receive(s.now, "me", envelope.Body)
+		}
+	}
+	c.Assert(asked > 0 && asked < 100, qt.IsTrue, qt.Commentf("asked for %d", asked))
 }
 
 // Guards against a customer that holds back all others after a restart because the owner of its shard lost its total.
