--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -24,18 +24,6 @@
 	run *run
 }
 
-// run is a grant that was taken.
-type run struct {
-	grant  uint64
-	target string
-	owner  string
-	lender string
-	units  uint64
-	// reported is the service in the last progress report; fresh is set until the first one.
-	reported uint64
-	fresh    bool
-}
-
 // prefixRange cuts a prompt's prefix hash to four bytes of a message. Two prefixes with the same value only share a
 // preferred target.
 const prefixRange = 1 << 28
--- /dev/null
+++ b/internal/entry/run.go
@@ -0,0 +1,13 @@
+package entry
+
+// run is a grant that was taken.
+type run struct {
+	grant  uint64
+	target string
+	owner  string
+	lender string
+	units  uint64
+	// reported is the service in the last progress report; fresh is set until the first one.
+	reported uint64
+	fresh    bool
+}
--- a/internal/pool/demand.go
+++ b/internal/pool/demand.go
@@ -6,12 +6,6 @@
 	"github.com/chicorydale/chicorydale/internal/fleetpb"
 )
 
-// demandKey names a waiting request.
-type demandKey struct {
-	entry   string
-	request uint64
-}
-
 // demand is one waiting request of an entry router.
 type demand struct {
 	key      demandKey
--- a/internal/pool/loan.go
+++ b/internal/pool/loan.go
@@ -10,13 +10,3 @@
 	granted  time.Time
 	deadline time.Time
 }
-
-// borrowed is a number of slots of one target that another pool has lent.
-type borrowed struct {
-	owner    string
-	lender   string
-	number   uint64
-	target   string
-	left     int
-	deadline time.Time
-}
--- a/internal/pool/option.go
+++ b/internal/pool/option.go
@@ -5,13 +5,6 @@
 // Option changes a parameter of a scheduler.
 type Option func(*settings)
 
-// settings are the parameters of a scheduler.
-type settings struct {
-	near time.Duration
-	far  time.Duration
-	life time.Duration
-}
-
 // WithExchange sets the periods of reports and summaries inside a region and across regions; they are 250 ms and 1 s by
 // default.
 func WithExchange(near, far time.Duration) Option {
--- a/internal/pool/outbox.go
+++ b/internal/pool/outbox.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -10,28 +9,6 @@
 	"github.com/chicorydale/chicorydale/internal/message"
 )
 
-// address is one pool at one router.
-type address struct {
-	host string
-	pool string
-}
-
-// compare orders addresses.
-func (a address) compare(b address) int {
-	return cmp.Or(cmp.Compare(a.host, b.host), cmp.Compare(a.pool, b.pool))
-}
-
-// lending names the loan of one tick from one pool to another.
-type lending struct {
-	to     address
-	lender string
-}
-
-// compare orders loans.
-func (l lending) compare(other lending) int {
-	return cmp.Or(l.to.compare(other.to), cmp.Compare(l.lender, other.lender))
-}
-
 // outbox joins the messages of one tick.
 type outbox struct {
 	// sessions holds the incarnations of the connected peers.
--- a/internal/pool/run.go
+++ b/internal/pool/run.go
@@ -2,12 +2,6 @@
 
 import "time"
 
-// runKey names a run by its entry router and the grant that it got there.
-type runKey struct {
-	entry string
-	grant uint64
-}
-
 // run is a request that was granted and has not ended.
 type run struct {
 	key runKey
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -39,12 +39,6 @@
 	fraction float64
 }
 
-// ended is the life of a run that is over.
-type ended struct {
-	granted time.Time
-	at      time.Time
-}
-
 // extra is the number of slots for short classes beyond the batch size.
 func (t *target) extra() int { return max(1, t.slots/8) }
 
--- a/internal/share/ledger.go
+++ b/internal/share/ledger.go
@@ -21,10 +21,6 @@
 	next map[uint32]time.Time
 }
 
-// Route tells a ledger who owns a shard and how long it waits between two reports to that owner. The owner is empty if
-// it cannot be reached.
-type Route func(shard uint32) (owner string, period time.Duration)
-
 // NewLedger returns an empty ledger; source is the name of the pool.
 func NewLedger(model, source string, incarnation uint64) *Ledger {
 	return &Ledger{
--- a/internal/share/sum.go
+++ b/internal/share/sum.go
@@ -1,7 +1,6 @@
 package share
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -10,17 +9,6 @@
 	"github.com/chicorydale/chicorydale/internal/message"
 )
 
-// sumKey names one customer shard of one model.
-type sumKey struct {
-	model string
-	shard uint32
-}
-
-// compare orders shard keys.
-func (k sumKey) compare(other sumKey) int {
-	return cmp.Or(cmp.Compare(k.model, other.model), cmp.Compare(k.shard, other.shard))
-}
-
 // sum is the state of one owned shard.
 type sum struct {
 	totals  map[uint32]*total
