Let targets leave in the schedule of faults, and test repeatability

Targets are marked as leaving or taken from the list while requests run; no work may reach them two seconds later. Loans on a target that leaves the pool are dropped with its row, since no load report would end them.

--- a/internal/pool/fault_test.go
+++ b/internal/pool/fault_test.go
@@ -141,6 +141,24 @@
 	}
 }
 
+// Guards against decisions that depend on the order of a map.
+func TestRepeatable(t *testing.T) {
+	c := qt.New(t)
+	var results [2]string
+	for i := range results {
+		f := newFleet([]string{"a", "b"}, 3, 4)
+		for customer := range uint32(12) {
+			f.customer(customer+1, 1+customer%3)
+			f.flood(f.names[customer%4], customer+1, 20+10*int(customer), 10, start.Add(time.Hour))
+		}
+		f.run(5*time.Second, nil)
+		f.boot(f.scheduler(c))
+		f.run(5*time.Second, nil)
+		results[i] = fmt.Sprint(f.served, f.runs, f.bytes)
+	}
+	c.Assert(results[0], qt.Equals, results[1])
+}
+
 // Guards against lost, doubled and forgotten requests, and against slots that stay taken, under any order of restarts,
 // partitions and new work.
 func TestFaults(t *testing.T) {
@@ -152,7 +170,7 @@
 		for range rapid.IntRange(3, 12).Draw(t, "steps") {
 			at := rapid.SampledFrom(f.names).Draw(t, "at")
 			other := rapid.SampledFrom(f.names).Draw(t, "other")
-			switch rapid.IntRange(0, 7).Draw(t, "action") {
+			switch rapid.IntRange(0, 8).Draw(t, "action") {
 			case 0:
 				f.boot(at)
 			case 1:
@@ -162,6 +180,9 @@
 				f.connect(at, other)
 			case 3:
 				f.disconnect(at, other)
+			case 4:
+				e := f.engines[rapid.IntRange(1, len(f.engines)-1).Draw(t, "engine")]
+				f.leave(e, rapid.Bool().Draw(t, "leaving"), rapid.Bool().Draw(t, "removed"))
 			default:
 				class := rapid.SampledFrom([]string{"quick", "long"}).Draw(t, "class")
 				for range rapid.IntRange(10, 60).Draw(t, "requests") {
@@ -172,6 +193,9 @@
 			f.run(time.Duration(rapid.IntRange(1, 3000).Draw(t, "time"))*time.Millisecond, nil)
 		}
 		f.split(0)
+		for _, e := range f.engines {
+			f.leave(e, false, false)
+		}
 		for end := f.now.Add(time.Minute); f.now.Before(end) && !f.idle(); {
 			f.run(time.Second, nil)
 		}
--- a/internal/pool/fleet_test.go
+++ b/internal/pool/fleet_test.go
@@ -52,6 +52,9 @@
 	membership.Target
 	running int
 	peak    int
+	// left is the instant at which the target was marked as leaving or taken from the list.
+	left    time.Time
+	removed bool
 }
 
 // packet is a message on its way in one session.
@@ -206,13 +209,26 @@
 	}
 	targets := make([]membership.Target, 0, len(f.engines))
 	for _, e := range f.engines {
-		targets = append(targets, e.Target)
+		if !e.removed {
+			targets = append(targets, e.Target)
+		}
 	}
 	view := membership.NewView(h.Name, routers, targets)
 	h.queue.Locate(f.now, view)
 	h.scheduler.Locate(f.now, view)
 }
 
+// leave marks an engine as leaving or takes it from the list, or brings it back.
+func (f *fleet) leave(e *engine, leaving, removed bool) {
+	e.Leaving, e.removed, e.left = leaving, removed, time.Time{}
+	if leaving || removed {
+		e.left = f.now
+	}
+	for _, name := range f.names {
+		f.locate(f.hosts[name])
+	}
+}
+
 // engine returns an engine by name.
 func (f *fleet) engine(name string) *engine {
 	i := slices.IndexFunc(f.engines, func(e *engine) bool { return e.Name == name })
@@ -323,6 +339,9 @@
 	f.runs++
 	j.target, j.began = decision.Target, f.now
 	e := f.engine(j.target)
+	if !e.left.IsZero() && f.now.Sub(e.left) > 2*time.Second {
+		f.faults = append(f.faults, fmt.Sprintf("%s got work after it left", e.Name))
+	}
 	e.running++
 	e.peak = max(e.peak, e.running)
 }
--- a/internal/pool/schedule.go
+++ b/internal/pool/schedule.go
@@ -94,6 +94,7 @@
 		targets = append(targets, row)
 	}
 	s.targets = targets
+	s.loans = slices.DeleteFunc(s.loans, func(l *loan) bool { return s.target(l.target) == nil })
 }
 
 // newTarget returns the row of a target that joins the pool, with the runs that it has already.
--- a/internal/pool/scheduler_test.go
+++ b/internal/pool/scheduler_test.go
@@ -281,6 +281,17 @@
 	c.Check(grants, qt.HasLen, 2*slots)
 }
 
+// Guards against long requests of a customer that starve behind its own quick ones.
+func TestDue(t *testing.T) {
+	c := qt.New(t)
+	s := newSingle(1, 0)
+	s.announce(100, 3*slots, func(d *fleetpb.Demand) { d.Long = false })
+	s.announce(50, 1, nil)
+	grants, _ := s.tick(0)
+	c.Assert(grants, qt.HasLen, slots+1)
+	c.Assert(grants[0].GetRequest(), qt.Equals, uint64(50))
+}
+
 // Guards against prompts that move between targets although the one that has their prefix in its cache is free.
 func TestPrefix(t *testing.T) {
 	c := qt.New(t)
