Make the test of due times independent of request numbers

With the numbers in the order of the due times the test passed without the due time in the order of demands. The entry queue does not keep its incarnation, which nothing read.

--- a/internal/entry/queue.go
+++ b/internal/entry/queue.go
@@ -12,42 +12,41 @@
 
 // Queue holds the requests of the callers of one router.
 type Queue struct {
-	self        string
-	incarnation uint64
-	every       time.Duration
-	view        membership.View
-	located     bool
-	homes       map[string]home
-	customers   map[uint32]Customer
-	usages      map[uint32]*usage
-	calls       map[uint64]*call
-	stranded    map[uint64]*call
-	deadlines   expiries
-	lanes       map[membership.Pool]*lane
-	connected   map[string]bool
-	estimates   estimates
-	last        uint64
-	decisions   []Decision
-	finishes    map[address][]*fleetpb.Ended
-	farewells   map[address]struct{}
+	self      string
+	every     time.Duration
+	view      membership.View
+	located   bool
+	homes     map[string]home
+	customers map[uint32]Customer
+	usages    map[uint32]*usage
+	calls     map[uint64]*call
+	stranded  map[uint64]*call
+	deadlines expiries
+	lanes     map[membership.Pool]*lane
+	connected map[string]bool
+	estimates estimates
+	last      uint64
+	decisions []Decision
+	finishes  map[address][]*fleetpb.Ended
+	farewells map[address]struct{}
 }
 
-// New returns an empty queue of the router self. It is always connected to the scheduler of its own router.
-func New(self string, incarnation uint64, options ...Option) *Queue {
+// New returns an empty queue of the router self, which is always connected to the scheduler of its own router. The
+// incarnation is that of the router's sessions; the queue needs nothing of a former one.
+func New(self string, _ uint64, options ...Option) *Queue {
 	q := &Queue{
-		self:        self,
-		incarnation: incarnation,
-		every:       500 * time.Millisecond,
-		customers:   make(map[uint32]Customer),
-		usages:      make(map[uint32]*usage),
-		homes:       make(map[string]home),
-		calls:       make(map[uint64]*call),
-		stranded:    make(map[uint64]*call),
-		lanes:       make(map[membership.Pool]*lane),
-		connected:   map[string]bool{self: true},
-		estimates:   newEstimates(),
-		finishes:    make(map[address][]*fleetpb.Ended),
-		farewells:   make(map[address]struct{}),
+		self:      self,
+		every:     500 * time.Millisecond,
+		customers: make(map[uint32]Customer),
+		usages:    make(map[uint32]*usage),
+		homes:     make(map[string]home),
+		calls:     make(map[uint64]*call),
+		stranded:  make(map[uint64]*call),
+		lanes:     make(map[membership.Pool]*lane),
+		connected: map[string]bool{self: true},
+		estimates: newEstimates(),
+		finishes:  make(map[address][]*fleetpb.Ended),
+		farewells: make(map[address]struct{}),
 	}
 	for _, option := range options {
 		option(q)
@@ -95,7 +94,8 @@
 	}
 }
 
-// Finish ends a request with its whole service in milli-units. Repeating it changes nothing.
+// Finish ends a request with its whole service in milli-units; a request that could not use its grant and shall wait again
+// goes to PutBack instead. Repeating it changes nothing.
 func (q *Queue) Finish(_ time.Time, id uint64, units uint64, outcome fleetpb.Outcome) {
 	c, ok := q.calls[id]
 	if !ok {
--- a/internal/pool/scheduler_test.go
+++ b/internal/pool/scheduler_test.go
@@ -286,10 +286,10 @@
 	c := qt.New(t)
 	s := newSingle(1, 0)
 	s.announce(100, 3*slots, func(d *fleetpb.Demand) { d.Long = false })
-	s.announce(50, 1, nil)
+	s.announce(500, 1, func(d *fleetpb.Demand) { d.Due = 50 })
 	grants, _ := s.tick(0)
 	c.Assert(grants, qt.HasLen, slots+1)
-	c.Assert(grants[0].GetRequest(), qt.Equals, uint64(50))
+	c.Assert(grants[0].GetRequest(), qt.Equals, uint64(500))
 }
 
 // Guards against prompts that move between targets although the one that has their prefix in its cache is free.
