--- a/internal/pool/scheduler_test.go
+++ b/internal/pool/scheduler_test.go
@@ -153,6 +153,92 @@
 	c.Assert(grants, qt.HasLen, 1)
 }
 
+// Guards against loans beyond what waits, and against loans across regions for short waits.
+func TestLendLimits(t *testing.T) {
+	for name, test := range map[string]struct {
+		summary *fleetpb.Summary
+		want    int
+	}{
+		"near":       {&fleetpb.Summary{Waiting: 3, Backlog: 100, Rate: 1000}, 3},
+		"far, short": {&fleetpb.Summary{Waiting: 3, Backlog: 200, Rate: 1000, Region: "far"}, 0},
+		"far, long":  {&fleetpb.Summary{Waiting: 3, Backlog: 900, Rate: 1000, Region: "far"}, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSingle(1, 0)
+			s.Connected(s.now, "borrower", 1)
+			test.summary.Pool = "y/drafts/0"
+			s.Receive(s.now, "borrower", &fleetpb.Body{Kind: &fleetpb.Body_Summary{Summary: test.summary}})
+			s.tick(0)
+			s.tick(10 * time.Millisecond)
+			qt.Assert(t, s.Status(s.now)[0].Lent, qt.Equals, test.want)
+		})
+	}
+}
+
+// Guards against charges for grants that were lost with their session, and against one number for two grants.
+func TestLostGrants(t *testing.T) {
+	c := qt.New(t)
+	s := newSingle(1, 0)
+	s.announce(1, slots, nil)
+	grants, _ := s.tick(0)
+	c.Assert(grants, qt.HasLen, slots)
+	c.Assert(s.Totals(model)[1], qt.Equals, uint64(1000*slots))
+	s.Connected(s.now, "e", 1)
+	other := &fleetpb.Run{Request: 900, Grant: grants[slots-1].GetNumber() + 1, Target: "t0", Customer: 2}
+	sync := &fleetpb.Sync{Pool: poolName, Runs: []*fleetpb.Run{other}}
+	s.Receive(s.now, "e", &fleetpb.Body{Kind: &fleetpb.Body_Sync{Sync: sync}})
+	c.Assert(s.Totals(model)[1], qt.Equals, uint64(0))
+	s.announce(1, slots, nil)
+	grants, _ = s.tick(0)
+	c.Assert(grants, qt.HasLen, slots-1)
+	c.Assert(grants[0].GetNumber(), qt.Equals, other.GetGrant()+1)
+}
+
+// Guards against free slots that stay empty because a late load report still shows the runs that have ended.
+func TestLateReport(t *testing.T) {
+	c := qt.New(t)
+	s := newSingle(1, 0)
+	s.announce(1, 2*slots, nil)
+	grants, _ := s.tick(0)
+	s.now = s.now.Add(time.Second)
+	s.finish(&fleetpb.Ended{Grant: grants[0].GetNumber(), Units: 1000, Outcome: fleetpb.Outcome_OUTCOME_DONE})
+	s.Observe(s.now, "t0", platform.Load{At: s.now.Add(-100 * time.Millisecond), Running: slots, Slots: slots})
+	grants, _ = s.tick(0)
+	c.Assert(grants, qt.HasLen, 1)
+}
+
+// Guards against traffic that grows with all backlogged customers, and against totals that nobody asks for again.
+func TestQuestions(t *testing.T) {
+	c := qt.New(t)
+	s := backlogged(1, 200)
+	asked := 0
+	for range 6 {
+		s.now = s.now.Add(500 * time.Millisecond)
+		asked = 0
+		for _, envelope := range append(s.Tick(s.now), s.Tick(s.now)...) {
+			asked += len(envelope.Body.GetReport().GetAccounts())
+			s.Receive(s.now, "me", envelope.Body)
+		}
+	}
+	c.Assert(asked > 0 && asked < 100, qt.IsTrue, qt.Commentf("asked for %d", asked))
+}
+
+// Guards against a customer that holds back all others after a restart because the owner of its shard lost its total.
+func TestLostTotals(t *testing.T) {
+	c := qt.New(t)
+	s := newSingle(1, 0)
+	s.running["t0"] = slots
+	s.now = s.now.Add(time.Millisecond)
+	s.observe()
+	s.announce(1, 2, func(d *fleetpb.Demand) { d.Customer = uint32(d.GetRequest()) })
+	s.Tick(s.now)
+	totals := &fleetpb.Totals{Model: model, Source: poolName, Incarnation: 1}
+	totals.Totals = []*fleetpb.Total{{Customer: 1, Total: 90000}, {Customer: 2}}
+	s.Receive(s.now, "e", &fleetpb.Body{Kind: &fleetpb.Body_Totals{Totals: totals}})
+	s.Tick(s.now)
+	c.Assert(s.Totals(model), qt.DeepEquals, map[uint32]uint64{1: 90000, 2: 90000})
+}
+
 // Guards against a scheduler that hears one of four routers and fills all slots that a load report shows as free.
 func TestFraction(t *testing.T) {
 	c := qt.New(t)
@@ -195,6 +281,17 @@
 	c.Check(grants, qt.HasLen, 2*slots)
 }
 
+// Guards against long requests of a customer that starve behind its own quick ones.
+func TestDue(t *testing.T) {
+	c := qt.New(t)
+	s := newSingle(1, 0)
+	s.announce(100, 3*slots, func(d *fleetpb.Demand) { d.Long = false })
+	s.announce(500, 1, func(d *fleetpb.Demand) { d.Due = 50 })
+	grants, _ := s.tick(0)
+	c.Assert(grants, qt.HasLen, slots+1)
+	c.Assert(grants[0].GetRequest(), qt.Equals, uint64(500))
+}
+
 // Guards against prompts that move between targets although the one that has their prefix in its cache is free.
 func TestPrefix(t *testing.T) {
 	c := qt.New(t)
