--- a/internal/measure/result.go
+++ b/internal/measure/result.go
@@ -42,7 +42,7 @@
 // result sums up a run.
 func (w *world) result(policy string, seed uint64) Result {
 	r, d := w.record, w.deployment
-	seconds := (w.length - warmUp).Seconds()
+	seconds := (w.length - w.warmUp()).Seconds()
 	out := Result{
 		Deployment: d.Name, Scenario: w.scenario.Name, Policy: policy, Seed: seed, Used: 1,
 		First: quantiles(r.firsts), Whole: quantiles(r.wholes), Refusals: r.refusals, Retries: r.retries,
