--- a/internal/claim/fakelog_test.go
+++ b/internal/claim/fakelog_test.go
@@ -8,18 +8,20 @@
 )
 
 // mode is what the fake log does with appends.
-type mode int
+type mode string
 
 const (
-	works mode = iota
+	works mode = "works"
 	// refuses answers that the append had no effect.
-	refuses
+	refuses mode = "refuses"
 	// loses applies the append and loses the answer.
-	loses
-	// delays loses the answer first and applies the append 400 ms later.
-	delays
+	loses mode = "loses"
+	// delays loses the answer first and applies the append 1200 ms later.
+	delays mode = "delays"
 	// swallows loses the append and the answer.
-	swallows
+	swallows mode = "swallows"
+	// crawls applies and answers after 800 ms.
+	crawls mode = "crawls"
 )
 
 var errLost = errors.New("answer lost")
@@ -32,28 +34,30 @@
 	unread  bool
 }
 
-// append adds a record and returns the error of the answer.
-func (l *fakeLog) append(w *world, stream string, data []byte) error {
+// append adds a record and returns the time until the answer and its error.
+func (l *fakeLog) append(w *world, stream string, data []byte) (after time.Duration, result error) {
 	apply := func() {
 		records := l.streams[stream]
 		offset := l.first[stream] + uint64(len(records))
 		l.streams[stream] = append(records, platform.Record{Offset: offset, At: w.now, Data: data})
 	}
+	unsettled := &platform.UnsettledError{Stream: stream, Cause: errLost}
 	switch l.mode {
 	case refuses:
-		return &platform.UnavailableError{System: "log", Cause: errLost}
-	case delays:
-		w.at(400*time.Millisecond, apply)
-		return &platform.UnsettledError{Stream: stream, Cause: errLost}
-	case swallows:
-		return &platform.UnsettledError{Stream: stream, Cause: errLost}
+		return latency, &platform.UnavailableError{System: "log", Cause: errLost}
 	case loses:
 		apply()
-		return &platform.UnsettledError{Stream: stream, Cause: errLost}
-	default:
+	case delays:
+		w.at(1200*time.Millisecond, apply)
+	case crawls:
+		w.at(800*time.Millisecond, apply)
+		return 800*time.Millisecond + latency, nil
+	case works:
 		apply()
-		return nil
+		return latency, nil
+	case swallows:
 	}
+	return latency, unsettled
 }
 
 // read returns the records from an offset on.
--- a/internal/claim/world_test.go
+++ b/internal/claim/world_test.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/anishathalye/porcupine"
 	"github.com/google/uuid"
 	"google.golang.org/protobuf/proto"
 
@@ -41,6 +40,7 @@
 
 // call is one request of a caller and what became of it.
 type call struct {
+	by               *node
 	key, claim, body string
 	from, until      time.Time
 	deadline         time.Time
@@ -58,6 +58,7 @@
 	batcher     *claim.Batcher
 	results     batcher
 	paused      bool
+	viewed      time.Time
 	inbox       []func()
 	calls       map[string]*call
 }
@@ -77,16 +78,18 @@
 	wrong  []string
 	// sending is the time from a verdict to the sending of the request.
 	sending time.Duration
+	// rejects is set while the target refuses requests without running them.
+	rejects bool
 	// bytes counts the messages.
 	bytes int
-	// lag is the time after which the first node learns that the view has changed.
-	lag time.Duration
+	// lagging is a node that learns of changes of the view late.
+	lagging *node
 }
 
 func newWorld(v variant, names ...string) *world {
 	w := &world{
 		variant: v, now: start, group: make(map[string]int), events: make(map[int64][]func()),
-		log:  fakeLog{streams: make(map[string][]platform.Record), first: make(map[string]uint64)},
+		log:  fakeLog{mode: works, streams: make(map[string][]platform.Record), first: make(map[string]uint64)},
 		runs: make(map[string][]string), ran: make(map[string]time.Time),
 	}
 	for _, name := range names {
@@ -114,6 +117,18 @@
 	w.events[due] = append(w.events[due], event)
 }
 
+// later lets a node do something unless it is restarted before.
+func (w *world) later(n *node, after time.Duration, do func()) {
+	incarnation := n.incarnation
+	w.at(after, func() {
+		n.inbox = append(n.inbox, func() {
+			if n.incarnation == incarnation {
+				do()
+			}
+		})
+	})
+}
+
 // restart replaces the cores of a node and begins new sessions.
 func (w *world) restart(n *node) {
 	n.incarnation++
@@ -154,71 +169,82 @@
 			}
 		}
 		if n.holder != nil {
-			view, incarnation := membership.NewView(n.name, routers, nil), n.incarnation
-			locate := func() {
-				if n.incarnation == incarnation {
-					n.holder.Locate(w.now, view)
-					n.batcher.Locate(w.now, view)
-				}
-			}
-			if w.lag > 0 && n == w.nodes[0] {
-				w.at(w.lag, locate)
+			view, at := membership.NewView(n.name, routers, nil), w.now
+			if n == w.lagging {
+				w.later(n, 200*time.Millisecond, func() { n.locate(at, view) })
 			} else {
-				locate()
+				n.locate(at, view)
 			}
 		}
 	}
 }
 
+// locate takes a view unless a newer one was taken.
+func (n *node) locate(at time.Time, view membership.View) {
+	if !at.Before(n.viewed) {
+		n.viewed = at
+		n.holder.Locate(at, view)
+		n.batcher.Locate(at, view)
+	}
+}
+
 // send delivers messages later if both ends still are what they were.
 func (w *world) send(from *node, envelopes []message.Envelope) {
 	for _, envelope := range envelopes {
 		w.bytes += proto.Size(envelope.Body)
 		to := w.nodes[slices.IndexFunc(w.nodes, func(n *node) bool { return n.name == envelope.To })]
-		incarnations := [2]uint64{from.incarnation, to.incarnation}
-		deliver := func() {
-			if incarnations == [2]uint64{from.incarnation, to.incarnation} && w.group[from.name] == w.group[to.name] {
+		incarnation := from.incarnation
+		w.later(to, latency, func() {
+			if from.incarnation == incarnation && w.group[from.name] == w.group[to.name] {
 				to.batcher.Receive(w.now, from.name, envelope.Body)
 				to.holder.Receive(w.now, from.name, envelope.Body)
 			}
-		}
-		w.at(latency, func() { to.inbox = append(to.inbox, deliver) })
+		})
 	}
 }
 
 // call lets a caller send a request to a node.
 func (w *world) call(n *node, key, body string, patience time.Duration) {
-	made := &call{key: key, body: body, from: w.now, deadline: w.now.Add(patience)}
+	made := &call{by: n, key: key, body: body, from: w.now, deadline: w.now.Add(patience)}
 	w.calls = append(w.calls, made)
 	request := claim.Request{Key: key, Customer: 1, BodyHash: []byte(body), Deadline: made.deadline}
 	made.claim = n.holder.Claim(w.now, request)
 	n.calls[made.claim] = made
+	w.later(n, patience, func() { w.abandon(made) })
 	if w.variant.eager {
 		w.run(n, made)
 	}
 }
 
+// abandon gives a call up on behalf of its caller.
+func (w *world) abandon(made *call) {
+	if !made.answered {
+		w.answer(made, claim.Unknown, made.by.holder.Abandon(w.now, made.claim), "")
+	}
+}
+
 // run sends a request to the target.
 func (w *world) run(n *node, made *call) {
 	if !w.variant.eager && !n.holder.MaySend(w.now, made.claim) && !w.variant.late {
-		w.answer(made, claim.Unknown, n.holder.Abandon(w.now, made.claim), "")
+		w.abandon(made)
 		return
 	}
-	if w.now.After(made.deadline) {
+	if w.rejects {
+		n.holder.TakeBack(w.now, made.claim)
+		w.abandon(made)
+		return
+	}
+	age := w.now.UnixMilli() - claim.KeyTime(uuid.MustParse(made.key))
+	if w.now.After(made.deadline) || age > limits().Window.Milliseconds() {
 		w.wrong = append(w.wrong, "sent after the deadline: "+made.claim)
 	}
 	w.runs[made.key] = append(w.runs[made.key], made.claim)
 	if len(w.runs[made.key]) == 1 {
 		w.ran[made.key] = w.now
 	}
-	incarnation := n.incarnation
-	w.at(service, func() {
-		n.inbox = append(n.inbox, func() {
-			if n.incarnation == incarnation {
-				n.holder.Complete(w.now, made.claim, 200, []byte(made.claim))
-				w.answer(made, claim.Held, "", made.claim)
-			}
-		})
+	w.later(n, service, func() {
+		n.holder.Complete(w.now, made.claim, 200, []byte(made.claim))
+		w.answer(made, claim.Held, "", made.claim)
 	})
 }
 
@@ -247,30 +273,18 @@
 	effects := n.batcher.Tick(w.now)
 	w.send(n, effects.Envelopes)
 	for _, each := range effects.Appends {
-		incarnation, result := n.incarnation, w.log.append(w, each.Stream, each.Data)
-		w.at(latency, func() {
-			n.inbox = append(n.inbox, func() {
-				if n.incarnation == incarnation {
-					n.results.Appended(w.now, each.ID, result)
-				}
-			})
-		})
+		after, result := w.log.append(w, each.Stream, each.Data)
+		w.later(n, after, func() { n.results.Appended(w.now, each.ID, result) })
 	}
 	envelopes, verdicts := n.holder.Tick(w.now)
 	w.send(n, envelopes)
 	for _, verdict := range verdicts {
-		made, incarnation := n.calls[verdict.Claim], n.incarnation
+		made := n.calls[verdict.Claim]
 		if verdict.Outcome != claim.Held {
 			w.answer(made, verdict.Outcome, verdict.Ran, string(verdict.Answer))
-			continue
+		} else if !w.variant.eager {
+			w.later(n, w.sending, func() { w.run(n, made) })
 		}
-		w.at(w.sending, func() {
-			n.inbox = append(n.inbox, func() {
-				if n.incarnation == incarnation && !w.variant.eager {
-					w.run(n, made)
-				}
-			})
-		})
 	}
 }
 
@@ -298,11 +312,14 @@
 		if len(runs) > 1 {
 			wrong = append(wrong, fmt.Sprintf("key %s ran %d times", key, len(runs)))
 		}
+		if !w.linearizable(key) {
+			wrong = append(wrong, "history is not linearizable: "+key)
+		}
 	}
 	for _, made := range w.calls {
 		runs, ran := w.runs[made.key], w.ran[made.key]
 		switch {
-		case made.answered && made.ran == refusal.RanNo && (slices.Contains(runs, made.claim) || len(runs) > 0 && ran.Before(made.until)):
+		case made.ran == refusal.RanNo && (slices.Contains(runs, made.claim) || len(runs) > 0 && ran.Before(made.until)):
 			wrong = append(wrong, "refused as not run, but ran: "+made.claim)
 		case made.outcome == claim.Replay && !slices.Contains(runs, made.answer):
 			wrong = append(wrong, "replayed an answer that was not given: "+made.claim)
@@ -310,9 +327,7 @@
 			wrong = append(wrong, "refused as unavailable, but claimed: "+made.claim)
 		}
 	}
-	if !porcupine.CheckOperations(model.ToModel(), w.history()) {
-		wrong = append(wrong, "history is not linearizable")
-	}
+	slices.Sort(wrong)
 	return wrong
 }
 
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -54,11 +54,24 @@
 		return
 	}
 	t.asked = now
+	if near := t.near(ahead); len(near) > 0 {
+		ahead = near
+	}
 	t.send(ahead[t.random.IntN(len(ahead))], &fleetpb.Body{
 		Kind: &fleetpb.Body_HostsFetch{HostsFetch: &fleetpb.HostsFetch{Version: t.list.Version}},
 	})
 }
 
+// near returns the routers among names that are in the own region. A list is fetched from another region only if there
+// are none, since regional links are billed by volume.
+func (t *Tracker) near(names []string) []string {
+	view := t.View()
+	return slices.DeleteFunc(slices.Clone(names), func(name string) bool {
+		router, listed := view.Router(name)
+		return !listed || router.Region != t.self.Region
+	})
+}
+
 // answer sends the host list to a peer that has an older version.
 func (t *Tracker) answer(to string, version uint64) {
 	if version >= t.list.Version {
@@ -117,10 +130,8 @@
 	var news, corrections []string
 	for _, entry := range entries {
 		name, incarnation := entry.GetName(), entry.GetLink()
-		known, listed := t.known[name]
-		if !listed {
-			continue
-		}
+		known := t.host(name)
+		known.noted = now
 		other := incarnation != "" && known.incarnation != "" && incarnation != known.incarnation
 		certain := name == t.self.Name || now.Sub(known.seen) < direct || slices.Contains(known.retired, incarnation)
 		switch {
--- a/internal/membership/tracker.go
+++ b/internal/membership/tracker.go
@@ -17,11 +17,13 @@
 	beat = 500 * time.Millisecond
 	// silence is the time without a message after which a peer is down.
 	silence = 2 * time.Second
-	// lag is the time for which a host list may be older than a peer's before it is fetched: most routers get a new
-	// list from the platform at about the same time.
-	lag = time.Second
+	// lag is the time for which a host list may be older than a peer's before it is fetched: a list of 6,100 hosts takes
+	// hundreds of kilobytes, routers get a new one from the platform within seconds, and marks do not wait for it.
+	lag = 3 * time.Second
 	// refetch is the time after which another peer is asked.
 	refetch = time.Second
+	// unlistedMarks is the time for which marks of hosts that are not listed yet are kept.
+	unlistedMarks = time.Minute
 	// probe is the period of probes.
 	probe = time.Second
 )
@@ -83,10 +85,11 @@
 func (t *Tracker) Version() uint64 { return t.list.Version }
 
 // List takes a host list. One that is not newer changes nothing; the first version is one.
-func (t *Tracker) List(_ time.Time, list platform.HostList) {
+func (t *Tracker) List(now time.Time, list platform.HostList) {
 	if list.Version <= t.list.Version {
 		return
 	}
+	former := t.list
 	t.list, t.offer, t.changed = list, nil, true
 	listed := make(map[string]bool, len(list.Hosts))
 	var news []string
@@ -96,15 +99,21 @@
 			news = append(news, entry.Name)
 		}
 	}
-	t.forget(listed)
+	t.forget(now, former, listed)
 	t.spread(news, "")
 }
 
-// forget drops what is known of hosts that are neither listed nor linked.
-func (t *Tracker) forget(listed map[string]bool) {
+// forget drops what is known of hosts that left the list and have no link. Marks of hosts that are not listed yet are
+// kept for a while, since a peer may have a newer list.
+func (t *Tracker) forget(now time.Time, former platform.HostList, listed map[string]bool) {
 	maps.DeleteFunc(t.peers, func(name string, link *peer) bool { return !listed[name] && !link.session })
-	maps.DeleteFunc(t.known, func(name string, _ *host) bool {
-		return !listed[name] && t.peers[name] == nil && name != t.self.Name
+	gone := make(map[string]bool)
+	for _, entry := range former.Hosts {
+		gone[entry.Name] = !listed[entry.Name]
+	}
+	maps.DeleteFunc(t.known, func(name string, known *host) bool {
+		unlisted := gone[name] || !listed[name] && now.Sub(known.noted) > unlistedMarks
+		return unlisted && t.peers[name] == nil && name != t.self.Name
 	})
 }
 
@@ -149,7 +158,7 @@
 // Connected notes a session with a peer.
 func (t *Tracker) Connected(now time.Time, name string, incarnation uint64) {
 	text := formatIncarnation(incarnation)
-	*t.peer(name) = peer{session: true, linked: true, heard: now, incarnation: text}
+	*t.peer(name) = peer{session: true, heard: now, incarnation: text}
 	t.hear(now, name, text, false)
 	t.send(name, t.heartbeat())
 	if marks := t.marks(); len(marks) > 0 {
@@ -158,14 +167,18 @@
 }
 
 // Disconnected notes the end of a session. The peer is down 2 s after it was last heard.
-func (t *Tracker) Disconnected(_ time.Time, name string) { t.peer(name).session = false }
+func (t *Tracker) Disconnected(_ time.Time, name string) {
+	if link := t.peers[name]; link != nil {
+		link.session = false
+	}
+}
 
 // Released notes that this router closed a session that it does not need. The peer counts as up, like one that was
 // never linked.
 func (t *Tracker) Released(_ time.Time, name string) { delete(t.peers, name) }
 
 // Failed notes that an attempt to link to a peer failed. The peer is down unless it was heard in the last 2 s.
-func (t *Tracker) Failed(_ time.Time, name string) { t.peer(name).linked = true }
+func (t *Tracker) Failed(_ time.Time, name string) { t.peer(name) }
 
 // Silent returns the peers whose sessions are to be closed, since nothing was heard on them for 2 s. This router sends
 // no heartbeats on them any more, so that the other side of a one-way partition ends the session too.
@@ -234,35 +247,36 @@
 	t.envelopes = append(t.envelopes, message.Envelope{To: to, Body: body})
 }
 
-// Probe names a listed router without a session to link to, at most one a second. Every other probe goes to a router
-// that is down, so that one that rejoins is found soon.
+// Probe names a listed router without a session to link to, at most one a second. Probes go in turn to routers that are
+// down, so that one that rejoins is found soon, and to those that were never reached, so that each is tried in time.
 func (t *Tracker) Probe(now time.Time) (string, bool) {
 	if now.Before(t.nextProbe) {
 		return "", false
 	}
 	t.nextProbe = now.Add(probe)
 	t.turn = !t.turn
-	var all, down []string
+	var untried, down []string
 	for _, entry := range t.list.Hosts {
 		if entry.Role != platform.RoleRouter || entry.Name == t.self.Name {
 			continue
 		}
 		link := t.peers[entry.Name]
-		if link != nil && link.session {
-			continue
-		}
-		all = append(all, entry.Name)
-		if link.state(now) == Down {
+		switch {
+		case link != nil && link.session:
+		case link.state(now) == Down:
 			down = append(down, entry.Name)
+		default:
+			untried = append(untried, entry.Name)
 		}
 	}
-	if t.turn && len(down) > 0 {
-		all = down
+	choice := untried
+	if t.turn && len(down) > 0 || len(untried) == 0 {
+		choice = down
 	}
-	if len(all) == 0 {
+	if len(choice) == 0 {
 		return "", false
 	}
-	return all[t.random.IntN(len(all))], true
+	return choice[t.random.IntN(len(choice))], true
 }
 
 // View returns the present view. It is computed anew only after a change.
--- a/internal/pool/schedule.go
+++ b/internal/pool/schedule.go
@@ -29,6 +29,8 @@
 	number    *uint64
 	meter     meter
 	estimated uint64
+	// shorts is the number of waiting requests of short classes.
+	shorts int
 	// level is the counter of the last granted customer before its charge: the floor if nobody is backlogged.
 	level uint64
 	// remote is the lowest level of the other pools that want slots, zero if there is none.
@@ -38,10 +40,11 @@
 	// flying is the charge of each customer's runs in weighted milli-units.
 	flying  map[uint32]uint64
 	created time.Time
-	nearAt  time.Time
-	farAt   time.Time
-	told    map[string]bool
-	orphan  bool
+	// reportAt is the instant of the next look for due reports, markAt that of the next question for totals.
+	reportAt time.Time
+	markAt   time.Time
+	told     map[string]notice
+	orphan   bool
 }
 
 // newSchedule returns an empty schedule; grant numbers are drawn from number.
@@ -57,7 +60,7 @@
 		prefixes: newPrefixes(),
 		fraction: 1,
 		number:   number,
-		told:     make(map[string]bool),
+		told:     make(map[string]notice),
 		fresh:    make(map[uint32]struct{}),
 		flying:   make(map[uint32]uint64),
 		created:  now,
@@ -98,7 +101,7 @@
 	row := &target{name: name, added: now, refilled: now}
 	for _, r := range s.runs {
 		if r.target == name {
-			row.add(r.granted, r.apart)
+			row.add(r.granted, r.of)
 		}
 	}
 	for _, l := range s.loans {
@@ -119,6 +122,11 @@
 	return s.targets[at]
 }
 
+// idle reports whether the schedule holds nothing, and the owners of the customer shards know all of its service.
+func (s *schedule) idle() bool {
+	return len(s.demands) == 0 && len(s.runs) == 0 && len(s.loans) == 0 && !s.ledger.Pending()
+}
+
 // limited reports whether this router hears a part of the availability zone's routers only.
 func (s *schedule) limited() bool { return s.fraction < 1 }
 
@@ -137,6 +145,9 @@
 	waiting.add(d)
 	s.demands[d.key] = d
 	s.estimated += d.estimate
+	if !d.long {
+		s.shorts++
+	}
 }
 
 // drop removes a waiting request.
@@ -147,6 +158,9 @@
 	}
 	delete(s.demands, key)
 	s.estimated -= d.estimate
+	if !d.long {
+		s.shorts--
+	}
 	waiting := s.backlogs[d.customer]
 	waiting.remove(d)
 	if waiting.size() == 0 {
@@ -248,7 +262,7 @@
 	s.runs[r.key] = r
 	s.flying[r.customer] += r.paid
 	if row := s.target(r.target); row != nil {
-		row.add(r.granted, r.apart)
+		row.add(r.granted, r.of)
 	}
 }
 
@@ -261,7 +275,7 @@
 		delete(s.flying, r.customer)
 	}
 	if row := s.target(r.target); row != nil {
-		row.remove(now, r.granted, r.apart)
+		row.remove(now, r.granted, r.of)
 	}
 }
 
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -110,14 +111,42 @@
 	qt.Assert(t, router.asked, qt.HasLen, 4)
 }
 
-// TestSilence guards against a stream that waits for ever for a router that has lost its network.
+// TestSilence guards against a stream that waits for ever for a router that has lost its network, and against one that
+// gives a router up while its request waits for a slot.
 func TestSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		answer := func(from int64, _ bool) string { return events(from) }
+		silent, second := &fake{cut: 150, answer: answer, silence: true, queue: time.Hour}, &fake{cut: -1, answer: answer}
+		network := pipes{"10.0.0.1:1": silent, "10.0.0.2:1": second}
+		start := time.Now()
+		texts, err := read(t, []string{"10.0.0.1:1", "10.0.0.2:1"}, client.WithTransport(network))
+		qt.Assert(t, err, qt.Equals, io.EOF)
+		qt.Assert(t, texts, qt.DeepEquals, whole)
+		qt.Assert(t, silent.asked, qt.HasLen, 1)
+		qt.Assert(t, second.asked, qt.HasLen, 1)
+		qt.Assert(t, time.Since(start), qt.Equals, time.Hour+15*time.Second)
+	})
+}
+
+// TestOtherRouter guards against a stream that is resumed at the router that failed it, because another call of the client
+// has moved the turn on.
+func TestOtherRouter(t *testing.T) {
 	answer := func(from int64, _ bool) string { return events(from) }
-	silent, second := &fake{cut: 150, answer: answer, silence: true}, &fake{cut: -1, answer: answer}
-	texts, err := read(t, []string{silent.serve(t), second.serve(t)}, client.WithSilence(50*time.Millisecond))
+	first, second := &fake{cut: 150, answer: answer}, &fake{cut: -1, answer: answer}
+	caller, err := client.New([]string{first.serve(t), second.serve(t)}, "key", client.WithPause(0))
+	qt.Assert(t, err, qt.IsNil)
+	stream, err := caller.Generate(t.Context(), "m", client.Generation{})
+	qt.Assert(t, err, qt.IsNil)
+	other, err := caller.Generate(t.Context(), "m", client.Generation{})
+	qt.Assert(t, err, qt.IsNil)
+	other.Close()
+	for err == nil {
+		_, err = stream.Next()
+	}
 	qt.Assert(t, err, qt.Equals, io.EOF)
-	qt.Assert(t, texts, qt.DeepEquals, whole)
-	qt.Assert(t, second.asked, qt.HasLen, 1)
+	qt.Assert(t, stream.Resumes(), qt.Equals, 1)
+	qt.Assert(t, first.asked, qt.HasLen, 1)
+	qt.Assert(t, second.asked, qt.HasLen, 2)
 }
 
 // TestRefusals guards against a refused call that is sent again although it may have run, and against one that is not
@@ -163,25 +192,39 @@
 	qt.Assert(t, errors.As(err, &unreachable), qt.IsTrue)
 }
 
-// TestInvoke guards against a call without key that is sent twice, and against one with key that is given up.
+// TestInvoke guards against a call without key that is sent twice, and against one with key that is given up, when the
+// connection breaks before or within the answer.
 func TestInvoke(t *testing.T) {
-	for _, key := range []string{"", "018f0000-0000-7000-8000-000000000000"} {
-		breaking := &fake{cut: 0, answer: func(int64, bool) string { return "x" }}
-		keys := ""
-		second := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			keys += r.Header.Get("Idempotency-Key")
-			_, _ = w.Write([]byte(`{"result":{"number":"7"},"replayed":true}`))
+	const uuid = "018f0000-0000-7000-8000-000000000000"
+	before := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	within := func() http.Handler { return &fake{cut: 0, answer: func(int64, bool) string { return "x" }} }
+	tests := []struct {
+		name, key string
+		first     http.Handler
+	}{
+		{"before, without key", "", before},
+		{"before, with key", uuid, before},
+		{"within, without key", "", within()},
+		{"within, with key", uuid, within()},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			keys := ""
+			second := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				keys += r.Header.Get("Idempotency-Key")
+				_, _ = w.Write([]byte(`{"result":{"number":"7"},"replayed":true}`))
+			})
+			caller, err := client.New([]string{serve(t, test.first), serve(t, second)}, "key", client.WithPause(0))
+			qt.Assert(t, err, qt.IsNil)
+			result, err := caller.Invoke(t.Context(), "s", "o", client.Invocation{Key: test.key})
+			qt.Assert(t, keys, qt.Equals, test.key)
+			if test.key == "" {
+				var broken *client.BrokenError
+				qt.Assert(t, errors.As(err, &broken), qt.IsTrue)
+				return
+			}
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, result, qt.DeepEquals, client.Result{Values: map[string]string{"number": "7"}, Replayed: true})
 		})
-		caller, err := client.New([]string{breaking.serve(t), serve(t, second)}, "key", client.WithPause(0))
-		qt.Assert(t, err, qt.IsNil)
-		result, err := caller.Invoke(t.Context(), "s", "o", client.Invocation{Key: key})
-		qt.Assert(t, keys, qt.Equals, key)
-		if key == "" {
-			var broken *client.BrokenError
-			qt.Assert(t, errors.As(err, &broken), qt.IsTrue)
-			continue
-		}
-		qt.Assert(t, err, qt.IsNil)
-		qt.Assert(t, result, qt.DeepEquals, client.Result{Values: map[string]string{"number": "7"}, Replayed: true})
 	}
 }
