Mark the announced run of TestLostGrants as long

Cause: a run without the mark counts as using an extra slot since the change for long calls; the test means a run that takes a slot of the batch. Its expected counts are unchanged.

--- a/internal/pool/scheduler_test.go
+++ b/internal/pool/scheduler_test.go
@@ -184,7 +184,7 @@
 	c.Assert(grants, qt.HasLen, slots)
 	c.Assert(s.Totals(model)[1], qt.Equals, uint64(1000*slots))
 	s.Connected(s.now, "e", 1)
-	other := &fleetpb.Run{Request: 900, Grant: grants[slots-1].GetNumber() + 1, Target: "t0", Customer: 2}
+	other := &fleetpb.Run{Request: 900, Grant: grants[slots-1].GetNumber() + 1, Target: "t0", Customer: 2, Long: true}
 	sync := &fleetpb.Sync{Pool: poolName, Runs: []*fleetpb.Run{other}}
 	s.Receive(s.now, "e", &fleetpb.Body{Kind: &fleetpb.Body_Sync{Sync: sync}})
 	c.Assert(s.Totals(model)[1], qt.Equals, uint64(0))
