Use the membership view's lists and the configuration's refusals

Cause: the node and the router derived lists and refusals that the cores offer by now; the store did not know which peers are of its own region, so it could fetch across regions. Conclusion: one place for each.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -202,13 +202,8 @@
 	n.scheduler.Locate(now, view)
 	n.batcher.Locate(now, view)
 	n.holder.Locate(now, view)
-	peers := make([]string, 0, len(view.Routers()))
-	for _, router := range view.Routers() {
-		if router.Name != n.self {
-			peers = append(peers, router.Name)
-		}
-	}
-	n.store.SetPeers(peers)
+	n.store.SetPeers(view.Peers())
+	n.store.SetNear(view.Near())
 }
 
 // reconfigure hands a changed configuration to the cores.
--- a/internal/node/roles.go
+++ b/internal/node/roles.go
@@ -16,18 +16,7 @@
 }
 
 // Scheduled returns the pools that this router schedules, sorted.
-func (n *Node) Scheduled() []membership.Pool {
-	view := n.View()
-	var pools []membership.Pool
-	for _, model := range view.Models() {
-		for _, candidate := range view.Pools(model) {
-			if view.Scheduler(candidate) == n.self {
-				pools = append(pools, candidate)
-			}
-		}
-	}
-	return pools
-}
+func (n *Node) Scheduled() []membership.Pool { return n.View().Scheduled() }
 
 // Polled returns the targets whose load reports this router reads, sorted: those of the pools that it schedules.
 func (n *Node) Polled() []string {
--- a/internal/router/operators.go
+++ b/internal/router/operators.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
 	"github.com/chicorydale/chicorydale/internal/config"
@@ -54,7 +53,7 @@
 	}
 	select {
 	case result := <-results:
-		return r.published(result)
+		return published(result)
 	case <-ctx.Done():
 		return nil, refusal.New(refusal.OutcomeUnknown, "the operator has gone").WithUnknown()
 	case <-r.stopped:
@@ -63,26 +62,11 @@
 }
 
 // published returns the answer to a published change.
-func (r *Router) published(result config.Result) (*oas.ChangeResult, error) {
-	soon := time.Now().Add(time.Second)
-	switch result.Outcome {
-	case config.Published, config.Repeated:
-		return &oas.ChangeResult{Version: int64(result.Version), Repeated: result.Outcome == config.Repeated}, nil
-	case config.Stale:
-		refused := refusal.Newf(refusal.StaleChange, "the current version is %d", result.Version)
-		return nil, refused.WithVersion(result.Version)
-	case config.Invalid:
-		faults := make([]string, 0, len(result.Faults))
-		for _, fault := range result.Faults {
-			faults = append(faults, fault.String())
-		}
-		return nil, refusal.New(refusal.InvalidChange, strings.Join(faults, "; "))
-	case config.Unavailable:
-		return nil, refusal.New(refusal.LogUnavailable, "the log does not take changes").WithRetry(soon)
-	default:
-		refused := refusal.New(refusal.OutcomeUnknown, "the change was not read back; send the same change again")
-		return nil, refused.WithUnknown().WithRetry(soon)
+func published(result config.Result) (*oas.ChangeResult, error) {
+	if refused := result.Refusal(time.Now()); refused != nil {
+		return nil, refused
 	}
+	return &oas.ChangeResult{Version: int64(result.Version), Repeated: result.Outcome == config.Repeated}, nil
 }
 
 // GetCustomers returns the customers; it implements oas.Handler.
