Pass borrowed slots on, and tell all pools of small regions who waits

A pool now passes a borrowed slot on to a pool that is clearly behind; the slot's owner is then found by the view.

--- a/internal/pool/fair_test.go
+++ b/internal/pool/fair_test.go
@@ -84,6 +84,18 @@
 	c.Assert(f.faults, qt.HasLen, 0)
 }
 
+// Guards against pools of another region that stay idle because they do not hear who waits.
+func TestManyPools(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet([]string{"a", "b"}, 12, 12)
+	f.customer(1, 1)
+	f.flood("r0-0", 1, 50, 600, start.Add(time.Hour))
+	f.run(5*time.Second, nil)
+	before := f.total()
+	f.run(10*time.Second, nil)
+	c.Assert(f.total()-before > f.capacity(10*time.Second)*9/10, qt.IsTrue)
+}
+
 // Guards against a quiet customer waiting behind a flood, and against quick calls waiting behind long ones.
 func TestQuietCustomer(t *testing.T) {
 	c := qt.New(t)
--- a/internal/pool/grant.go
+++ b/internal/pool/grant.go
@@ -127,8 +127,7 @@
 	grant := &fleetpb.Grant{Request: d.key.request, Target: target, Number: r.key.grant, Deadline: deadline.UnixMilli()}
 	if slot != nil {
 		grant.Owner, grant.Lender = slot.owner, slot.lender
-		slot.left--
-		s.borrowed = slices.DeleteFunc(s.borrowed, func(b *borrowed) bool { return b.left == 0 })
+		s.use(slot)
 	}
 	out.grant(d.key.entry, s.name, grant)
 }
--- a/internal/pool/lend.go
+++ b/internal/pool/lend.go
@@ -19,7 +19,29 @@
 			best = p
 		}
 	}
-	return best != nil && s.lend(now, out, best)
+	return best != nil && (s.lend(now, out, best) || s.forward(out, best))
+}
+
+// forward passes a borrowed slot on. Pools get the summaries of some others only, so that a pool may be lent more slots
+// than its customers' share while a pool that is further behind is not known to the lender.
+func (s *schedule) forward(out *outbox, to *peer) bool {
+	at := slices.IndexFunc(s.borrowed, func(b *borrowed) bool { return b.lender != to.pool })
+	if at < 0 {
+		return false
+	}
+	slot := s.borrowed[at]
+	to.lend()
+	out.forward(to, slot)
+	s.use(slot)
+	return true
+}
+
+// use takes one slot out of a loan.
+func (s *schedule) use(slot *borrowed) {
+	slot.left--
+	if slot.left == 0 {
+		s.borrowed = slices.DeleteFunc(s.borrowed, func(b *borrowed) bool { return b == slot })
+	}
 }
 
 // farMargin is the number of requests by which a pool in another region must be behind before it is lent a slot of a
--- a/internal/pool/neighbour.go
+++ b/internal/pool/neighbour.go
@@ -9,9 +9,9 @@
 	far  bool
 }
 
-// neighbours returns the pools that get a pool's summaries: in its own region those at distances 1, 2, 4 and so on
-// around the ring of the region's pools, which is all of them while there are few, and two in each other region.
-// Summaries to all pools would grow with their square.
+// neighbours returns the pools that get a pool's summaries: all pools of a region that has few. In larger regions they
+// are those at distances 1, 2, 4 and so on around the ring of the region's pools, or two in another region, because
+// summaries to all pools would grow with their square. A pool that is not a neighbour lends nothing.
 func neighbours(view membership.View, pool membership.Pool) []neighbour {
 	region := view.PoolRegion(pool)
 	rings := make(map[string][]membership.Pool)
@@ -45,7 +45,7 @@
 
 // chosen returns the neighbours on one ring, seen from a position.
 func chosen(ring []membership.Pool, at int, own bool) []membership.Pool {
-	if own && len(ring) <= fewPools || len(ring) <= 2 {
+	if len(ring) <= fewPools {
 		return ring
 	}
 	if !own {
--- a/internal/pool/outbox.go
+++ b/internal/pool/outbox.go
@@ -56,14 +56,29 @@
 		loan = &fleetpb.Lend{Pool: to.pool, Lender: lender, Deadline: deadline.UnixMilli(), Number: *number}
 		o.lends[key] = loan
 	}
+	addSlot(loan, target)
+	return loan.GetNumber()
+}
+
+// forward adds one borrowed slot to a loan that keeps the number and deadline of the lender.
+func (o *outbox) forward(to *peer, slot *borrowed) {
+	key := lending{to: address{host: to.host, pool: to.pool}, lender: slot.lender, number: slot.number}
+	if o.lends[key] == nil {
+		deadline := slot.deadline.UnixMilli()
+		o.lends[key] = &fleetpb.Lend{Pool: to.pool, Lender: slot.lender, Deadline: deadline, Number: slot.number}
+	}
+	addSlot(o.lends[key], slot.target)
+}
+
+// addSlot adds one slot of a target to a loan.
+func addSlot(loan *fleetpb.Lend, target string) {
 	for _, slots := range loan.GetSlots() {
 		if slots.GetTarget() == target {
 			slots.Count++
-			return loan.GetNumber()
+			return
 		}
 	}
 	loan.Slots = append(loan.Slots, &fleetpb.Slots{Target: target, Count: 1})
-	return loan.GetNumber()
 }
 
 // send adds a message that needs no joining.
--- a/internal/pool/receive.go
+++ b/internal/pool/receive.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/chicorydale/chicorydale/internal/fleetpb"
@@ -93,7 +94,7 @@
 	s.owner.Receive(now, from, report)
 }
 
-// borrow enters lent slots. Slots for a pool that this router does not schedule come back to the lender at the loan's
+// borrow enters lent slots. Their owner is the scheduler of the lending pool, since a loan may have been passed on. Slots for a pool that this router does not schedule come back to the lender at the loan's
 // deadline.
 func (s *Scheduler) borrow(now time.Time, from string, lend *fleetpb.Lend) {
 	row := s.schedules[lend.GetPool()]
@@ -101,9 +102,13 @@
 	if row == nil || !now.Before(deadline) {
 		return
 	}
+	owner := from
+	if pool, err := membership.ParsePool(lend.GetLender()); err == nil {
+		owner = cmp.Or(s.view.Scheduler(pool), from)
+	}
 	for _, slots := range lend.GetSlots() {
 		row.borrowed = append(row.borrowed, &borrowed{
-			owner:    from,
+			owner:    owner,
 			lender:   lend.GetLender(),
 			number:   lend.GetNumber(),
 			target:   slots.GetTarget(),
--- a/internal/pool/scheduler_test.go
+++ b/internal/pool/scheduler_test.go
@@ -175,6 +175,34 @@
 	}
 }
 
+// Guards against a pool that uses all that is lent to it while another one, which the lender does not know, is behind.
+func TestForward(t *testing.T) {
+	c := qt.New(t)
+	s := newSingle(1, 0)
+	s.announce(1, 3*slots, nil)
+	s.tick(0)
+	s.Connected(s.now, "lender", 1)
+	s.Connected(s.now, "behind", 1)
+	for _, body := range []*fleetpb.Body{
+		{Kind: &fleetpb.Body_Summary{Summary: &fleetpb.Summary{Pool: "y/drafts/0", Waiting: 3, Backlog: 3000}}},
+		{Kind: &fleetpb.Body_Report{Report: &fleetpb.Report{
+			Model: model, Source: "y/drafts/0", Accounts: []*fleetpb.Account{{Floor: 2500}},
+		}}},
+		{Kind: &fleetpb.Body_Lend{Lend: &fleetpb.Lend{
+			Pool: poolName, Lender: "x/drafts/0", Number: 7, Deadline: s.now.Add(time.Second).UnixMilli(),
+			Slots: []*fleetpb.Slots{{Target: "tx", Count: 8}},
+		}}},
+	} {
+		s.Receive(s.now, "behind", body)
+	}
+	grants, lends := s.tick(0)
+	c.Assert(grants, qt.HasLen, 5)
+	c.Assert(lends, qt.HasLen, 1)
+	c.Check(lends[0].GetLender(), qt.Equals, "x/drafts/0")
+	c.Check(lends[0].GetNumber(), qt.Equals, uint64(7))
+	c.Check(lends[0].GetSlots()[0].GetCount(), qt.Equals, uint32(3))
+}
+
 // Guards against charges for grants that were lost with their session, and against one number for two grants.
 func TestLostGrants(t *testing.T) {
 	c := qt.New(t)
