--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -17,8 +17,8 @@
 	app := kingpin.New("measure", "Measure fairness, utilisation and control traffic in virtual time.")
 	seed := app.Flag("seed", "Seed of the load.").Default("1").Uint64()
 	seconds := app.Flag("seconds", "Virtual seconds of load.").Default("120").Uint32()
-	deployment := app.Flag("deployment", "Measure this deployment only.").String()
-	scenario := app.Flag("scenario", "Measure this scenario only.").String()
+	deployment := app.Flag("deployment", "Measure this deployment only.").Enum(names(measure.Deployments())...)
+	scenario := app.Flag("scenario", "Measure this scenario only.").Enum(names(measure.Scenarios())...)
 	policies := app.Flag("policy", "Measure this policy only; may be repeated.").Enums(measure.Policies()...)
 	file := app.Flag("json", "Write the results to this file too.").String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
@@ -38,6 +38,15 @@
 	app.FatalIfError(write(plan.Run(), *file), "")
 }
 
+// names returns the names of deployments or scenarios.
+func names[T fmt.Stringer](all []T) []string {
+	out := make([]string, 0, len(all))
+	for _, one := range all {
+		out = append(out, one.String())
+	}
+	return out
+}
+
 // write prints the table and writes the file, if one is named.
 func write(results []measure.Result, file string) error {
 	if err := measure.Table(os.Stdout, results); err != nil {
--- a/internal/measure/deployment.go
+++ b/internal/measure/deployment.go
@@ -46,6 +46,9 @@
 	}
 }
 
+// String returns the name.
+func (d Deployment) String() string { return d.Name }
+
 // weight returns the share of a customer.
 func (d Deployment) weight(customer int) int {
 	if customer < d.Large {
--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -29,6 +29,9 @@
 	fault fault
 }
 
+// String returns the name.
+func (s Scenario) String() string { return s.Name }
+
 // Scenarios returns all scenarios in the order of the table.
 func Scenarios() []Scenario {
 	return []Scenario{
