--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -28,7 +28,9 @@
 	// failures counts the appends without success since the last one with.
 	failures int
 	// next is the earliest instant of the next append.
-	next    time.Time
+	next time.Time
+	// marked is the instant of the last empty record.
+	marked  time.Time
 	replies []message.Envelope
 }
 
@@ -193,9 +195,14 @@
 }
 
 // idle tells whether the stream needs an empty record. A stream whose records have all expired tells its next batcher
-// nothing of their age, and that one refuses the keys of the last seconds.
+// nothing of their age, and that one refuses the keys of the last seconds. The pause after each one keeps a log whose
+// clock is far behind from being filled.
 func (s *shard) idle(now time.Time) bool {
-	return len(s.flights) == 0 && now.Sub(s.fold.Clock()) > s.limits.Window/2
+	if len(s.flights) > 0 || now.Sub(s.fold.Clock()) <= s.limits.Window/2 || now.Sub(s.marked) <= s.limits.Window/4 {
+		return false
+	}
+	s.marked = now
+	return true
 }
 
 // clean ends the operations that nobody waits for any more, and refuses claims while the log cannot be read or memory
@@ -212,13 +219,16 @@
 	s.queue = slices.DeleteFunc(s.queue, func(o *operation) bool { return s.operations[o.id()] != o })
 }
 
-// over tells whether the holder has given a claim up, or the key of another record is past its window. Without the role
-// only claims are kept, since their askers do not repeat them.
+// over tells whether nobody waits for an operation any more: the holder has given a claim up, or the key is past its
+// window. Without the role only claims are kept, since their askers do not repeat them.
 func (s *shard) over(now time.Time, asked *operation) bool {
-	if asked.record.Kind == Claimed {
-		return now.UnixMilli() > asked.record.Deadline
+	if asked.record.Kind == Claimed && now.UnixMilli() > asked.record.Deadline {
+		return true
+	}
+	if asked.record.Kind != Claimed && !s.owned {
+		return true
 	}
-	return !s.owned || now.UnixMilli() > KeyTime(asked.record.Key)+s.limits.Window.Milliseconds()
+	return now.UnixMilli() > KeyTime(asked.record.Key)+s.limits.Window.Milliseconds()
 }
 
 // batch takes the next operations to append, and answers those that the fold has settled in the meantime. A claim that
