--- a/internal/entry/queue.go
+++ b/internal/entry/queue.go
@@ -225,6 +225,7 @@
 		Grant:   run.grant,
 		Outcome: outcome,
 		Target:  run.target,
+		Loan:    run.loan,
 	})
 }
 
--- a/internal/entry/receive.go
+++ b/internal/entry/receive.go
@@ -36,6 +36,7 @@
 		target: grant.GetTarget(),
 		owner:  grant.GetOwner(),
 		lender: grant.GetLender(),
+		loan:   grant.GetLoan(),
 		fresh:  true,
 	}
 	q.unwait(c)
@@ -56,6 +57,7 @@
 		Grant:   grant.GetNumber(),
 		Outcome: fleetpb.Outcome_OUTCOME_UNUSED,
 		Target:  grant.GetTarget(),
+		Loan:    grant.GetLoan(),
 	})
 	c, ok := q.calls[grant.GetRequest()]
 	if ok && c.run == nil && c.placed && c.pool.String() == pool && q.lane(c.pool).scheduler == from {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -6,7 +6,9 @@
 	target string
 	owner  string
 	lender string
-	units  uint64
+	// loan is the number of the loan of a lent slot.
+	loan  uint64
+	units uint64
 	// reported is the service in the last progress report; fresh is set until the first one.
 	reported uint64
 	fresh    bool
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -109,10 +109,10 @@
 	return entries
 }
 
-// mark returns the mark of one host. Its incarnation stands in the field link, which a mark does not need otherwise.
+// mark returns the mark of one host.
 func (t *Tracker) mark(name string) *fleetpb.HostEntry {
 	known := t.host(name)
-	return &fleetpb.HostEntry{Name: name, Leaving: known.leaving, Link: known.incarnation}
+	return &fleetpb.HostEntry{Name: name, Leaving: known.leaving, Incarnation: known.incarnation}
 }
 
 // marksBody returns a message of marks: an offer of version zero, which carries no list.
@@ -126,7 +126,7 @@
 func (t *Tracker) receiveMarks(now time.Time, from string, entries []*fleetpb.HostEntry) {
 	var news, corrections []string
 	for _, entry := range entries {
-		name, incarnation := entry.GetName(), entry.GetLink()
+		name, incarnation := entry.GetName(), entry.GetIncarnation()
 		known := t.host(name)
 		known.noted = now
 		other := incarnation != "" && known.incarnation != "" && incarnation != known.incarnation
--- a/internal/membership/tracker_test.go
+++ b/internal/membership/tracker_test.go
@@ -117,9 +117,9 @@
 	now = now.Add(time.Minute)
 	tracker.Tick(now)
 	told := []*fleetpb.HostEntry{
-		{Name: router(0), Leaving: true, Link: "4"},
-		{Name: "t0000", Leaving: true, Link: "j"},
-		{Name: "t0009", Leaving: true, Link: "a"},
+		{Name: router(0), Leaving: true, Incarnation: "4"},
+		{Name: "t0000", Leaving: true, Incarnation: "j"},
+		{Name: "t0009", Leaving: true, Incarnation: "a"},
 	}
 	tracker.Receive(now, router(1), &fleetpb.Body{Kind: &fleetpb.Body_HostsOffer{
 		HostsOffer: &fleetpb.HostsOffer{Hosts: told},
@@ -127,7 +127,7 @@
 	answers := make(map[string]string)
 	for _, envelope := range tracker.Tick(now) {
 		for _, entry := range envelope.Body.GetHostsOffer().GetHosts() {
-			answers[entry.GetName()] = entry.GetLink()
+			answers[entry.GetName()] = entry.GetIncarnation()
 		}
 	}
 	c.Assert(answers, qt.DeepEquals, map[string]string{router(0): "5", "t0000": "k"})
--- a/internal/node/option.go
+++ b/internal/node/option.go
@@ -23,9 +23,8 @@
 const (
 	// near is the period of the exchange of totals and summaries inside a region.
 	near = 250 * time.Millisecond
-	// DefaultFar is the period between regions. Halving it from 1 s takes a third or more off the fairness gap for a
-	// fifth more bytes between regions.
-	DefaultFar = 500 * time.Millisecond
+	// DefaultFar is the period of totals between regions; summaries go twice as often.
+	DefaultFar = time.Second
 )
 
 // Option changes a parameter of a node.
--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -10,7 +10,7 @@
 	Arguments map[string]string `json:"arguments"`
 	// Key is the caller's idempotency key, empty for idempotent operations. Services need not check it.
 	Key string `json:"key,omitempty"`
-	// Fence is the log offset of the claim, zero if there is none; some services refuse an old one.
+	// Fence is the log offset of the claim plus one, zero if there is none; some services refuse an old one.
 	Fence uint64 `json:"fence,omitempty"`
 }
 
--- a/internal/pool/grant.go
+++ b/internal/pool/grant.go
@@ -126,7 +126,7 @@
 	s.prefixes.put(d.prefix, target)
 	grant := &fleetpb.Grant{Request: d.key.request, Target: target, Number: r.key.grant, Deadline: deadline.UnixMilli()}
 	if slot != nil {
-		grant.Owner, grant.Lender = slot.owner, slot.lender
+		grant.Owner, grant.Lender, grant.Loan = slot.owner, slot.lender, slot.number
 		s.use(slot)
 	}
 	out.grant(d.key.entry, s.name, grant)
--- a/internal/pool/lend.go
+++ b/internal/pool/lend.go
@@ -115,23 +115,17 @@
 	if row == nil {
 		return
 	}
-	var match *loan
-	for _, l := range s.loans {
-		if l.target != ended.GetTarget() || l.left == 0 {
-			continue
-		}
-		if match == nil || l.number == ended.GetGrant() {
-			match = l
-		}
-	}
-	if match == nil {
+	at := slices.IndexFunc(s.loans, func(l *loan) bool {
+		return l.number == ended.GetLoan() && l.target == ended.GetTarget()
+	})
+	if at < 0 {
 		if ended.GetOutcome() != fleetpb.Outcome_OUTCOME_UNUSED {
 			row.removeForeign(now)
 		}
 		return
 	}
-	match.left--
-	row.remove(now, match.granted, kind{})
+	s.loans[at].left--
+	row.remove(now, s.loans[at].granted, kind{})
 	s.loans = slices.DeleteFunc(s.loans, func(l *loan) bool { return l.left == 0 })
 }
 
@@ -156,7 +150,7 @@
 	for _, b := range s.borrowed {
 		for range b.left {
 			out.finish(b.owner, b.lender, &fleetpb.Ended{
-				Grant:   b.number,
+				Loan:    b.number,
 				Outcome: fleetpb.Outcome_OUTCOME_UNUSED,
 				Target:  b.target,
 			})
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -10,12 +10,16 @@
 // earlyParts is the part of a period after which a neighbour is told early that requests have begun to wait.
 const earlyParts = 5
 
+// summaryParts is the number of summaries to another region in one period of the exchange of totals.
+const summaryParts = 2
+
 // due reports whether a neighbour gets a summary: in each period as long as something waits, once after that, and early
 // when requests begin to wait that the neighbour would lend slots to.
 func (s *schedule) due(now time.Time, to neighbour) bool {
 	period, worth := s.near, true
 	if to.far {
-		period, worth = s.far, expectedWait(s.estimated, s.meter.rate) > farWait
+		// The age of summaries decides the fairness gap more than that of totals, and summaries are smaller.
+		period, worth = s.far/summaryParts, expectedWait(s.estimated, s.meter.rate) > farWait
 	}
 	last, waiting := s.told[to.pool], len(s.demands) > 0
 	if waiting && !last.waiting && worth {
--- a/internal/pool/starve_test.go
+++ b/internal/pool/starve_test.go
@@ -32,3 +32,23 @@
 	}
 	qt.Assert(t, granted, qt.IsTrue)
 }
+
+// TestEndOfFormerLoan guards against the end of a run on a slot of a former loan that gives back a slot of a newer one,
+// which would be granted twice.
+func TestEndOfFormerLoan(t *testing.T) {
+	s := newSingle(1, 0)
+	s.Connected(s.now, "borrower", 1)
+	summary := &fleetpb.Summary{Pool: "y/drafts/0", Waiting: 100, Backlog: 100000}
+	s.Receive(s.now, "borrower", &fleetpb.Body{Kind: &fleetpb.Body_Summary{Summary: summary}})
+	_, lends := s.tick(0)
+	qt.Assert(t, lends, qt.HasLen, 1)
+	s.announce(1, 3*slots, nil)
+	for range slots {
+		s.finish(&fleetpb.Ended{Loan: lends[0].GetNumber() + 1, Target: "t0", Outcome: fleetpb.Outcome_OUTCOME_DONE})
+	}
+	grants, _ := s.tick(10 * time.Millisecond)
+	qt.Assert(t, grants, qt.HasLen, 0)
+	s.finish(&fleetpb.Ended{Loan: lends[0].GetNumber(), Target: "t0", Outcome: fleetpb.Outcome_OUTCOME_DONE})
+	grants, _ = s.tick(10 * time.Millisecond)
+	qt.Assert(t, grants, qt.HasLen, 1)
+}
--- a/internal/router/invoke.go
+++ b/internal/router/invoke.go
@@ -152,7 +152,7 @@
 func (v *invocation) judge(verdict claim.Verdict) (*oas.InvokeResponse, *refusal.Error) {
 	switch verdict.Outcome {
 	case claim.Held:
-		v.call.Fence = verdict.Fence
+		v.call.Fence = verdict.Fence + 1 // Offsets count from zero, and a fence of zero means none.
 		return nil, nil
 	case claim.Replay:
 		result := make(oas.InvokeResponseResult)
--- a/internal/settings/field.go
+++ b/internal/settings/field.go
@@ -70,9 +70,9 @@
 	return []Field{
 		period("tick_ms", time.Millisecond, time.Second, "Period of the decision core.",
 			func(s *Settings) *time.Duration { return &s.tick }),
-		period("far_ms", 250*time.Millisecond, 5*time.Second,
-			"Period in which schedulers of different regions exchange service totals and summaries; a shorter one gives a smaller "+
-				"fairness gap and more traffic between regions.",
+		period("far_ms", 500*time.Millisecond, 5*time.Second,
+			"Period in which schedulers of different regions exchange service totals, and twice in it summaries; a shorter one "+
+				"gives a smaller fairness gap and more traffic between regions.",
 			func(s *Settings) *time.Duration { return &s.far }),
 		period("claim_window_ms", time.Second, 365*day,
 			"Age after which an idempotency key is refused; at most half of `log_retention_ms`.",
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -38,7 +38,7 @@
 		log:          netip.AddrPortFrom(loopback, 8090),
 		hosts:        netip.AddrPortFrom(loopback, 8091),
 		tick:         10 * time.Millisecond,
-		far:          500 * time.Millisecond,
+		far:          time.Second,
 		claimWindow:  time.Hour,
 		logRetention: 24 * time.Hour,
 		bodyBytes:    1 << 20,
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -90,7 +90,7 @@
 func TestRoundTrip(t *testing.T) {
 	at := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), port) }
 	changed := settings.Default().WithHost("h").WithPlace("r", "z").WithListen(at(1)).WithOperate(at(2)).WithLink(at(3)).
-		WithLog(at(4)).WithHosts(at(5)).WithOperatorHashes(hash).WithTick(6 * time.Millisecond).WithFar(time.Second).
+		WithLog(at(4)).WithHosts(at(5)).WithOperatorHashes(hash).WithTick(6 * time.Millisecond).WithFar(2 * time.Second).
 		WithClaimWindow(7 * time.Second).WithLogRetention(20 * time.Second).WithDrain(8 * time.Second).WithBodyBytes(9).
 		WithLogLevel(-1).WithSeed(10)
 	data, err := json.Marshal(changed)
@@ -98,7 +98,7 @@
 	read, err := settings.Parse(data)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, fmt.Sprintf("%+v", read), qt.Equals, fmt.Sprintf("%+v", changed))
-	qt.Assert(t, string(data), qt.Equals, `{"body_bytes":9,"claim_window_ms":7000,"drain_ms":8000,"host":"h",`+
+	qt.Assert(t, string(data), qt.Equals, `{"body_bytes":9,"claim_window_ms":7000,"drain_ms":8000,"far_ms":2000,"host":"h",`+
 		`"hosts":"10.0.0.1:5","link":"10.0.0.1:3","listen":"10.0.0.1:1","log":"10.0.0.1:4","log_level":"trace",`+
 		`"log_retention_ms":20000,"operate":"10.0.0.1:2","operator_hashes":["`+hash+`"],"region":"r","seed":10,`+
 		`"tick_ms":6,"zone":"z"}`)
