Wait for stored answers before a router shuts down

Cause: a router that drains while the log is slow could end with an answer that is not stored; its caller's repeat would get "unknown" although the booking ran and was answered. Ruled out: waiting without a limit (the log can be down for hours). Conclusion: at most 10 s beyond the last open call.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -28,6 +28,9 @@
 // headerLimit bounds the time in which a caller sends the headers of a request.
 const headerLimit = 10 * time.Second
 
+// claimsLimit bounds the wait for stored answers when the router shuts down.
+const claimsLimit = 10 * time.Second
+
 // errStopped is returned to calls that are open when the process stops.
 var errStopped = errors.New("the router has stopped")
 
@@ -182,6 +185,7 @@
 		defer cancel()
 	}
 	r.awaitIdle(ctx)
+	r.awaitClaims(ctx)
 	if err := server.Shutdown(ctx); err != nil {
 		event.DrainCut.Log(r.logger, r.open.Load())
 		return
@@ -189,6 +193,22 @@
 	event.Drained.Log(r.logger, time.Since(began).Milliseconds())
 }
 
+// awaitClaims waits until the answers of keyed calls are stored, so that their callers can ask for them again elsewhere.
+// While the log is down it gives up after claimsLimit.
+func (r *Router) awaitClaims(ctx context.Context) {
+	limited, cancel := context.WithDeadline(ctx, time.Now().Add(claimsLimit))
+	defer cancel()
+	for {
+		left := 0
+		if err := r.do(limited, func(time.Time) { left = r.node.Holder().Claims() }); err != nil || left == 0 {
+			return
+		}
+		if !pause(limited, idlePeriod) {
+			return
+		}
+	}
+}
+
 // awaitIdle waits until no call is open. Calls keep their connections until their last byte is written, so the server
 // is only shut down after that; it would stop accepting resumptions of streams that still run here.
 func (r *Router) awaitIdle(ctx context.Context) {
