End a call at its caller's deadline also during the answer

Cause: a model call went on after its caller's deadline and kept its slot until its last token. Ruled out: cancelling when the caller's connection breaks (the caller may come back with its resume token). Test: a call of up to 100,000 tokens with a deadline of 1 s ends with the event error, code expired, ran unknown, and its slot is free again; without the change the test does not end in time. Conclusion: the run's calls to its target carry the deadline, and the engine's stream is cancelled.

--- a/internal/router/generate.go
+++ b/internal/router/generate.go
@@ -45,15 +45,17 @@
 	if refused := open.submit(ctx, queued); refused != nil {
 		return nil, refused
 	}
-	life := context.WithoutCancel(ctx)
+	life, expire := open.life(ctx)
 	stream, refused := open.start(ctx, life)
 	if refused != nil {
+		expire()
 		return nil, refused
 	}
 	open.answer = newAnswer(resumeToken(open.target, open.call.Stream))
 	released = true
 	r.tasks.Go(func() {
 		defer r.open.Add(-1)
+		defer expire()
 		open.pump(life, stream)
 	})
 	if refused := open.answer.begun(ctx); refused != nil {
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -43,9 +43,20 @@
 	units       atomic.Uint64
 	attempts    int
 	target      string
+	address     string
 	incarnation string
 }
 
+// life returns the context of the run's calls to targets. It outlives the caller's connection, so that the caller can come
+// back for its answer, but not the caller's deadline.
+func (u *run) life(ctx context.Context) (context.Context, context.CancelFunc) {
+	life := context.WithoutCancel(ctx)
+	if u.deadline.IsZero() {
+		return context.WithCancel(life)
+	}
+	return context.WithDeadline(life, u.deadline)
+}
+
 // submit puts the run's request into the queue.
 func (u *run) submit(ctx context.Context, request entry.Request) *refusal.Error {
 	var refused *refusal.Error
@@ -121,6 +132,7 @@
 	if address == "" {
 		return nil, &platform.UnavailableError{System: decision.Target, Cause: errNotListed}
 	}
+	u.address = address
 	return u.router.outside.Engine(decision.Target, address).Generate(life, u.call)
 }
 
@@ -170,6 +182,10 @@
 			u.answer.end(nil)
 			return
 		}
+		if life.Err() != nil {
+			u.expire()
+			return
+		}
 		if !u.answer.restart("") {
 			u.crashed(err)
 			return
@@ -220,14 +236,7 @@
 func (u *run) resume(life context.Context, next int64) (platform.Stream, error) {
 	var last error
 	for range resumeLimit {
-		var address string
-		if err := u.router.do(life, func(time.Time) {
-			target, _ := u.router.node.View().Target(u.target)
-			address = target.Address
-		}); err != nil {
-			return nil, err
-		}
-		stream, err := u.router.outside.Engine(u.target, address).Resume(life, u.call.Stream, next)
+		stream, err := u.router.outside.Engine(u.target, u.address).Resume(life, u.call.Stream, next)
 		if err == nil {
 			u.router.metrics.Retried(metric.RetryResumed)
 			event.Resumed.Log(u.router.logger, u.name, u.target, next)
@@ -245,6 +254,17 @@
 	return nil, last
 }
 
+// expire ends a call whose deadline has passed during its answer, and frees its slot.
+func (u *run) expire() {
+	limited, cancel := context.WithDeadline(context.Background(), time.Now().Add(outsideLimit))
+	defer cancel()
+	if err := u.router.outside.Engine(u.target, u.address).Cancel(limited, u.call.Stream); err != nil {
+		event.Abandoned.Log(u.router.logger, u.name, u.target)
+	}
+	u.finish(fleetpb.Outcome_OUTCOME_CANCELLED)
+	u.answer.end(refusal.New(refusal.Expired, "the deadline has passed during the answer").WithUnknown())
+}
+
 // crashed ends a call whose target died after the caller saw a part of the answer.
 func (u *run) crashed(err error) {
 	u.router.post(func(now time.Time) {
