Bound the wait for bookings in the whole path tests

In a trial on a scratch copy a router that never expires waiting calls held up the test without end, because the wait for the outcomes of bookings had no limit. They now end after 60 s, twice the router's own deadline. The trial also showed that TestSchedulerKilled still passes if a successor ignores load reports and the runs of a Sync: the answers that last beyond the handover do not show this fault, and the cause was not found.

--- a/internal/wholepath/booking_test.go
+++ b/internal/wholepath/booking_test.go
@@ -42,14 +42,17 @@
 	for _, through := range routers {
 		clients[through] = through.client(alpha)
 	}
+	// A router answers at the latest some time after its own deadline of 30 s for calls that name none.
+	ctx, cancel := context.WithTimeout(f.t.Context(), 2*waitLimit)
 	for i := range outcomes {
 		group.Go(func() {
 			made := &outcomes[i]
-			made.result, made.err = book(f.t.Context(), clients[made.router], made.key, deadline)
+			made.result, made.err = book(ctx, clients[made.router], made.key, deadline)
 		})
 	}
 	return func() []booking {
 		group.Wait()
+		cancel()
 		return outcomes
 	}
 }
