Soak the decision cores with new random schedules

No seed in the tests had to change: flags are set before the command line is read, or only where they have their defaults, so a seed given by flag wins.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 OGEN = go tool -modfile=tools/ogen/go.mod ogen
 BUF  = go tool -modfile=tools/proto/go.mod buf
 
-.PHONY: build demo test format lint generate generated vet unit slopes
+.PHONY: build demo test format lint generate generated vet unit slopes soak
 
 build:
 	go build -o bin/ . ./cmd/...
@@ -28,6 +28,11 @@
 unit:
 	go test -race -count=1 ./...
 
+# soak repeats the random schedules of the decision cores with new seeds: make soak SOAK=30m.
+SOAK = 5m
+soak:
+	scripts/soak.sh $(SOAK)
+
 # slopes measures what routers cost at several sizes, in about six minutes.
 slopes: build
 	bin/slope
