Log what the tick loop sees of the fleet, and answer a call that panics

The catalogue listed events that no code logged, so operators waited for lines that never came. The tick loop now logs peers that go up, down or leave, pools that this router begins or ceases to schedule, and targets that are added, leave or are gone. Log readers report records that expired before they were read, once for each gap; a reader at offset 0 is no gap. A quarantined request is logged also when it is refused on arrival, and each crash logs its suspect. The other unused events and the retry reason "unsettled" are removed; their numbers stay unused.

net/http recovered a panic of a handler by closing the connection, without a log line or a count, and a panic in an action of the tick loop or in the goroutine that reads a stream ended the process. Such a call is now answered with internal, ran unknown. If its answer has begun, an event stream gets an error event and any other connection is broken.

TestUsed parses the source for each event, retry reason and refusal code. It failed with an added event and with the former retry reason. TestPanic failed without recoverCall (EOF) and without recoverStream (the process ended), TestLoopPanic without the recovery in the loop, TestViewEvents without logView. A first form of TestViewEvents stopped a router without open calls and waited for peer_leaving; it failed once in two runs, since such a router can exit before its last heartbeat is sent. The test now uses the leaving mark of the host list; the exit is not changed here. Not tested: log_expired. Not done: a call that panics in its handler holds its slot until its deadline.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -24,15 +24,8 @@
 	TickLate = Event{110, warning, "tick_late", []string{"late_ms"}}
 )
 
-// Events of the configuration.
-var (
-	ConfigApplied  = Event{201, info, "config_applied", []string{"version", "change", "author"}}
-	ConfigRejected = Event{202, warning, "config_rejected", []string{"change", "author", "reason"}}
-	ConfigTaken    = Event{203, info, "config_taken", []string{"version", "peer"}}
-	ConfigStale    = Event{204, warning, "config_stale", []string{"age_ms"}}
-	ConfigFresh    = Event{205, info, "config_fresh", []string{"version"}}
-	ConfigSnapshot = Event{206, info, "config_snapshot", []string{"version", "offset"}}
-)
+// ConfigApplied is the event of the configuration.
+var ConfigApplied = Event{201, info, "config_applied", []string{"version", "change", "author"}}
 
 // Events of the log service and of the host list.
 var (
@@ -43,16 +36,14 @@
 	HostsDown    = Event{305, warning, "hosts_down", []string{"error"}}
 	HostsUp      = Event{306, info, "hosts_up", []string{"version"}}
 	HostsChanged = Event{307, info, "hosts_changed", []string{"version", "hosts"}}
-	RecordBroken = Event{308, failure, "record_broken", []string{"stream", "offset", "error"}}
 )
 
 // Events of the other routers.
 var (
 	LinkUp      = Event{401, info, "link_up", []string{"peer"}}
-	LinkDown    = Event{402, info, "link_down", []string{"peer", "error"}}
-	LinkRefused = Event{403, warning, "link_refused", []string{"peer", "reason"}}
+	LinkDown    = Event{402, info, "link_down", []string{"peer"}}
 	PeerUp      = Event{404, info, "peer_up", []string{"peer"}}
-	PeerDown    = Event{405, warning, "peer_down", []string{"peer", "silent_ms"}}
+	PeerDown    = Event{405, warning, "peer_down", []string{"peer"}}
 	PeerLeaving = Event{406, info, "peer_leaving", []string{"peer"}}
 	RoleGained  = Event{407, info, "role_gained", []string{"role"}}
 	RoleLost    = Event{408, info, "role_lost", []string{"role", "holder"}}
@@ -62,25 +53,22 @@
 
 // Events of the targets.
 var (
-	TargetAdded       = Event{501, info, "target_added", []string{"target", "pool"}}
-	TargetLeaving     = Event{502, info, "target_leaving", []string{"target"}}
-	TargetGone        = Event{503, info, "target_gone", []string{"target"}}
-	TargetCrashed     = Event{504, warning, "target_crashed", []string{"target", "error"}}
-	TargetUnreachable = Event{505, warning, "target_unreachable", []string{"target", "error"}}
-	TargetBack        = Event{506, info, "target_back", []string{"target"}}
+	TargetAdded   = Event{501, info, "target_added", []string{"target", "pool"}}
+	TargetLeaving = Event{502, info, "target_leaving", []string{"target"}}
+	TargetGone    = Event{503, info, "target_gone", []string{"target"}}
+	TargetCrashed = Event{504, warning, "target_crashed", []string{"target", "error"}}
 )
 
 // Events of requests.
 var (
-	Refused   = Event{601, debug, "refused", []string{"code", "customer", "message"}}
-	Retried   = Event{602, debug, "retried", []string{"reason", "customer", "target"}}
-	Resumed   = Event{603, debug, "resumed", []string{"customer", "target", "index"}}
-	Abandoned = Event{604, debug, "abandoned", []string{"customer", "target"}}
+	Refused = Event{601, debug, "refused", []string{"code", "customer", "message"}}
+	Retried = Event{602, debug, "retried", []string{"reason", "customer", "target"}}
+	Resumed = Event{603, debug, "resumed", []string{"customer", "target", "index"}}
 )
 
 // Events of at-most-once claims.
 var (
-	ClaimLost    = Event{701, info, "claim_lost", []string{"claim", "holder"}}
+	ClaimLost    = Event{701, info, "claim_lost", []string{"claim"}}
 	ClaimUnknown = Event{702, warning, "claim_unknown", []string{"claim", "reason"}}
 )
 
@@ -94,11 +82,11 @@
 func All() []Event {
 	return []Event{
 		Started, Ready, NotReady, Draining, Drained, DrainCut, Stopped, Failed, Panicked, TickLate,
-		ConfigApplied, ConfigRejected, ConfigTaken, ConfigStale, ConfigFresh, ConfigSnapshot,
-		LogDown, LogUp, LogExpired, LogUnsettled, HostsDown, HostsUp, HostsChanged, RecordBroken,
-		LinkUp, LinkDown, LinkRefused, PeerUp, PeerDown, PeerLeaving, RoleGained, RoleLost, Isolated, Rejoined,
-		TargetAdded, TargetLeaving, TargetGone, TargetCrashed, TargetUnreachable, TargetBack,
-		Refused, Retried, Resumed, Abandoned,
+		ConfigApplied,
+		LogDown, LogUp, LogExpired, LogUnsettled, HostsDown, HostsUp, HostsChanged,
+		LinkUp, LinkDown, PeerUp, PeerDown, PeerLeaving, RoleGained, RoleLost, Isolated, Rejoined,
+		TargetAdded, TargetLeaving, TargetGone, TargetCrashed,
+		Refused, Retried, Resumed,
 		ClaimLost, ClaimUnknown,
 		SuspectFound, SuspectRefused,
 	}
--- a/internal/metric/retry.go
+++ b/internal/metric/retry.go
@@ -15,11 +15,9 @@
 	RetryLate Retry = "late"
 	// RetryResumed is a stream that was attached to again at the next missing token.
 	RetryResumed Retry = "resumed"
-	// RetryUnsettled is an append to the log that was settled by reading and then sent again.
-	RetryUnsettled Retry = "unsettled"
 )
 
 // Retries returns all reasons of retries.
 func Retries() []Retry {
-	return []Retry{RetryCrashed, RetryRejected, RetryUnreachable, RetryLate, RetryResumed, RetryUnsettled}
+	return []Retry{RetryCrashed, RetryRejected, RetryUnreachable, RetryLate, RetryResumed}
 }
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -50,6 +50,10 @@
 	stops   []func()
 	logURL  string
 	hostURL string
+	// events is the log of all routers.
+	events journal
+	// wrap changes the adapters of the routers that are added after it was set.
+	wrap func(router.Outside) router.Outside
 }
 
 // newFleet starts the outside systems: engines e1 and e2 of model m in zones a and b, and replica s1 of service shop.
@@ -94,7 +98,11 @@
 		name, zone, f.logURL, f.hostURL, hex.EncodeToString(sum[:]))
 	parsed, err := settings.Parse([]byte(data))
 	qt.Assert(f.t, err, qt.IsNil)
-	process := router.New(parsed, router.NewOutside(parsed), zerolog.Nop())
+	outside := router.NewOutside(parsed)
+	if f.wrap != nil {
+		outside = f.wrap(outside)
+	}
+	process := router.New(parsed, outside, zerolog.New(&f.events).With().Str("at", name).Logger())
 	addresses, err := process.Listen(f.t.Context())
 	qt.Assert(f.t, err, qt.IsNil)
 	f.hosts.Put(platform.Host{
@@ -202,21 +210,21 @@
 	}
 }
 
-// event is one server-sent event.
-type event struct {
+// streamed is one server-sent event.
+type streamed struct {
 	name string
 	data string
 }
 
 // readEvents reads an event stream to its end.
-func readEvents(t *testing.T, body io.Reader) []event {
+func readEvents(t *testing.T, body io.Reader) []streamed {
 	t.Helper()
-	var events []event
+	var events []streamed
 	scanner := bufio.NewScanner(body)
 	for scanner.Scan() {
 		line := scanner.Text()
 		if name, ok := strings.CutPrefix(line, "event: "); ok {
-			events = append(events, event{name: name})
+			events = append(events, streamed{name: name})
 		}
 		if data, ok := strings.CutPrefix(line, "data: "); ok {
 			events[len(events)-1].data = data
@@ -226,7 +234,7 @@
 }
 
 // wantWhole checks that events are the whole answer, from its first token on.
-func wantWhole(t *testing.T, events []event, want transcript.Transcript) {
+func wantWhole(t *testing.T, events []streamed, want transcript.Transcript) {
 	t.Helper()
 	qt.Assert(t, events, qt.HasLen, int(want.Length())+2)
 	qt.Assert(t, events[0].name, qt.Equals, "start")
@@ -238,7 +246,7 @@
 		text.WriteString(token.Text)
 	}
 	qt.Assert(t, text.String(), qt.Equals, want.Text())
-	last := event{name: "end", data: fmt.Sprintf(`{"tokens":%d}`, want.Length())}
+	last := streamed{name: "end", data: fmt.Sprintf(`{"tokens":%d}`, want.Length())}
 	qt.Assert(t, events[len(events)-1], qt.Equals, last)
 }
 
--- a/internal/router/flushwriter.go
+++ b/internal/router/flushwriter.go
@@ -7,6 +7,7 @@
 type flushWriter struct {
 	http.ResponseWriter
 	controller *http.ResponseController
+	started    bool
 }
 
 // newFlushWriter wraps a response writer.
@@ -14,8 +15,15 @@
 	return &flushWriter{ResponseWriter: w, controller: http.NewResponseController(w)}
 }
 
+// WriteHeader notes that the answer has begun.
+func (w *flushWriter) WriteHeader(status int) {
+	w.started = true
+	w.ResponseWriter.WriteHeader(status)
+}
+
 // Write writes and flushes.
 func (w *flushWriter) Write(p []byte) (int, error) {
+	w.started = true
 	n, err := w.ResponseWriter.Write(p)
 	if err != nil {
 		return n, err
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -80,6 +80,7 @@
 // followStream reads a log stream and hands its records to the node.
 func (r *Router) followStream(ctx context.Context, stream string) {
 	down, caughtUp := false, false
+	var lost uint64
 	for {
 		from, wanted, err := r.position(ctx, stream)
 		if err != nil || !wanted {
@@ -111,6 +112,11 @@
 			event.LogUp.Log(r.logger, stream, page.End)
 		}
 		down = false
+		// A new reader starts at offset 0, where old records have usually expired.
+		if from > 0 && page.First > from && page.First > lost {
+			event.LogExpired.Log(r.logger, stream, from, page.First)
+			lost = page.First
+		}
 		caughtUp = caughtUp || len(page.Records) == 0 || page.Records[len(page.Records)-1].Offset+1 == page.End
 		r.post(func(now time.Time) { r.node.Page(now, stream, page) })
 	}
--- a/internal/router/generate.go
+++ b/internal/router/generate.go
@@ -10,6 +10,7 @@
 
 	"github.com/chicorydale/chicorydale/internal/config"
 	"github.com/chicorydale/chicorydale/internal/entry"
+	"github.com/chicorydale/chicorydale/internal/fleetpb"
 	"github.com/chicorydale/chicorydale/internal/oas"
 	"github.com/chicorydale/chicorydale/internal/platform"
 	"github.com/chicorydale/chicorydale/internal/refusal"
@@ -54,6 +55,7 @@
 	released = true
 	r.tasks.Go(func() {
 		defer r.open.Add(-1)
+		defer r.recoverStream(open.answer, func() { open.finish(fleetpb.Outcome_OUTCOME_CANCELLED) })
 		open.pump(life, stream)
 	})
 	if refused := open.answer.begun(ctx); refused != nil {
@@ -152,6 +154,7 @@
 	r.open.Add(1)
 	r.tasks.Go(func() {
 		defer r.open.Add(-1)
+		defer r.recoverStream(copied, func() {})
 		copyStream(attached, copied, from)
 	})
 	return &oas.ResumeOKHeaders{
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -23,7 +23,9 @@
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		request.Body = http.MaxBytesReader(w, request.Body, r.settings.BodyBytes())
-		server.ServeHTTP(newFlushWriter(w), request)
+		writer := newFlushWriter(w)
+		defer r.recoverCall(writer, request)
+		server.ServeHTTP(writer, request)
 	}), nil
 }
 
--- a/internal/router/invoke.go
+++ b/internal/router/invoke.go
@@ -163,7 +163,7 @@
 	case claim.Unknown:
 		event.ClaimUnknown.Log(v.router.logger, v.claim, "another claim holds the key")
 	case claim.Busy:
-		event.ClaimLost.Log(v.router.logger, v.claim, "")
+		event.ClaimLost.Log(v.router.logger, v.claim)
 	default:
 	}
 	return nil, verdict.Refusal()
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -21,16 +21,24 @@
 	lateTick = time.Second
 )
 
-// do runs an action in the tick loop and waits for it.
+// do runs an action in the tick loop and waits for it. If the action panics, the panic goes on in the caller, so that a
+// fault in one call does not end the loop.
 func (r *Router) do(ctx context.Context, action func(now time.Time)) error {
-	done := make(chan struct{})
+	done := make(chan *panicked, 1)
 	wrapped := func(now time.Time) {
+		defer close(done)
+		defer func() {
+			if value := recover(); value != nil {
+				done <- asPanicked(value)
+			}
+		}()
 		action(now)
-		close(done)
 	}
 	select {
 	case r.actions <- wrapped:
-		<-done
+		if failure := <-done; failure != nil {
+			panic(failure)
+		}
 		return nil
 	case <-r.stopped:
 		return errStopped
--- a/internal/router/operate.go
+++ b/internal/router/operate.go
@@ -57,6 +57,7 @@
 		r.logConfig(version)
 		r.version = version
 	}
+	r.logView(r.node.View())
 	r.metrics.Update(metric.Ready, number(ready))
 	r.metrics.Update(metric.Isolated, number(isolated))
 	r.metrics.Update(metric.ConfigVersion, float64(r.version))
--- /dev/null
+++ b/internal/router/panic_test.go
@@ -0,0 +1,86 @@
+package router_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chicorydale/chicorydale/internal/event"
+	"github.com/chicorydale/chicorydale/internal/platform"
+	"github.com/chicorydale/chicorydale/internal/refusal"
+	"github.com/chicorydale/chicorydale/internal/router"
+)
+
+// faultyService panics in each call.
+type faultyService struct{ platform.Service }
+
+// Invoke panics.
+func (faultyService) Invoke(context.Context, platform.Invocation) (map[string]string, error) {
+	panic("invoke")
+}
+
+// faultyEngine returns streams that panic after the first token.
+type faultyEngine struct{ platform.Engine }
+
+// Generate starts the call.
+func (e faultyEngine) Generate(ctx context.Context, call platform.Call) (platform.Stream, error) {
+	stream, err := e.Engine.Generate(ctx, call)
+	return &faultyStream{Stream: stream}, err
+}
+
+// faultyStream panics at its second token.
+type faultyStream struct {
+	platform.Stream
+	read bool
+}
+
+// Next returns the first token.
+func (s *faultyStream) Next() (platform.Token, error) {
+	if s.read {
+		panic("next")
+	}
+	s.read = true
+	return s.Stream.Next()
+}
+
+// TestPanic guards against a fault of one call that ends the process, that is not logged and counted, or whose caller
+// is told that nothing ran.
+func TestPanic(t *testing.T) {
+	f := newFleet(t)
+	f.wrap = func(outside router.Outside) router.Outside {
+		engine, service := outside.Engine, outside.Service
+		outside.Engine = func(name, address string) platform.Engine { return faultyEngine{engine(name, address)} }
+		outside.Service = func(name, address string) platform.Service { return faultyService{service(name, address)} }
+		return outside
+	}
+	f.addRouter("r1", "a")
+	f.addRouter("r2", "b")
+	f.ready(0)
+	f.ready(1)
+	f.configure()
+	before := f.refusals(1, refusal.Internal)
+	status, answer := f.do(http.MethodPost, f.urls[1]+"/v1/services/shop/stock", customerKey, map[string]any{}, nil)
+	qt.Assert(t, status, qt.Equals, http.StatusInternalServerError, qt.Commentf("%s", answer))
+	qt.Assert(t, strings.Contains(string(answer), `"code":"internal"`), qt.IsTrue, qt.Commentf("%s", answer))
+	qt.Assert(t, strings.Contains(string(answer), `"ran":"unknown"`), qt.IsTrue, qt.Commentf("%s", answer))
+	qt.Assert(t, f.refusals(1, refusal.Internal), qt.Equals, before+1)
+	qt.Assert(t, f.events.has("r2", event.Panicked, "invoke"), qt.IsTrue)
+	response := f.open(http.MethodPost, f.urls[1]+"/v1/models/m/generate", customerKey,
+		map[string]any{"class": "quick", "prompt": "leaf", "max_tokens": 5}, nil)
+	streamed, err := io.ReadAll(response.Body)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, response.Body.Close(), qt.IsNil)
+	qt.Assert(t, strings.Contains(string(streamed), `"code":"internal"`), qt.IsTrue, qt.Commentf("%s", streamed))
+	qt.Assert(t, f.refusals(1, refusal.Internal), qt.Equals, before+2)
+	qt.Assert(t, f.events.has("r2", event.Panicked, "next"), qt.IsTrue)
+	f.ready(1)
+}
+
+// TestLoopPanic guards against a fault in an action of the tick loop that ends the process, or leaves its caller waiting.
+func TestLoopPanic(t *testing.T) {
+	qt.Assert(t, router.PanicInLoop(t.Context()), qt.Equals, "action")
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -60,6 +60,7 @@
 	ready    bool
 	isolated bool
 	version  uint64
+	seen     membership.View
 }
 
 // New returns the router of the settings with the given adapters.
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -52,7 +52,7 @@
 	err := u.router.do(ctx, func(now time.Time) {
 		verdict := u.router.node.Suspects().Verdict(now, u.fingerprint)
 		if verdict == suspect.Quarantined {
-			refused = refusal.New(refusal.Quarantined, "the request has crashed two targets").WithUnknown()
+			refused = u.quarantined()
 			return
 		}
 		request.Apart = verdict == suspect.Apart
@@ -136,8 +136,7 @@
 	verdict := suspect.Clear
 	doErr := u.router.do(context.Background(), func(now time.Time) {
 		if crashed {
-			event.TargetCrashed.Log(u.router.logger, u.target, err)
-			u.router.node.Suspects().Crashed(now, u.target, u.crash(now), []uint64{u.fingerprint})
+			u.suspect(now, err)
 		}
 		verdict = u.router.node.Suspects().Verdict(now, u.fingerprint)
 		if verdict != suspect.Quarantined && u.attempts < runLimit {
@@ -148,9 +147,8 @@
 	case doErr != nil:
 		return refusal.New(refusal.ShuttingDown, doErr.Error()).WithUnknown()
 	case verdict == suspect.Quarantined:
-		event.SuspectRefused.Log(u.router.logger, u.fingerprint, u.name)
 		u.finish(outcome)
-		return refusal.New(refusal.Quarantined, "the request has crashed two targets").WithUnknown()
+		return u.quarantined()
 	case u.attempts >= runLimit:
 		u.finish(outcome)
 		refused := refusal.Newf(refusal.TargetFailed, "%d targets failed, the last with: %v", u.attempts, err)
@@ -247,15 +245,25 @@
 
 // crashed ends a call whose target died after the caller saw a part of the answer.
 func (u *run) crashed(err error) {
-	u.router.post(func(now time.Time) {
-		event.TargetCrashed.Log(u.router.logger, u.target, err)
-		u.router.node.Suspects().Crashed(now, u.target, u.crash(now), []uint64{u.fingerprint})
-	})
+	u.router.post(func(now time.Time) { u.suspect(now, err) })
 	u.finish(fleetpb.Outcome_OUTCOME_CRASHED)
 	refused := refusal.Newf(refusal.TargetFailed, "the target failed during the answer: %v", err)
 	u.answer.end(refused.WithUnknown().WithRetry(time.Now().Add(time.Second)))
 }
 
+// suspect notes a crash of the run's target; it runs in the tick loop.
+func (u *run) suspect(now time.Time, err error) {
+	event.TargetCrashed.Log(u.router.logger, u.target, err)
+	event.SuspectFound.Log(u.router.logger, u.fingerprint, u.name, u.target)
+	u.router.node.Suspects().Crashed(now, u.target, u.crash(now), []uint64{u.fingerprint})
+}
+
+// quarantined returns the refusal of a request that has crashed two targets.
+func (u *run) quarantined() *refusal.Error {
+	event.SuspectRefused.Log(u.router.logger, u.fingerprint, u.name)
+	return refusal.New(refusal.Quarantined, "the request has crashed two targets").WithUnknown()
+}
+
 // crash returns the id of a crash of the run's target, the same for all routers. A target that does not tell its
 // incarnation is taken to crash at most once in crashSpan.
 func (u *run) crash(now time.Time) string {
