--- a/internal/cmd/change.go
+++ b/internal/cmd/change.go
@@ -3,14 +3,11 @@
 import (
 	"encoding/json"
 	"errors"
-	"maps"
-	"regexp"
 	"slices"
 	"strconv"
 	"strings"
 
-	"github.com/ogen-go/ogen/validate"
-
+	"github.com/chicorydale/chicorydale/internal/config"
 	"github.com/chicorydale/chicorydale/internal/fault"
 	"github.com/chicorydale/chicorydale/internal/oas"
 )
@@ -21,171 +18,132 @@
 	"delete_templates", "delete_customers", "delete_services",
 }
 
-var (
-	hashPattern    = regexp.MustCompile(`^[0-9a-f]{64}$`)
-	fieldPattern   = regexp.MustCompile(`decode field "([^"]*)"`)
-	unknownPattern = regexp.MustCompile(`unexpected field "([^"]*)"`)
-)
+// required maps lists to the field that each element must have although the rules allow it to be empty.
+var required = map[string]string{"put_templates": "classes", "put_services": "operations"}
 
-// parseChange reads a change strictly. An error is a *fault.Error with the faults that can be seen without a router.
+// parseChange reads a change by the rules of the routers. An error is a *fault.Error with the faults that can be seen
+// without a router.
 func parseChange(data []byte) (*oas.Change, error) {
 	members, wrong := fault.Split(data)
 	if wrong != nil {
 		return nil, fault.Join([]fault.Fault{*wrong})
 	}
-	faults := fault.Repeated("", data)
-	rest := make(map[string]json.RawMessage)
-	lists := make(map[string][]string)
-	for _, member := range members {
-		var names []string
-		var found []fault.Fault
-		switch member.Name {
-		case "put_templates":
-			names, found = elements[oas.Template](member)
-		case "put_customers":
-			names, found = elements[oas.Customer](member)
-		case "put_services":
-			names, found = elements[oas.Service](member)
-		case "delete_templates", "delete_customers", "delete_services":
-			if json.Unmarshal(member.Value, &names) != nil {
-				found = []fault.Fault{fault.New(member.Name, "must be a list of names, not %s", fault.Brief(member.Value))}
-			}
-		default:
-			rest[member.Name] = member.Value
-		}
-		lists[member.Name] = names
+	faults := append(fault.Repeated("", data), missing(members)...)
+	if found, decoded := ruleFaults(data); decoded {
 		faults = append(faults, found...)
+	} else {
+		faults = append(faults, pieceFaults(members)...)
 	}
-	faults = append(faults, headFaults(rest)...)
-	faults = append(faults, nameFaults(members, lists)...)
 	if len(faults) > 0 {
-		return nil, fault.Join(faults)
+		return nil, fault.Join(distinct(faults))
 	}
 	change := &oas.Change{}
 	if err := change.UnmarshalJSON(data); err != nil {
-		return nil, fault.Join(apiFaults("", err))
-	}
-	return change, fault.Join(append(apiFaults("", change.Validate()), hashFaults(change)...))
-}
-
-// entity is an element of a change that the interface's generated code reads and checks.
-type entity[T any] interface {
-	*T
-	json.Unmarshaler
-	GetName() string
-	Validate() error
-}
-
-// elements reads a list of elements and returns their names and faults.
-func elements[T any, P entity[T]](member fault.Member) ([]string, []fault.Fault) {
-	var values []json.RawMessage
-	if json.Unmarshal(member.Value, &values) != nil {
-		return nil, []fault.Fault{fault.New(member.Name, "must be a list, not %s", fault.Brief(member.Value))}
+		return nil, fault.Join([]fault.Fault{fault.New("", "%v", err)})
 	}
-	var faults []fault.Fault
-	names := make([]string, 0, len(values))
-	for i, value := range values {
-		path := member.Name + "[" + strconv.Itoa(i) + "]"
-		element := P(new(T))
-		err := element.UnmarshalJSON(value)
-		if err == nil {
-			err = element.Validate()
-		}
-		faults = append(faults, apiFaults(path, err)...)
-		names = append(names, element.GetName())
-	}
-	return names, faults
+	return change, nil
 }
 
-// headFaults returns the faults of the fields that are no lists.
-func headFaults(rest map[string]json.RawMessage) []fault.Fault {
+// missing returns the faults of required fields that are not given; the rules cannot tell them from zero.
+func missing(members []fault.Member) []fault.Fault {
 	var faults []fault.Fault
 	for _, name := range []string{"id", "base"} {
-		if _, found := rest[name]; !found {
+		if !slices.ContainsFunc(members, func(m fault.Member) bool { return m.Name == name }) {
 			faults = append(faults, fault.New(name, "is missing"))
 		}
 	}
-	// Each field is read beside valid ones, so that a fault of one does not hide those of another.
-	for _, name := range slices.Sorted(maps.Keys(rest)) {
-		head := map[string]json.RawMessage{"id": json.RawMessage(`"id"`), "base": json.RawMessage(`0`)}
-		head[name] = rest[name]
-		text, err := json.Marshal(head)
-		change := oas.Change{}
-		if err == nil {
-			err = change.UnmarshalJSON(text)
+	for _, member := range members {
+		var elements []map[string]json.RawMessage
+		name, listed := required[member.Name]
+		if !listed || json.Unmarshal(member.Value, &elements) != nil {
+			continue
 		}
-		if err == nil {
-			err = change.Validate()
+		for i, element := range elements {
+			if _, found := element[name]; !found {
+				path := member.Name + "[" + strconv.Itoa(i) + "]." + name
+				faults = append(faults, fault.New(path, "is missing"))
+			}
 		}
-		faults = append(faults, apiFaults("", err)...)
 	}
 	return faults
 }
 
-// nameFaults returns the faults of names that a change has twice.
-func nameFaults(members []fault.Member, lists map[string][]string) []fault.Fault {
-	var faults []fault.Fault
-	for _, member := range members {
-		names := lists[member.Name]
-		for i, name := range names {
-			path := member.Name + "[" + strconv.Itoa(i) + "]"
-			if name != "" && slices.Contains(names[:i], name) {
-				faults = append(faults, fault.New(path, "has the name %q of an earlier element", name))
-			}
-			kind, deletes := strings.CutPrefix(member.Name, "delete_")
-			if deletes && slices.Contains(lists["put_"+kind], name) {
-				faults = append(faults, fault.New(path, "deletes %q, which the same change puts", name))
-			}
+// ruleFaults returns the faults that the routers would find, and whether the change could be decoded.
+func ruleFaults(data []byte) (faults []fault.Fault, decoded bool) {
+	change, err := config.DecodeChange(data)
+	decoded = err == nil
+	if decoded {
+		base := assumed(change)
+		change.Base = base.Version()
+		_, err = base.WithChange(change)
+	}
+	var invalid *config.InvalidError
+	if errors.As(err, &invalid) {
+		for _, found := range invalid.Faults {
+			faults = append(faults, fault.New(found.Path, "%s", found.Message))
 		}
 	}
-	return faults
+	return faults, decoded
+}
+
+// assumed returns the smallest state that has all to which a change refers.
+func assumed(change config.Change) config.State {
+	var state config.State
+	for _, customer := range change.PutCustomers {
+		state = state.WithTemplate(config.Template{Name: customer.Template})
+	}
+	for _, name := range change.DeleteTemplates {
+		state = state.WithTemplate(config.Template{Name: name})
+	}
+	for _, name := range change.DeleteCustomers {
+		state = state.WithCustomer(config.Customer{Name: name})
+	}
+	for _, name := range change.DeleteServices {
+		state = state.WithService(config.Service{Name: name})
+	}
+	return state
 }
 
-// hashFaults returns the faults of the customers' key hashes.
-func hashFaults(change *oas.Change) []fault.Fault {
+// pieceFaults returns the faults of each field and list element by itself, so that one that cannot be decoded does not
+// hide the faults of others.
+func pieceFaults(members []fault.Member) []fault.Fault {
 	var faults []fault.Fault
-	owners := make(map[string]string)
-	for i, customer := range change.PutCustomers {
-		for j, hash := range customer.KeyHashes {
-			path := "put_customers[" + strconv.Itoa(i) + "].key_hashes[" + strconv.Itoa(j) + "]"
-			owner, used := owners[hash]
-			switch {
-			case !hashPattern.MatchString(hash):
-				faults = append(faults, fault.New(path, "must be a SHA-256 hash of 64 lower-case hex digits"))
-			case used:
-				faults = append(faults, fault.New(path, "is already a hash of customer %q", owner))
+	for _, member := range members {
+		var elements []json.RawMessage
+		if json.Unmarshal(member.Value, &elements) != nil || len(elements) == 0 {
+			faults = append(faults, pieceFault(member.Name, member.Value)...)
+			continue
+		}
+		for i, element := range elements {
+			list := slices.Concat([]byte("["), element, []byte("]"))
+			for _, found := range pieceFault(member.Name, list) {
+				rest := strings.TrimPrefix(strings.TrimPrefix(found.Path, member.Name), "[0]")
+				found.Path = member.Name + "[" + strconv.Itoa(i) + "]" + rest
+				faults = append(faults, found)
 			}
-			owners[hash] = customer.Name
 		}
 	}
 	return faults
 }
 
-// apiFaults returns the faults of an error of the generated code, with the paths of the fields.
-func apiFaults(path string, err error) []fault.Fault {
-	if err == nil {
-		return nil
-	}
-	text := err.Error()
-	for _, field := range fieldPattern.FindAllStringSubmatch(text, -1) {
-		path = fault.Path(path, field[1])
-	}
-	if unknown := unknownPattern.FindStringSubmatch(text); unknown != nil {
-		return []fault.Fault{fault.New(fault.Path(path, unknown[1]), "is not a field")}
-	}
-	var invalid *validate.Error
-	switch {
-	case errors.As(err, &invalid):
-		var faults []fault.Fault
-		for _, field := range invalid.Fields {
-			faults = append(faults, apiFaults(fault.Path(path, field.Name), field.Error)...)
-		}
-		return faults
-	case errors.Is(err, validate.ErrFieldRequired):
-		return []fault.Fault{fault.New(path, "is missing")}
-	case strings.Contains(text, "decode "):
-		return []fault.Fault{fault.New(path, "has a value of the wrong type")}
-	default:
-		return []fault.Fault{fault.New(path, "%s", text)}
+// pieceFault returns the faults of a change that has only one field besides the required ones.
+func pieceFault(name string, value json.RawMessage) []fault.Fault {
+	piece := map[string]json.RawMessage{"id": json.RawMessage(`"id"`), "base": json.RawMessage(`0`)}
+	piece[name] = value
+	data, err := json.Marshal(piece)
+	if err != nil {
+		return []fault.Fault{fault.New(name, "%v", err)}
 	}
+	faults, _ := ruleFaults(data)
+	return faults
+}
+
+// distinct returns the first fault of each field.
+func distinct(faults []fault.Fault) []fault.Fault {
+	seen := make(map[string]bool)
+	return slices.DeleteFunc(faults, func(f fault.Fault) bool {
+		again := seen[f.Path]
+		seen[f.Path] = true
+		return again
+	})
 }
--- a/internal/cmd/fake_test.go
+++ b/internal/cmd/fake_test.go
@@ -26,14 +26,14 @@
 		configuration: oas.Configuration{
 			Version:   3,
 			Templates: []oas.Template{{Name: "shop", Weight: 2, Classes: oas.TemplateClasses{"quick": {PatienceMs: 1}, "long": {PatienceMs: 9}}}},
-			Customers: []oas.Customer{{Name: "cartago", Template: "shop", Number: oas.NewOptInt32(7)}},
+			Customers: []oas.Customer{{Name: "press", Template: "shop", Number: oas.NewOptInt32(7)}},
 			Services:  []oas.Service{{Name: "bookings", Operations: oas.ServiceOperations{"book": false}}},
 		},
 	}
 }
 
 func (f *fake) HandleBearer(ctx context.Context, _ oas.OperationName, bearer oas.Bearer) (context.Context, error) {
-	if bearer.Token != "operator" && bearer.Token != "cartago" {
+	if bearer.Token != "operator" && bearer.Token != "press" {
 		return ctx, refusal.New(refusal.Unauthenticated, "the key is not known")
 	}
 	return ctx, nil
@@ -83,7 +83,7 @@
 }
 
 func (f *fake) GetCustomers(context.Context) ([]oas.CustomerStatus, error) {
-	return []oas.CustomerStatus{{Name: "cartago", Number: 7, Template: "shop", Weight: 2, Waiting: 5, Running: 1}}, nil
+	return []oas.CustomerStatus{{Name: "press", Number: 7, Template: "shop", Weight: 2, Waiting: 5, Running: 1}}, nil
 }
 
 func (f *fake) GetTargets(context.Context) ([]oas.TargetStatus, error) {
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -73,6 +73,23 @@
 	return f
 }
 
+// newPair returns a fleet with two ready routers in different availability zones.
+func newPair(t *testing.T) *fleet {
+	t.Helper()
+	f := newFleet(t)
+	f.addPair()
+	return f
+}
+
+// addPair adds two routers in different availability zones and waits until they are ready.
+func (f *fleet) addPair() {
+	f.t.Helper()
+	f.addRouter("r1", "a")
+	f.addRouter("r2", "b")
+	f.ready(0)
+	f.ready(1)
+}
+
 // serve runs a handler on loopback and returns its address.
 func (f *fleet) serve(handler http.Handler) string {
 	server := httptest.NewServer(handler)
--- a/internal/router/journal_test.go
+++ b/internal/router/journal_test.go
@@ -45,11 +45,7 @@
 
 // TestViewEvents guards against a failure of a host that an operator cannot see in the log.
 func TestViewEvents(t *testing.T) {
-	f := newFleet(t)
-	f.addRouter("r1", "a")
-	f.addRouter("r2", "b")
-	f.ready(0)
-	f.ready(1)
+	f := newPair(t)
 	closed := httptest.NewServer(nil)
 	closed.Close()
 	f.hosts.Put(platform.Host{
--- a/internal/router/panic_test.go
+++ b/internal/router/panic_test.go
@@ -57,10 +57,7 @@
 		outside.Service = func(name, address string) platform.Service { return faultyService{service(name, address)} }
 		return outside
 	}
-	f.addRouter("r1", "a")
-	f.addRouter("r2", "b")
-	f.ready(0)
-	f.ready(1)
+	f.addPair()
 	f.configure()
 	before := f.refusals(1, refusal.Internal)
 	status, answer := f.do(http.MethodPost, f.urls[1]+"/v1/services/shop/stock", customerKey, map[string]any{}, nil)
--- a/internal/router/refusal_test.go
+++ b/internal/router/refusal_test.go
@@ -180,11 +180,7 @@
 
 // TestKeyConflict guards against a key that is used again with another body, through another router.
 func TestKeyConflict(t *testing.T) {
-	f := newFleet(t)
-	f.addRouter("r1", "a")
-	f.addRouter("r2", "b")
-	f.ready(0)
-	f.ready(1)
+	f := newPair(t)
 	f.configure()
 	headers := map[string]string{"Idempotency-Key": newKey(t)}
 	book := func(url, item string) (int, string) {
