--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -63,6 +63,7 @@
 	ready    bool
 	isolated bool
 	version  uint64
+	seen     membership.View
 }
 
 // New returns the router of the settings with the given adapters.
