--- a/internal/slope/calls.go
+++ b/internal/slope/calls.go
@@ -10,6 +10,9 @@
 	"github.com/chicorydale/chicorydale/pkg/client"
 )
 
+// prompt is the prompt of all calls.
+const prompt = "slope"
+
 // failed is the code of a call that was neither answered nor refused.
 const failed = "failed"
 
@@ -38,7 +41,7 @@
 	plan.Classes = []string{"quick"}
 	summary := load.Run(ctx, plan, func(ctx context.Context, call load.Call) load.Outcome {
 		stream, err := callers[call.Customer].Generate(ctx, model,
-			client.Generation{Class: call.Class, Prompt: "slope", MaxTokens: tokens})
+			client.Generation{Class: call.Class, Prompt: prompt, MaxTokens: tokens})
 		if err != nil {
 			return outcome(err, time.Time{})
 		}
--- a/internal/slope/series.go
+++ b/internal/slope/series.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/chicorydale/chicorydale/internal/config"
+	"github.com/chicorydale/chicorydale/internal/emulator/transcript"
 	"github.com/chicorydale/chicorydale/internal/load"
 )
 
@@ -67,7 +68,7 @@
 		{"peers", b.peers},
 		{"customers", b.customers},
 		{"targets", b.targets},
-		{"requests", b.requests},
+		{"requests", b.requests}, {"tokens", b.tokens},
 		{"backlogged", b.backlogged},
 		{"changes", b.changes},
 		{"claims", b.claims},
@@ -192,6 +193,25 @@
 	return series, nil
 }
 
+// tokens measures what one generated token a second costs, at 20 requests a second at each router.
+func (b Bench) tokens(ctx context.Context) (Series, error) {
+	const rate = 20
+	series := Series{Name: "tokens", Unit: "tokens a second at each router"}
+	size := usual()
+	for _, bound := range []int{16, 64, 128, 256} {
+		length := transcript.New(prompt, bound).Length()
+		point, err := b.point(ctx, size, float64(rate*length), func(ctx context.Context, f *fleet, point *Point) error {
+			plan := load.Plan{Rate: rate * float64(size.Routers), Duration: b.Period, Seed: 1, Open: 10000}
+			return f.generate(ctx, plan, size.Customers, bound, point)
+		})
+		if err != nil {
+			return series, err
+		}
+		series.Points = append(series.Points, point)
+	}
+	return series, nil
+}
+
 // backlogged measures what one customer with waiting requests costs: the targets are slow, so that nearly all requests
 // wait.
 func (b Bench) backlogged(ctx context.Context) (Series, error) {
