--- a/internal/cmd/fake_test.go
+++ b/internal/cmd/fake_test.go
@@ -88,15 +88,15 @@
 
 func (f *fake) GetTargets(context.Context) ([]oas.TargetStatus, error) {
 	return []oas.TargetStatus{
-		{Name: "e1", Role: "engine", Model: "small", Zone: "caribe", Slots: 8, Running: 3},
-		{Name: "e2", Role: "engine", Model: "small", Zone: "caribe", Slots: 8, Leaving: true},
+		{Name: "e1", Role: "engine", Model: "small", Zone: "zone-a", Slots: 8, Running: 3},
+		{Name: "e2", Role: "engine", Model: "small", Zone: "zone-a", Slots: 8, Leaving: true},
 	}, nil
 }
 
 func (f *fake) GetStatus(context.Context) (*oas.Status, error) {
 	return &oas.Status{
-		Host: "r1", Zone: "caribe", Region: "south", Ready: true, ConfigVersion: f.configuration.Version,
-		Peers: []oas.PeerStatus{{Host: "r2", Zone: "caribe", State: oas.PeerStatusStateUp}}, Roles: []string{"caribe/small/0"},
+		Host: "r1", Zone: "zone-a", Region: "south", Ready: true, ConfigVersion: f.configuration.Version,
+		Peers: []oas.PeerStatus{{Host: "r2", Zone: "zone-a", State: oas.PeerStatusStateUp}}, Roles: []string{"zone-a/small/0"},
 		Counters: oas.StatusCounters{"refusals": 4},
 	}, nil
 }
--- a/internal/metric/family.go
+++ b/internal/metric/family.go
@@ -22,6 +22,7 @@
 	Pools           Family = "chicorydale_pools_scheduled"
 	Ready           Family = "chicorydale_ready"
 	Isolated        Family = "chicorydale_isolated"
+	Heard           Family = "chicorydale_zone_heard_ratio"
 	ConfigVersion   Family = "chicorydale_config_version"
 	ConfigStaleness Family = "chicorydale_config_staleness_seconds"
 )
@@ -39,7 +40,8 @@
 	Running:         "Requests of this router's callers that run on a target.",
 	Pools:           "Pools that this router schedules.",
 	Ready:           "1 if the router accepts new requests, else 0.",
-	Isolated:        "1 if the router hears only some routers of its availability zone, else 0.",
+	Isolated:        "1 if the router has reached neither the log nor another router for 15 s, else 0.",
+	Heard:           "Part of the listed routers of its availability zone that the router hears, 0 to 1.",
 	ConfigVersion:   "Version of the configuration in force at this router.",
 	ConfigStaleness: "Seconds since this router last read the log to its end.",
 }
--- a/internal/metric/set.go
+++ b/internal/metric/set.go
@@ -49,7 +49,7 @@
 		}
 	}
 	for _, family := range []Family{
-		FairnessGap, Utilisation, Waiting, Running, Pools, Ready, Isolated, ConfigVersion, ConfigStaleness,
+		FairnessGap, Utilisation, Waiting, Running, Pools, Ready, Isolated, Heard, ConfigVersion, ConfigStaleness,
 	} {
 		set.gauges[family] = metrics.NewRegisteredGaugeFloat64(string(family), set.registry)
 	}
--- a/internal/router/operate.go
+++ b/internal/router/operate.go
@@ -60,6 +60,9 @@
 	r.logView(r.node.View())
 	r.metrics.Update(metric.Ready, number(ready))
 	r.metrics.Update(metric.Isolated, number(isolated))
+	if live, listed := r.node.View().Heard(r.settings.Zone()); listed > 0 {
+		r.metrics.Update(metric.Heard, float64(live)/float64(listed))
+	}
 	r.metrics.Update(metric.ConfigVersion, float64(r.version))
 	if readAt := store.ReadAt(); !readAt.IsZero() {
 		r.metrics.Update(metric.ConfigStaleness, now.Sub(readAt).Seconds())
