Release the slot of a call that panics

A call whose handler panicked stayed in the queue with its slot until its deadline. Its request is now ended in the queue before the panic goes on to the handler that answers it. TestPanic asks for the customer's running calls afterwards; without the release in the service call it did not end within 10 s.

--- a/internal/router/invoke.go
+++ b/internal/router/invoke.go
@@ -204,6 +204,7 @@
 		return nil, v.abandon(refused)
 	}
 	defer v.forget()
+	defer onPanic(func() { v.finish(0, fleetpb.Outcome_OUTCOME_CANCELLED) })
 	for {
 		select {
 		case decision := <-v.decisions:
--- a/internal/router/panic_test.go
+++ b/internal/router/panic_test.go
@@ -47,8 +47,8 @@
 	return s.Stream.Next()
 }
 
-// TestPanic guards against a fault of one call that ends the process, that is not logged and counted, or whose caller
-// is told that nothing ran.
+// TestPanic guards against a fault of one call that ends the process, that is not logged and counted, that keeps a slot,
+// or whose caller is told that nothing ran.
 func TestPanic(t *testing.T) {
 	f := newFleet(t)
 	f.wrap = func(outside router.Outside) router.Outside {
@@ -74,6 +74,10 @@
 	qt.Assert(t, strings.Contains(string(streamed), `"code":"internal"`), qt.IsTrue, qt.Commentf("%s", streamed))
 	qt.Assert(t, f.refusals(1, refusal.Internal), qt.Equals, before+2)
 	qt.Assert(t, f.events.has("r2", event.Panicked, "next"), qt.IsTrue)
+	f.eventually("slots released", func() bool {
+		_, body := f.do(http.MethodGet, f.urls[1]+"/v1/customers", operatorKey, nil, nil)
+		return strings.Contains(string(body), `"running":0`)
+	})
 	f.ready(1)
 }
 
--- a/internal/router/panicked.go
+++ b/internal/router/panicked.go
@@ -48,6 +48,15 @@
 	writeRefusal(w, refused)
 }
 
+// onPanic is deferred. If its function panics, it runs an action and lets the panic go on.
+func onPanic(action func()) {
+	if value := recover(); value != nil {
+		failure := asPanicked(value)
+		action()
+		panic(failure)
+	}
+}
+
 // recoverStream is deferred by the goroutine that fills an answer. It ends the answer of a call that panicked.
 func (r *Router) recoverStream(a *answer, finish func()) {
 	value := recover()
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -70,6 +70,7 @@
 
 // start waits for grants until a target has begun to answer. If the context ends first, the request is cancelled.
 func (u *run) start(ctx, life context.Context) (platform.Stream, *refusal.Error) {
+	defer onPanic(func() { u.finish(fleetpb.Outcome_OUTCOME_CANCELLED) })
 	for {
 		var decision entry.Decision
 		select {
