Send no heartbeat on a link that has just carried another message

Cause: heartbeats were up to two fifths of the control bytes between regions in steady load (archive), and at full size the arithmetic of docs/CAPACITY.md is over the limit of control bytes. Ruled out: a longer period (a failed scheduler would be noticed later); fewer links. Change: any message of a peer counts as a sign of life; a heartbeat is left out if something was sent in the last 500 ms, the last heartbeat is younger than 1.5 s, and it has nothing new to tell.

--- a/internal/membership/tracker.go
+++ b/internal/membership/tracker.go
@@ -20,6 +20,9 @@
 	// lag is the time for which a host list may be older than a peer's before it is fetched: a list of 6,100 hosts takes
 	// hundreds of kilobytes, routers get a new one from the platform within seconds, and marks do not wait for it.
 	lag = 3 * time.Second
+	// longBeat is the period of heartbeats on a link that carries other messages. It keeps what heartbeats tell no older
+	// than the silence limit.
+	longBeat = 1500 * time.Millisecond
 	// refetch is the time after which another peer is asked.
 	refetch = time.Second
 	// unlistedMarks is the time for which marks of hosts that are not listed yet are kept.
@@ -57,6 +60,8 @@
 	envelopes []message.Envelope
 	view      View
 	changed   bool
+	// said is what the last heartbeats told.
+	said statement
 	// generation counts the views.
 	generation uint64
 }
@@ -210,8 +215,10 @@
 	if !now.Before(t.nextBeat) {
 		t.nextBeat = now.Add(beat)
 		body := t.heartbeat()
+		news := t.unsaid()
 		for _, name := range slices.Sorted(maps.Keys(t.peers)) {
-			if link := t.peers[name]; link.session && !link.silent(now) {
+			if link := t.peers[name]; link.session && !link.silent(now) && (news || !link.fresh(now)) {
+				link.beat = now
 				t.send(name, body)
 			}
 		}
@@ -263,6 +270,34 @@
 	}}}
 }
 
+// statement is what heartbeats tell besides that the sender lives.
+type statement struct {
+	leaving       bool
+	config, hosts uint64
+}
+
+// unsaid tells whether heartbeats have something new to tell, which then counts as told.
+func (t *Tracker) unsaid() bool {
+	now := statement{leaving: t.leaving, config: t.config.ConfigVersion, hosts: t.list.Version}
+	changed := now != t.said
+	t.said = now
+	return changed
+}
+
+// Sent notes that other messages were sent to a peer; they stand for a heartbeat.
+func (t *Tracker) Sent(now time.Time, name string) {
+	if link := t.peers[name]; link != nil {
+		link.sent = now
+	}
+}
+
+// Heard notes a message of a peer that is not for this core.
+func (t *Tracker) Heard(now time.Time, name string) {
+	if link := t.peers[name]; link != nil && link.session {
+		link.heard = now
+	}
+}
+
 // send queues a message for the next tick.
 func (t *Tracker) send(to string, body *fleetpb.Body) {
 	t.envelopes = append(t.envelopes, message.Envelope{To: to, Body: body})
--- a/internal/node/contacts.go
+++ b/internal/node/contacts.go
@@ -22,14 +22,15 @@
 // contacts maps each peer to the instant after which its link is not needed any more.
 type contacts map[string]time.Time
 
-// note keeps the link that a packet goes to, unless the packet has heartbeats only.
-func (c contacts) note(packet Packet, now time.Time) {
+// note keeps the link that a packet goes to, unless the packet has heartbeats only, and reports whether it has others.
+func (c contacts) note(packet Packet, now time.Time) bool {
 	for _, body := range packet.Bodies {
 		if _, beat := body.GetKind().(*fleetpb.Body_Heartbeat); !beat {
 			c[packet.To] = now.Add(contactLife)
-			return
+			return true
 		}
 	}
+	return false
 }
 
 // wanted returns the peers to hold links to, sorted: those that were sent something or probed lately, and all routers
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -116,6 +116,7 @@
 
 // Receive takes one message of a peer to the cores that it is for.
 func (n *Node) Receive(now time.Time, from string, body *fleetpb.Body) {
+	n.tracker.Heard(now, from)
 	switch body.GetKind().(type) {
 	case *fleetpb.Body_Heartbeat:
 		n.tracker.Receive(now, from, body)
@@ -161,7 +162,9 @@
 	}
 	output.Packets = n.outbox.takeRemote()
 	for _, packet := range output.Packets {
-		n.contacts.note(packet, now)
+		if n.contacts.note(packet, now) {
+			n.tracker.Sent(now, packet.To)
+		}
 	}
 	return output
 }
