Mend what the soak of the schedules found

(3) read, not seen: a link could hand over a message of a replaced session after the next one had begun, because it checked and delivered in two steps; events of sessions are now ordered by a lock.

--- a/internal/config/schedule.go
+++ b/internal/config/schedule.go
@@ -67,7 +67,7 @@
 
 // start tells whether an append is to be started, and notes its id. An append without an answer is tried again.
 func (s *schedule) start(now time.Time, id uint64) bool {
-	if !s.anchored || now.Before(s.due) {
+	if now.Before(s.due) {
 		return false
 	}
 	s.sent = id
--- a/internal/config/store_test.go
+++ b/internal/config/store_test.go
@@ -206,6 +206,26 @@
 	c.Assert(w.faults, qt.HasLen, 0)
 }
 
+// TestResumeBeforeAnyChange guards against a configuration that can never have a first change, because the only record
+// of the log expired before any store read it.
+func TestResumeBeforeAnyChange(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(11, 2)
+	w.run(time.Second)
+	w.outage = true
+	w.put([]byte("unread"))
+	w.first = uint64(len(w.records))
+	w.run(time.Hour)
+	w.outage = false
+	w.run(7 * time.Minute)
+	resumed := w.stores[0].State().Version()
+	c.Assert(resumed, qt.Equals, uint64(1)<<32)
+	w.publish(0, template("a", resumed, 1))
+	w.run(time.Second)
+	c.Assert(w.stores[1].State().Version(), qt.Equals, resumed+1)
+	c.Assert(w.faults, qt.HasLen, 0)
+}
+
 // TestBehindExpiredRecords guards against a reader that has missed expired records and folds later ones onto its old
 // state, against one that does not recover by a peer, and against one that recovers by a snapshot and loses the change
 // that came into the log after the snapshot was taken and before its record.
--- a/internal/config/writer.go
+++ b/internal/config/writer.go
@@ -13,7 +13,7 @@
 // writeSnapshot appends a snapshot if one is due and the log can be read.
 func (s *Store) writeSnapshot(now time.Time) {
 	readable := !s.stuck() && !s.fetch.failed && now.Sub(s.readAt) < isolation
-	if readable && s.state.version > 0 && s.schedule.start(now, s.last+1) {
+	if readable && s.state.version > 0 && s.schedule.anchored && s.schedule.start(now, s.last+1) {
 		s.appendSnapshot(NewSnapshot(s.state, s.offset))
 	}
 }
--- a/internal/link/hub.go
+++ b/internal/link/hub.go
@@ -44,6 +44,9 @@
 	stop        context.CancelFunc
 	wait        sync.WaitGroup
 
+	// order keeps the events of a peer in the order of its sessions.
+	order sync.Mutex
+
 	mu       sync.Mutex
 	sessions map[string]*session
 	peers    map[string]Peer
@@ -192,6 +195,8 @@
 // admit registers a session unless it loses against an open one. When both sides dial at the same time, the session
 // dialled by the host with the lower name stays; otherwise the newer session replaces the older one.
 func (h *Hub) admit(candidate *session) bool {
+	h.order.Lock()
+	defer h.order.Unlock()
 	h.mu.Lock()
 	previous := h.sessions[candidate.peer]
 	if previous != nil && previous.incarnation == candidate.incarnation && previous.dialled != candidate.dialled {
@@ -217,6 +222,8 @@
 // end closes a session and tells of it, unless a newer session has replaced it.
 func (h *Hub) end(ended *session, released bool) {
 	ended.close()
+	h.order.Lock()
+	defer h.order.Unlock()
 	h.mu.Lock()
 	current := h.sessions[ended.peer] == ended
 	if current {
@@ -285,6 +292,8 @@
 		h.countDropped()
 		return
 	}
+	h.order.Lock()
+	defer h.order.Unlock()
 	h.mu.Lock()
 	current := h.sessions[from.peer] == from
 	h.mu.Unlock()
--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -121,8 +121,12 @@
 	}
 }
 
-// disconnect ends a session on the side of from; the other side learns of it unless it is cut off.
+// disconnect ends a session on the side of from; the other side learns of it unless it is cut off. What was not delivered
+// in it is lost.
 func (f *fleet) disconnect(from, to string) {
+	f.inbox = slices.DeleteFunc(f.inbox, func(l letter) bool {
+		return l.from == from && l.To == to || l.from == to && l.To == from
+	})
 	delete(f.sessions, [2]string{min(from, to), max(from, to)})
 	if tracker := f.trackers[from]; tracker != nil {
 		tracker.Disconnected(f.now, to)
