Keep links to the holders of roles in fleets without a full mesh

Cause: the cores send to connected peers only, and beyond 16 routers links were opened only to peers that something had been sent to, or for 5 s by a probe. With 20 routers calls and bookings waited until a probe happened to reach the scheduler or the batcher. Found by a reading of the scheduler while working out the capacity; the test with 20 routers in one zone was red after 24 s (a booking through the twentieth router ended as unknown at its deadline of 20 s). Ruled out: a larger mesh (at 1,000 routers 2,000 heartbeats a second each). Change: a router wants links to the schedulers of its home pools, the batchers, the owners of its models' customer shards and the schedulers of neighbouring pools.

--- a/internal/node/contacts.go
+++ b/internal/node/contacts.go
@@ -12,6 +12,8 @@
 const (
 	// contactLife is how long a link is kept after its last message other than a heartbeat.
 	contactLife = 30 * time.Second
+	// roleLife is how long a link to the holder of a role is kept after another router took the role over.
+	roleLife = 5 * time.Second
 	// probeLife is how long a link to a probed peer is kept if nothing else is sent on it.
 	probeLife = 5 * time.Second
 	// meshLimit is the number of routers up to which each keeps a link to every other: with today's 7 to 9 hosts a
@@ -22,11 +24,18 @@
 // contacts maps each peer to the instant after which its link is not needed any more.
 type contacts map[string]time.Time
 
+// keep keeps the link to a peer until an instant at least.
+func (c contacts) keep(peer string, until time.Time) {
+	if peer != "" && c[peer].Before(until) {
+		c[peer] = until
+	}
+}
+
 // note keeps the link that a packet goes to, unless the packet has heartbeats only, and reports whether it has others.
 func (c contacts) note(packet Packet, now time.Time) bool {
 	for _, body := range packet.Bodies {
 		if _, beat := body.GetKind().(*fleetpb.Body_Heartbeat); !beat {
-			c[packet.To] = now.Add(contactLife)
+			c.keep(packet.To, now.Add(contactLife))
 			return true
 		}
 	}
--- a/internal/node/roles.go
+++ b/internal/node/roles.go
@@ -4,17 +4,38 @@
 	"slices"
 	"time"
 
+	"github.com/chicorydale/chicorydale/internal/claim"
 	"github.com/chicorydale/chicorydale/internal/membership"
 )
 
-// Wanted returns the peers that the router needs links to, sorted.
+// Wanted returns the peers that the router needs links to, sorted. The cores send to connected peers only, so the holders
+// of the roles that the router depends on are among them before anything is sent.
 func (n *Node) Wanted(now time.Time) []string {
 	if peer, due := n.tracker.Probe(now); due {
-		n.contacts[peer] = now.Add(probeLife)
+		n.contacts.keep(peer, now.Add(probeLife))
+	}
+	for _, holder := range n.holders() {
+		n.contacts.keep(holder, now.Add(roleLife))
 	}
 	return n.contacts.wanted(now, n.View())
 }
 
+// holders returns the routers that hold the roles that this one depends on: the schedulers of its home pools, the
+// batchers of claims, and what its own scheduler needs.
+func (n *Node) holders() []string {
+	view := n.View()
+	holders := n.scheduler.Contacts()
+	for _, model := range view.Models() {
+		if home, found := view.Home(model); found {
+			holders = append(holders, view.Scheduler(home))
+		}
+	}
+	for shard := range claim.Shards {
+		holders = append(holders, view.Owner(claim.Role(shard)))
+	}
+	return holders
+}
+
 // Scheduled returns the pools that this router schedules, sorted.
 func (n *Node) Scheduled() []membership.Pool { return n.View().Scheduled() }
 
