Report totals less often in a fleet with many customer shards

Cause: at full size a scheduler would ask up to 32 owners every 250 ms, 15.4 of 27 KB/s with the answers (docs/CAPACITY.md). Ruled out: fewer shards (the load of one owner would pass the limit instead). Change: the period inside a region grows with the shards of a model from 16 on, to 1 s at 64. The traffic at full size is arithmetic, not measured.

--- a/internal/pool/scheduler.go
+++ b/internal/pool/scheduler.go
@@ -219,15 +219,16 @@
 		s.owners[model] = owners
 	}
 	region := s.view.Self().Region
+	near := share.Period(s.near, s.shards)
 	return func(shard uint32) (string, time.Duration) {
 		owner := owners[shard]
 		if _, connected := s.sessions[owner]; !connected {
 			return "", 0
 		}
 		if router, _ := s.view.Router(owner); router.Region != region {
-			return owner, s.far
+			return owner, max(near, s.far)
 		}
-		return owner, s.near
+		return owner, near
 	}
 }
 
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -155,3 +155,13 @@
 	})
 	c.Assert(ledger.Counter(7), qt.Equals, uint64(600))
 }
+
+// TestPeriod guards against reports that grow with the number of shards in a large fleet, and against slower ones in a
+// small fleet.
+func TestPeriod(t *testing.T) {
+	c := qt.New(t)
+	const small = 250 * time.Millisecond
+	c.Assert(share.Period(small, 1), qt.Equals, small)
+	c.Assert(share.Period(small, 16), qt.Equals, small)
+	c.Assert(share.Period(small, 64), qt.Equals, time.Second)
+}
