Do not take a caller's deadline for a crash of its target

Cause: a deadline that passed while a target was slow to answer was classified like a broken connection. The request got a crash record, and a second one on another target would have refused it for good at every router. Found by reading the run's error paths; the test is red without the change (the counter of retries after crashes is not 0). Ruled out: telling it from the transport's error (a deadline looks like any lost answer there). Change: after the deadline the run cancels the stream at its target and ends as expired, ran unknown.

--- a/internal/router/deadline_test.go
+++ b/internal/router/deadline_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/chicorydale/chicorydale/internal/emulator/fault"
 )
 
 // TestDeadlineDuringAnswer guards against a call that goes on, and keeps its slot, after its caller's deadline.
@@ -30,3 +32,31 @@
 		return !strings.Contains(string(targets), `"running":1`)
 	})
 }
+
+// TestDeadlineBeforeAnswer guards against a deadline that passes while a target is slow to answer and counts as a crash
+// of the target: with a second one the request would be refused for good.
+func TestDeadlineBeforeAnswer(t *testing.T) {
+	f := newFleet(t)
+	f.addRouter("r1", "a")
+	f.ready(0)
+	f.configure()
+	call := map[string]any{"class": "quick", "prompt": "a slow line", "max_tokens": 4}
+	status, body := f.do(http.MethodPost, f.urls[0]+"/v1/models/m/generate", customerKey, call, nil)
+	qt.Assert(t, status, qt.Equals, http.StatusOK, qt.Commentf("%s", body))
+	for _, engine := range f.engines {
+		engine.Faults.Set(fault.Fault{DelayMS: 3000})
+	}
+	for range 3 {
+		call["deadline"] = time.Now().Add(500 * time.Millisecond).UTC().Format(time.RFC3339Nano)
+		status, body := f.do(http.MethodPost, f.urls[0]+"/v1/models/m/generate", customerKey, call, nil)
+		qt.Assert(t, status, qt.Equals, http.StatusGatewayTimeout, qt.Commentf("%s", body))
+		qt.Assert(t, strings.Contains(string(body), `"ran":"unknown"`), qt.IsTrue, qt.Commentf("%s", body))
+	}
+	for _, engine := range f.engines {
+		engine.Faults.Set(fault.Fault{})
+	}
+	delete(call, "deadline")
+	status, body = f.do(http.MethodPost, f.urls[0]+"/v1/models/m/generate", customerKey, call, nil)
+	qt.Assert(t, status, qt.Equals, http.StatusOK, qt.Commentf("%s", body))
+	qt.Assert(t, strings.Contains(f.metrics(0), "chicorydale_retries_total{reason=\"crashed\"} 0\n"), qt.IsTrue)
+}
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -103,6 +103,9 @@
 			u.incarnation = stream.Incarnation()
 			return stream, nil
 		}
+		if life.Err() != nil && !errors.Is(err, errLate) {
+			return nil, u.expire()
+		}
 		if refused := u.again(err); refused != nil {
 			return nil, refused
 		}
@@ -182,7 +185,7 @@
 			return
 		}
 		if life.Err() != nil {
-			u.expire()
+			u.answer.end(u.expire())
 			return
 		}
 		if !u.answer.restart("") {
@@ -253,15 +256,15 @@
 	return nil, last
 }
 
-// expire ends a call whose deadline has passed during its answer, and frees its slot.
-func (u *run) expire() {
+// expire ends a call whose deadline has passed after it was sent, and frees its slot. The target did not crash.
+func (u *run) expire() *refusal.Error {
 	limited, cancel := context.WithDeadline(context.Background(), time.Now().Add(outsideLimit))
 	defer cancel()
 	if err := u.router.outside.Engine(u.target, u.address).Cancel(limited, u.call.Stream); err != nil {
 		event.Abandoned.Log(u.router.logger, u.name, u.target, err)
 	}
 	u.finish(fleetpb.Outcome_OUTCOME_CANCELLED)
-	u.answer.end(refusal.New(refusal.Expired, "the deadline has passed during the answer").WithUnknown())
+	return refusal.New(refusal.Expired, "the deadline has passed during the answer").WithUnknown()
 }
 
 // crashed ends a call whose target died after the caller saw a part of the answer.
