Say that a look-up may have run if an attempt was sent

Cause: a look-up that a slow replica may have run was answered "ran: no" when its deadline passed while it waited for the next replica; the refusal of the queue knows nothing of the attempt before. Found by reading the error paths of service calls next to those of model calls; the test is red without the change. Ruled out: keyed calls (a broken attempt ends them as unknown at once, and their claim decides otherwise). Conclusion: an invocation remembers that it was sent; every later refusal of it says unknown.

--- a/internal/router/deadline_test.go
+++ b/internal/router/deadline_test.go
@@ -60,3 +60,23 @@
 	qt.Assert(t, status, qt.Equals, http.StatusOK, qt.Commentf("%s", body))
 	qt.Assert(t, strings.Contains(f.metrics(0), "chicorydale_retries_total{reason=\"crashed\"} 0\n"), qt.IsTrue)
 }
+
+// TestDeadlineOfLookUp guards against "not run" for a look-up whose deadline passes after a replica may have run it.
+func TestDeadlineOfLookUp(t *testing.T) {
+	f := newFleet(t)
+	f.addRouter("r1", "a")
+	f.ready(0)
+	f.configure()
+	lookUp := func(body map[string]any) (int, string) {
+		status, answer := f.do(http.MethodPost, f.urls[0]+"/v1/services/shop/stock", customerKey, body, nil)
+		return status, string(answer)
+	}
+	status, answer := lookUp(map[string]any{})
+	qt.Assert(t, status, qt.Equals, http.StatusOK, qt.Commentf("%s", answer))
+	f.service.Faults.Set(fault.Fault{DelayMS: 4000})
+	deadline := time.Now().Add(500 * time.Millisecond).UTC().Format(time.RFC3339Nano)
+	status, answer = lookUp(map[string]any{"deadline": deadline})
+	qt.Assert(t, status, qt.Equals, http.StatusGatewayTimeout, qt.Commentf("%s", answer))
+	qt.Assert(t, strings.Contains(answer, `"ran":"unknown"`), qt.IsTrue, qt.Commentf("%s", answer))
+	f.service.Faults.Set(fault.Fault{})
+}
--- a/internal/router/invoke.go
+++ b/internal/router/invoke.go
@@ -40,6 +40,8 @@
 	decisions chan entry.Decision
 	deadline  time.Time
 	attempts  int
+	// sent is set once an attempt may have run.
+	sent bool
 }
 
 // Invoke calls an operation of a plain service; it implements oas.Handler.
@@ -171,6 +173,9 @@
 
 // abandon gives the claim up and returns the refusal with what is certain of the key.
 func (v *invocation) abandon(refused *refusal.Error) *refusal.Error {
+	if v.sent {
+		return refused.WithUnknown()
+	}
 	if !v.keyed {
 		return refused
 	}
@@ -240,13 +245,14 @@
 	reason, outcome, avoid := classify(err, decision.Target)
 	v.router.metrics.Retried(reason)
 	event.Retried.Log(v.router.logger, string(reason), v.caller.Name, decision.Target)
-	ran := reason == metric.RetryCrashed
-	if ran && v.keyed {
+	crashed := reason == metric.RetryCrashed
+	v.sent = v.sent || crashed
+	if crashed && v.keyed {
 		v.finish(0, outcome)
 		refused := refusal.Newf(refusal.OutcomeUnknown, "the service broke off the call: %v", err)
 		return nil, refused.WithUnknown(), false
 	}
-	if !ran && v.keyed && !errors.Is(err, errLate) {
+	if !crashed && v.keyed && !errors.Is(err, errLate) {
 		v.router.post(func(now time.Time) { v.router.node.Holder().TakeBack(now, v.claim) })
 	}
 	if reason != metric.RetryLate {
@@ -254,24 +260,20 @@
 	}
 	if v.attempts >= runLimit {
 		v.finish(0, outcome)
-		return nil, v.failed(err, ran), false
+		return nil, v.failed(err), false
 	}
 	v.router.post(func(now time.Time) { v.router.node.Queue().PutBack(now, v.id, outcome, avoid, false) })
 	return nil, nil, true
 }
 
 // failed returns the refusal after the last attempt.
-func (v *invocation) failed(err error, ran bool) *refusal.Error {
+func (v *invocation) failed(err error) *refusal.Error {
 	refused := refusal.Newf(refusal.TargetFailed, "%d replicas failed, the last with: %v", v.attempts, err)
 	var rejected *platform.RejectedError
 	if errors.As(err, &rejected) {
 		refused = refusal.Newf(refusal.TargetRejected, "the service refused: %s", rejected.Reason)
 	}
-	refused = v.abandon(refused.WithRetry(time.Now().Add(time.Second)))
-	if ran {
-		return refused.WithUnknown()
-	}
-	return refused
+	return v.abandon(refused.WithRetry(time.Now().Add(time.Second)))
 }
 
 // send sends the call to the granted replica. For a keyed call the claim must still permit it.
