--- a/internal/pool/receive.go
+++ b/internal/pool/receive.go
@@ -94,8 +94,8 @@
 	s.owner.Receive(now, from, report)
 }
 
-// borrow enters lent slots. Their owner is the scheduler of the lending pool, since a loan may have been passed on. Slots for a pool that this router does not schedule come back to the lender at the loan's
-// deadline.
+// borrow enters lent slots. Their owner is the scheduler of the lending pool, since a loan may have been passed on. Slots
+// for a pool that this router does not schedule come back to the lender at the loan's deadline.
 func (s *Scheduler) borrow(now time.Time, from string, lend *fleetpb.Lend) {
 	row := s.schedules[lend.GetPool()]
 	deadline := time.UnixMilli(lend.GetDeadline())
