Answer a call at its deadline before its stream is cancelled

Cause: the final answer of a call whose deadline had passed waited up to 2 s for the target to take the cancellation. Ruled out: no cancellation (the slot would stay busy until the last token). Conclusion: the cancellation goes on by itself.

--- a/internal/router/mesh_test.go
+++ b/internal/router/mesh_test.go
@@ -14,6 +14,7 @@
 // TestBeyondMesh guards against calls and bookings that wait for good in a fleet that is too large for links between all
 // routers, because nobody opens a link to the holder of a role.
 func TestBeyondMesh(t *testing.T) {
+	t.Parallel()
 	const routers = 20
 	f := newFleet(t)
 	for i := range routers {
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -256,15 +256,21 @@
 	return nil, last
 }
 
-// expire ends a call whose deadline has passed after it was sent, and frees its slot. The target did not crash.
+// expire ends a call whose deadline has passed after it was sent, and frees its slot. The target did not crash. The
+// caller does not wait for the cancellation.
 func (u *run) expire() *refusal.Error {
+	u.router.tasks.Go(u.cancel)
+	u.finish(fleetpb.Outcome_OUTCOME_CANCELLED)
+	return refusal.New(refusal.Expired, "the deadline has passed during the answer").WithUnknown()
+}
+
+// cancel ends the call's stream at its target.
+func (u *run) cancel() {
 	limited, cancel := context.WithDeadline(context.Background(), time.Now().Add(outsideLimit))
 	defer cancel()
 	if err := u.router.outside.Engine(u.target, u.address).Cancel(limited, u.call.Stream); err != nil {
 		event.Abandoned.Log(u.router.logger, u.name, u.target, err)
 	}
-	u.finish(fleetpb.Outcome_OUTCOME_CANCELLED)
-	return refusal.New(refusal.Expired, "the deadline has passed during the answer").WithUnknown()
 }
 
 // crashed ends a call whose target died after the caller saw a part of the answer.
