Say unknown also when a retried call ends with its caller or the router

A call that an earlier target may have run, and that ended while it waited for another one because its caller left or the router stopped, was refused with "ran: no"; the other refusals of such calls say unknown. Ruled out: a change to the queue's refusals (they do not know of attempts; the run and the invocation do). Measured: internal/router green with the race detector; no test brings these two ends about, since nobody reads the answer of the first and the second ends the connection.

--- a/internal/router/invoke.go
+++ b/internal/router/invoke.go
@@ -114,9 +114,9 @@
 	return v, class, r.checkTarget(ctx, params.Service, refusal.NoTarget)
 }
 
-// early corrects a refusal that comes before the claim stream was read: an earlier call with the same key may have run.
+// early corrects a refusal that does not know of earlier attempts: one of this call, or of another with the same key.
 func (v *invocation) early(refused *refusal.Error) *refusal.Error {
-	if v.keyed {
+	if v.keyed || v.sent {
 		return refused.WithUnknown()
 	}
 	return refused
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -88,9 +88,9 @@
 		case decision = <-u.decisions:
 		case <-ctx.Done():
 			u.finish(fleetpb.Outcome_OUTCOME_CANCELLED)
-			return nil, refusal.New(refusal.Expired, "the caller has gone")
+			return nil, u.judge(refusal.New(refusal.Expired, "the caller has gone"))
 		case <-u.router.stopped:
-			return nil, refusal.New(refusal.ShuttingDown, errStopped.Error())
+			return nil, u.judge(refusal.New(refusal.ShuttingDown, errStopped.Error()))
 		}
 		if decision.Refusal != nil {
 			u.forget()
