Refuse a crowd's requests before they are read while the process is behind

A new line on the process (114) shows what the request lines could not: connections on which no request had been read grew to 2,000 within seconds, descriptors ran out, and each request was read when its caller had left or was about to. Request lines hid it, since thousands of refusals a second overran the output.

Mend: while new connections wait more than 40 ms for the processor, the first request on one is looked at in the socket's buffer and refused there if its customer's requests are mostly refused (internal/overload). Keep-alive probes of callers' connections, four system calls each, are off: deadlines and the idle limit end those. When descriptors run out, idle connections are closed and the accept goes on. Refusals beyond 100 a second are summed by kind (611). The line 101 named its host twice.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -12,7 +12,7 @@
 
 // Events of the process.
 var (
-	Started  = Event{101, info, "started", []string{"host", "zone", "listen", "operate", "link"}}
+	Started  = Event{101, info, "started", []string{"zone", "listen", "operate", "link"}}
 	Ready    = Event{102, info, "ready", []string{"version"}}
 	NotReady = Event{103, warning, "not_ready", []string{"reason"}}
 	Draining = Event{104, info, "draining", []string{"open"}}
@@ -25,6 +25,12 @@
 	Reloaded = Event{111, info, "reloaded", []string{"level"}}
 	Kept     = Event{112, warning, "settings_kept", []string{"error"}}
 	LogGap   = Event{113, warning, "log_gap", []string{"dropped"}}
+
+	ProcessState = Event{114, info, "process_state", []string{
+		"cpu_ms", "lag_ms", "collections", "heap_kb", "goroutines", "callers_new", "callers_active", "callers_idle",
+		"targets_idle",
+	}}
+	AcceptFailed = Event{115, warning, "accept_failed", []string{"error"}}
 )
 
 // Events of the configuration.
@@ -89,9 +95,10 @@
 	AttemptFailed = Event{607, info, "attempt_failed", []string{
 		"id", "target", "outcome", "error", "sent", "again", "took_ms",
 	}}
-	CallerLeft   = Event{608, info, "caller_left", []string{"id", "target", "took_ms"}}
-	StreamBroken = Event{609, info, "stream_broken", []string{"id", "target", "bytes", "error"}}
-	ServiceState = Event{610, info, "service_state", []string{
+	CallerLeft     = Event{608, info, "caller_left", []string{"id", "target", "took_ms"}}
+	StreamBroken   = Event{609, info, "stream_broken", []string{"id", "target", "bytes", "error"}}
+	RefusalsSummed = Event{611, info, "refusals_summed", []string{"customer", "code", "reason", "count"}}
+	ServiceState   = Event{610, info, "service_state", []string{
 		"service", "targets", "sound", "open", "running", "occupied", "slots", "waiting", "unread", "speed", "base_ms", "pace",
 	}}
 )
@@ -112,14 +119,14 @@
 func All() []Event {
 	return []Event{
 		Started, Ready, NotReady, Draining, Drained, DrainCut, Stopped, Failed, Panicked, TickLate,
-		Reloaded, Kept, LogGap,
+		Reloaded, Kept, LogGap, ProcessState, AcceptFailed,
 		ConfigApplied, TableApplied,
 		LogDown, LogUp, LogExpired, LogUnsettled, HostsDown, HostsUp, HostsChanged,
 		StoreDown, StoreUp, RecordInvalid,
 		LinkUp, LinkDown, PeerUp, PeerDown, PeerLeaving, RoleGained, RoleLost, Isolated, Rejoined, AnnounceFailed,
 		TargetAdded, TargetLeaving, TargetGone, TargetCrashed,
 		Refused, Retried, Resumed, Abandoned,
-		RequestAnswered, RequestRefused, AttemptFailed, CallerLeft, StreamBroken, ServiceState,
+		RequestAnswered, RequestRefused, AttemptFailed, CallerLeft, StreamBroken, ServiceState, RefusalsSummed,
 		ClaimLost, ClaimUnknown,
 		SuspectFound, SuspectRefused,
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -82,6 +82,7 @@
 			x.left()
 			return
 		}
+		x.gateway.door.note(x.customer, decision.Refused != nil)
 		if decision.Refused != nil {
 			x.giveUp(decision.Refused)
 			return
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"net"
+	"time"
+
+	"github.com/chicorydale/chicorydale/internal/route"
 )
 
 // Closed tells whether the caller at the other end of a connection has closed it.
@@ -20,3 +23,20 @@
 	}
 	return whole, splitter.last
 }
+
+// Door returns a listener that refuses requests early, of a gateway with a configuration and a customer whose requests are
+// refused for lack of capacity.
+func Door(g *Gateway, table *route.Table, customer string, inner net.Listener) net.Listener {
+	g.config.table.Store(table)
+	for range 100 {
+		g.door.note(customer, true)
+	}
+	return &acceptor{Listener: inner, callers: g.callers, door: g.door, logger: g.logger}
+}
+
+// Backdate makes a connection of a caller look as if it had been accepted some time ago.
+func Backdate(connection net.Conn, late time.Duration) {
+	if caller, ok := connection.(*callerConn); ok {
+		caller.accepted = caller.accepted.Add(-late)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,6 +57,10 @@
 	budgets   *budgets
 	callers   *callers
 	peers     *neighbours
+	lag       *lag
+	door      *door
+	refusals  *refusalLog
+	used      processUse
 	pieces    sync.Pool
 	open      atomic.Int64
 	draining  atomic.Bool
@@ -72,7 +76,8 @@
 	scheduler := newScheduler(dispatch.New(s.Place, s.Seed))
 	client := forward.New(outside.Codec)
 	metrics := metric.New()
-	return &Gateway{
+	late := new(lag)
+	g := &Gateway{
 		settings: s,
 		outside:  outside,
 		logger:   logger,
@@ -88,9 +93,14 @@
 		client:  client,
 		budgets: newBudgets(s.RetryRatio, s.RetryReserve),
 		callers: newCallers(s.Descriptors),
-		peers:   newNeighbours(s, outside.Routers, logger, scheduler, metrics),
-		pieces:  sync.Pool{New: func() any { return new(make([]byte, pieceBytes)) }},
+		peers:   newNeighbours(s, outside.Routers, logger, scheduler, metrics, late),
+		lag:     late,
+
+		refusals: newRefusalLog(logger),
+		pieces:   sync.Pool{New: func() any { return new(make([]byte, pieceBytes)) }},
 	}
+	g.door = newDoor(g)
+	return g
 }
 
 // Addresses are the addresses that a gateway listens at.
@@ -101,7 +111,8 @@
 
 // Listen opens the ports, so that their numbers are known before Run if the kernel chooses them.
 func (g *Gateway) Listen(ctx context.Context) (Addresses, error) {
-	var config net.ListenConfig
+	// Callers that are gone show by their requests' deadlines and by the limit of idle connections.
+	config := net.ListenConfig{KeepAlive: -1}
 	wanted := []netip.AddrPort{g.settings.Front, g.settings.Ready, g.settings.Metrics, g.settings.Link}
 	opened := make([]netip.AddrPort, 0, len(wanted))
 	for _, address := range wanted {
@@ -138,6 +149,7 @@
 	servers := []*http.Server{front, g.server(http.HandlerFunc(g.serveReady)), g.server(g.serveMetrics())}
 	failed := make(chan error, len(g.listeners))
 	go func() { failed <- g.peers.hub.Serve(g.listeners[3]) }()
+	g.listeners[0] = &acceptor{Listener: g.listeners[0], callers: g.callers, door: g.door, logger: g.logger}
 	for i, server := range servers {
 		go func() { failed <- server.Serve(g.listeners[i]) }()
 	}
@@ -148,7 +160,7 @@
 	tasks.Go(func() { g.peers.announce(life) })
 	tasks.Go(func() { g.peers.run(life) })
 	tasks.Go(func() { g.look(life) })
-	event.Started.Log(g.logger, g.settings.Host, g.settings.Place.Zone, g.listeners[0].Addr().String(),
+	event.Started.Log(g.logger, g.settings.Place.Zone, g.listeners[0].Addr().String(),
 		g.listeners[1].Addr().String(), g.listeners[3].Addr().String())
 	var err error
 	select {
@@ -243,6 +255,8 @@
 			g.callers.sweep(now, g.idleLimit())
 			g.client.Prune(now, g.present())
 			g.gauges()
+			g.logUse()
+			g.refusals.flush()
 			ready = g.logReady(ready)
 			dropped = g.logDropped(dropped)
 		}
--- a/internal/gateway/neighbours.go
+++ b/internal/gateway/neighbours.go
@@ -48,6 +48,7 @@
 	hub       *link.Hub
 	scheduler *scheduler
 	topic     keyed.Topic
+	late      *lag
 	// spoken holds the instant of the last message to each linked peer; it belongs to the goroutine that moves messages.
 	spoken map[string]time.Time
 
@@ -57,6 +58,7 @@
 
 // newNeighbours returns the links of a router, of which none is open.
 func newNeighbours(s Settings, topic keyed.Topic, logger zerolog.Logger, scheduler *scheduler, metrics *metric.Set,
+	late *lag,
 ) *neighbours {
 	start := rand.Uint64() | 1
 	return &neighbours{
@@ -66,6 +68,7 @@
 		hub:       link.New(link.Peer{Name: s.Host, Region: s.Place.Region}, start, metrics),
 		scheduler: scheduler,
 		topic:     topic,
+		late:      late,
 		known:     make(map[string]neighbour),
 		spoken:    make(map[string]time.Time),
 	}
@@ -169,7 +172,9 @@
 			return
 		case happened := <-n.hub.Events():
 			n.apply(happened)
-		case now := <-ticker.C:
+		case <-ticker.C:
+			now := time.Now()
+			n.late.note(now, tickPeriod)
 			n.tick(now)
 		}
 	}
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -56,6 +56,9 @@
 	if _, err := x.w.Write(body); err != nil {
 		event.CallerLeft.Log(x.gateway.logger, x.call.ID, x.record.target, time.Since(x.arrived).Milliseconds())
 	}
+	if !x.gateway.refusals.permits(time.Now(), refusalKind{x.customer, refused.Code, refused.Message}) {
+		return
+	}
 	event.RequestRefused.Log(x.gateway.logger, x.call.ID, x.customer, x.name(), string(refused.Code), refused.Message,
 		string(refused.Ran), status, pause.Milliseconds(), x.record.waited.Milliseconds(),
 		time.Since(x.arrived).Milliseconds(), x.sent, x.record.version, x.gateway.config.age().Milliseconds())
--- a/internal/metric/family.go
+++ b/internal/metric/family.go
@@ -28,6 +28,7 @@
 	FirstByte       Family = "chicorydale_first_byte_seconds"
 	Duration        Family = "chicorydale_request_duration_seconds"
 	LogDropped      Family = "chicorydale_log_dropped_lines"
+	Lateness        Family = "chicorydale_lateness_seconds"
 )
 
 // help maps each metric to its help text.
@@ -49,6 +50,7 @@
 	ConfigStaleness: "Seconds since this router last read the log to its end.",
 	FirstByte:       "Time from the arrival of a request to the first byte of its answer.",
 	Duration:        "Time from the arrival of a request to the end of its answer.",
+	Lateness:        "Largest delay of periodic work in the last second: the process gets too little processor time.",
 	LogDropped:      "Log lines that were dropped because the output was too slow.",
 }
 
--- a/internal/metric/set.go
+++ b/internal/metric/set.go
@@ -60,7 +60,7 @@
 	}
 	for _, family := range []Family{
 		FairnessGap, Utilisation, Waiting, Running, Pools, Ready, Isolated, Heard, ConfigVersion, ConfigStaleness,
-		LogDropped,
+		LogDropped, Lateness,
 	} {
 		set.gauges[family] = metrics.NewRegisteredGaugeFloat64(string(family), set.registry)
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -126,7 +126,7 @@
 	}
 	go r.loop(life)
 	r.tasks.Go(func() { r.followHosts(life) })
-	event.Started.Log(r.logger, r.settings.Host(), r.settings.Zone(),
+	event.Started.Log(r.logger, r.settings.Zone(),
 		listeners[0].Addr().String(), listeners[1].Addr().String(), listeners[2].Addr().String())
 	select {
 	case <-ctx.Done():
