Let the queue know a configuration as soon as the store does

Cause: TestOperatorsRace failed once ("forbidden: customer 1 is not configured") right after a router started: a caller's key was looked up in the configuration that a peer had just sent, and the request was submitted before the next tick, which hands the configuration to the queue. A caller of a new customer got a final 403 for up to 10 ms.

Ruled out: a configuration that goes back (the versions in the logs of all four routers only grow), a wrong key.

Before: the new test TestConfiguredAtOnce fails on every run. After: it passes; go test ./internal/node ./internal/wholepath ok.

Conclusion: a page or offer that changes the configuration reconfigures the node at once.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -125,6 +125,7 @@
 		n.tracker.Receive(now, from, body)
 	case *fleetpb.Body_ConfigOffer, *fleetpb.Body_ConfigFetch:
 		n.store.Receive(now, from, body)
+		n.reconfigure(now)
 	case *fleetpb.Body_Grants:
 		n.queue.Receive(now, from, body)
 	case *fleetpb.Body_ClaimRequest:
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -29,8 +29,21 @@
 
 var start = time.Date(2026, 1, 5, 9, 0, 0, 0, time.UTC)
 
-// newNode returns the node r0 of a fleet of so many routers, with four engines and a configuration.
+// newNode returns the node r0 of a fleet of so many routers, with four engines and a configuration, after its first tick.
 func newNode(routers int) *node.Node {
+	n := newStart(routers)
+	n.Tick(start)
+	for _, position := range n.Positions() {
+		if strings.HasPrefix(position.Stream, claims) { // Known since the first tick.
+			records := []outside.Record{{At: start, Data: claim.Encode(nil)}}
+			n.Page(start, position.Stream, outside.Page{Records: records, End: 1})
+		}
+	}
+	return n
+}
+
+// newStart returns the same node before its first tick.
+func newStart(routers int) *node.Node {
 	list := outside.HostList{Version: 1}
 	for i := range 4 {
 		name := fmt.Sprint("e", i)
@@ -58,13 +71,6 @@
 		}
 		n.Page(start, position.Stream, page)
 	}
-	n.Tick(start)
-	for _, position := range n.Positions() {
-		if strings.HasPrefix(position.Stream, claims) { // Known since the first tick.
-			records := []outside.Record{{At: start, Data: claim.Encode(nil)}}
-			n.Page(start, position.Stream, outside.Page{Records: records, End: 1})
-		}
-	}
 	return n
 }
 
@@ -110,6 +116,12 @@
 	return text
 }
 
+// TestConfiguredAtOnce guards against a customer that is known by its key and refused because the queue learns of it only
+// with the next tick.
+func TestConfiguredAtOnce(t *testing.T) {
+	submit(qt.New(t), newStart(3), start, 1)
+}
+
 // TestSameInputs guards against decisions that depend on the order of a map or on a source of randomness without a
 // seed: a run could not be repeated.
 func TestSameInputs(t *testing.T) {
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -21,6 +21,7 @@
 	switch stream {
 	case config.Stream:
 		n.store.Page(now, stream, page)
+		n.reconfigure(now)
 	case suspect.Stream:
 		n.suspects.Page(now, stream, page)
 	default:
