Sum up gateway logs with a report command

Line 605 now has expected_ms and target_ms; chicorydale report prints outcomes, waits, first bytes, refusals by reason and the error of the expectation at 50, 95 and 99 in 100.

--- a/internal/cmd/app.go
+++ b/internal/cmd/app.go
@@ -71,6 +71,7 @@
 	a.addTargets()
 	a.addStatus()
 	a.addCall()
+	a.addReport()
 	a.addKey()
 	a.addVersion()
 	return a
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -86,7 +86,7 @@
 
 	RequestAnswered = Event{605, info, "request_answered", []string{
 		"id", "customer", "route", "target", "status", "sent", "waited_ms", "first_ms", "took_ms", "bytes", "prompt",
-		"missing", "version",
+		"missing", "version", "expected_ms", "target_ms",
 	}}
 	RequestRefused = Event{606, info, "request_refused", []string{
 		"id", "customer", "route", "code", "reason", "ran", "status", "retry_ms", "waited_ms", "took_ms", "sent", "version",
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -60,6 +60,11 @@
 	target  string
 	waited  time.Duration
 	first   time.Duration
+	// sent is the instant of the last decision for a target, expected the time to the first byte that it expects.
+	sent     time.Time
+	expected time.Duration
+	// took is the time from that decision to the first byte.
+	took    time.Duration
 	status  int
 	bytes   int64
 	missing int
@@ -137,6 +142,8 @@
 	x.record.waited += decision.Waited
 	x.record.target = decision.Target.Name
 	x.record.missing = decision.Missing
+	x.record.sent = time.Now()
+	x.record.expected = decision.First.Sub(x.record.sent)
 	return decision
 }
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -263,6 +263,7 @@
 func (x *exchange) noteFirst() {
 	if x.record.first == 0 {
 		x.record.first = time.Since(x.arrived)
+		x.record.took = time.Since(x.record.sent)
 		x.gateway.metrics.Observe(metric.FirstByte, x.record.first)
 	}
 }
@@ -273,5 +274,5 @@
 	x.gateway.metrics.Observe(metric.Duration, took)
 	event.RequestAnswered.Log(x.gateway.logger, x.call.ID, x.customer, x.name(), x.record.target, x.record.status,
 		x.sent, x.record.waited.Milliseconds(), x.record.first.Milliseconds(), took.Milliseconds(), x.record.bytes,
-		x.call.Prompt, x.record.missing, x.record.version)
+		x.call.Prompt, x.record.missing, x.record.version, x.record.expected.Milliseconds(), x.record.took.Milliseconds())
 }
--- /dev/null
+++ b/internal/report/report_test.go
@@ -0,0 +1,55 @@
+package report_test
+
+import (
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chicorydale/chicorydale/internal/report"
+)
+
+// log is a log of two hosts, as a collector joins it.
+const log = `  1.5 host-a {"event":605,"customer":"c","route":"r1","status":200,"waited_ms":5,"first_ms":100,"expected_ms":90,"target_ms":95}
+{"event":605,"customer":"c","route":"r1","status":200,"waited_ms":7,"first_ms":200,"expected_ms":90,"target_ms":60}
+{"event":605,"customer":"d","route":"r1","status":500}
+{"event":606,"customer":"d","route":"r2","code":"overloaded","reason":"too many requests wait"}
+{"event":611,"customer":"d","code":"overloaded","reason":"too many requests wait","count":40}
+{"event":608,"id":"x"}
+{"event":609,"id":"y"}
+{"event":606,"customer":"d","rou
+no line of ours
+`
+
+// TestReport guards against requests that a report loses: summed refusals, answers that are failures, lines of a collector.
+func TestReport(t *testing.T) {
+	for key, want := range map[report.Key]string{
+		report.ByRoute: `
+route  answered  failed  refused  waited  first byte   later than expected  off by
+-      0         0       40       0/0/0   0/0/0        0/0/0                0/0/0
+r1     2         1       0        5/5/5   100/100/100  -30/-30/-30          5/5/5
+r2     0         0       1        0/0/0   0/0/0        0/0/0                0/0/0
+
+refused for  reason                  count
+overloaded   too many requests wait  41
+
+callers left 1, streams broken 1, lines that cannot be read 2
+`,
+		report.ByCustomer: `
+customer  answered  failed  refused  waited  first byte   later than expected  off by
+c         2         0       0        5/5/5   100/100/100  -30/-30/-30          5/5/5
+d         0         1       41       0/0/0   0/0/0        0/0/0                0/0/0
+
+refused for  reason                  count
+overloaded   too many requests wait  41
+
+callers left 1, streams broken 1, lines that cannot be read 2
+`,
+	} {
+		read := report.New(key)
+		qt.Assert(t, read.Read(strings.NewReader(log)), qt.IsNil)
+		var out strings.Builder
+		qt.Assert(t, read.Write(&out), qt.IsNil)
+		qt.Check(t, "\n"+out.String(), qt.Equals, want)
+	}
+}
