Read the store through one router of each availability zone

Each of 91 routers reads the targets once a second, the configuration every 1.5 s, and the list of routers with each router that starts.

Ruled out: a longer pause (a leaving target must be known within the drain time; the configuration within seconds), a reader for a region (records between zones are billed).

Mend: routers ask the linked peer of their zone with the highest weight; it answers from its memory of the newest records, with the age of its knowledge. Silence, an old answer or the end of the link lead to the store at once. The list of routers is read at most once a second, and links tell region and zone of the peer in their first packet: a peer that was not listed yet counted as one of another region.

Tests in virtual time: one reader of five routers, records in time, a silent, ended or cut-off reader. go test ./... passed.

Conclusion: control traffic to the store no longer grows with the routers of a zone.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -67,6 +67,8 @@
 	Rejoined    = Event{410, info, "rejoined", []string{"live", "listed"}}
 
 	AnnounceFailed = Event{411, warning, "announce_failed", []string{"error"}}
+	StoreShared    = Event{412, info, "store_shared", []string{"topic", "peer"}}
+	StoreUnshared  = Event{413, info, "store_unshared", []string{"topic", "peer", "error"}}
 )
 
 // Events of the targets.
@@ -124,6 +126,7 @@
 		LogDown, LogUp, LogExpired, LogUnsettled, HostsDown, HostsUp, HostsChanged,
 		StoreDown, StoreUp, RecordInvalid,
 		LinkUp, LinkDown, PeerUp, PeerDown, PeerLeaving, RoleGained, RoleLost, Isolated, Rejoined, AnnounceFailed,
+		StoreShared, StoreUnshared,
 		TargetAdded, TargetLeaving, TargetGone, TargetCrashed,
 		Refused, Retried, Resumed, Abandoned,
 		RequestAnswered, RequestRefused, AttemptFailed, CallerLeft, StreamBroken, ServiceState, RefusalsSummed,
--- a/internal/gateway/configview.go
+++ b/internal/gateway/configview.go
@@ -62,7 +62,9 @@
 
 // Confirmed notes that the configuration was the newest one at an instant.
 func (b *configView) Confirmed(asked boottime.Instant) {
-	b.confirmed.Store(int64(asked))
+	if int64(asked) > b.confirmed.Load() { // Another router may confirm an earlier instant than the store did.
+		b.confirmed.Store(int64(asked))
+	}
 	if b.lost {
 		b.lost = false
 		event.StoreUp.Log(b.logger, "config")
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -5,6 +5,10 @@
 	"net"
 	"time"
 
+	"github.com/rs/zerolog"
+
+	"github.com/chicorydale/chicorydale/internal/fleetpb"
+	"github.com/chicorydale/chicorydale/internal/keyed"
 	"github.com/chicorydale/chicorydale/internal/route"
 )
 
@@ -40,3 +44,32 @@
 		caller.accepted = caller.accepted.Add(-late)
 	}
 }
+
+// Sharer is a router that shares its reads of the store.
+type Sharer struct{ *sharing }
+
+// NewSharer returns a router without links.
+func NewSharer(self string, send func(to string, body *fleetpb.Body)) Sharer {
+	return Sharer{newSharing(self, zerolog.Nop(), send)}
+}
+
+// Share returns a topic that is read through a peer if there is one.
+func (s Sharer) Share(direct keyed.Topic) keyed.Topic { return s.share("topic", direct) }
+
+// Link notes the begin of a session with a peer, Unlink its end.
+func (s Sharer) Link(peer string) { s.connected(peer) }
+
+// Unlink notes the end of a session with a peer.
+func (s Sharer) Unlink(peer string) { s.disconnected(peer) }
+
+// Receive takes a message of a peer.
+func (s Sharer) Receive(from string, body *fleetpb.Body) {
+	if read := body.GetTopicRead(); read != nil {
+		s.asked(time.Now(), from, read)
+		return
+	}
+	s.answered(body.GetTopicPage())
+}
+
+// Tick answers the questions that are due.
+func (s Sharer) Tick() { s.tick(time.Now()) }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,12 +29,14 @@
 	headerLimit = 10 * time.Second
 	headerBytes = 16 << 10
 	// confirmWait is how long the store holds a read of the configuration without news. Each answer confirms that the
-	// configuration is the newest one.
-	confirmWait = 1500 * time.Millisecond
+	// configuration was the newest one when it was asked for, so that the confirmation is up to twice as old.
+	confirmWait = 700 * time.Millisecond
 	// targetPace is the pause between reads of the targets, which all renew their records about once a second.
 	targetPace = time.Second
-	// routerWait is how long the store holds a read of the routers without news.
+	// routerWait is how long the store holds a read of the routers without news, routerPace the pause between reads: many
+	// routers start at once.
 	routerWait = 20 * time.Second
+	routerPace = time.Second
 	// lookPeriod is the time between looks at idle connections and gauges.
 	lookPeriod = time.Second
 	// statePeriods is the number of looks between log lines on the services.
@@ -154,9 +156,12 @@
 		go func() { failed <- server.Serve(g.listeners[i]) }()
 	}
 	var tasks sync.WaitGroup
-	tasks.Go(func() { keyed.NewFollower(g.outside.Configuration, g.config, confirmWait, 0).Run(life) })
-	tasks.Go(func() { keyed.NewFollower(g.outside.Targets, g.directory, 0, targetPace).Run(life) })
-	tasks.Go(func() { keyed.NewFollower(g.outside.Routers, g.peers, routerWait, 0).Run(life) })
+	configuration, targets := g.shared()
+	tasks.Go(func() { keyed.NewFollower(configuration, g.config, confirmWait, 0).Run(life) })
+	tasks.Go(func() { keyed.NewFollower(targets, g.directory, 0, targetPace).Run(life) })
+	tasks.Go(func() {
+		keyed.NewFollower(keyed.NewLimited(g.outside.Routers), g.peers, routerWait, routerPace).Run(life)
+	})
 	tasks.Go(func() { g.peers.announce(life) })
 	tasks.Go(func() { g.peers.run(life) })
 	tasks.Go(func() { g.look(life) })
@@ -179,6 +184,17 @@
 	return err
 }
 
+// shared returns the topics that are read through one router of the availability zone, unless keys must be revoked too soon
+// for that.
+func (g *Gateway) shared() (configuration, targets keyed.Topic) {
+	configuration, targets = keyed.NewLimited(g.outside.Configuration), keyed.NewLimited(g.outside.Targets)
+	if g.settings.Revocation > 0 && g.settings.Revocation < leastRevocation {
+		return configuration, targets
+	}
+	sharing := g.peers.sharing
+	return sharing.share("configuration", configuration), sharing.share("targets", targets)
+}
+
 // server returns an HTTP server for a handler.
 func (g *Gateway) server(handler http.Handler) *http.Server {
 	return &http.Server{
--- a/internal/gateway/neighbours.go
+++ b/internal/gateway/neighbours.go
@@ -49,6 +49,7 @@
 	scheduler *scheduler
 	topic     keyed.Topic
 	late      *lag
+	sharing   *sharing
 	// spoken holds the instant of the last message to each linked peer; it belongs to the goroutine that moves messages.
 	spoken map[string]time.Time
 
@@ -61,16 +62,20 @@
 	late *lag,
 ) *neighbours {
 	start := rand.Uint64() | 1
+	hub := link.New(link.Peer{Name: s.Host, Region: s.Place.Region, Zone: s.Place.Zone}, start, metrics)
 	return &neighbours{
 		self:      s.Host,
 		own:       neighbour{Address: s.Link.String(), Zone: s.Place.Zone, Region: s.Place.Region, Start: start},
 		logger:    logger,
-		hub:       link.New(link.Peer{Name: s.Host, Region: s.Place.Region}, start, metrics),
+		hub:       hub,
 		scheduler: scheduler,
 		topic:     topic,
 		late:      late,
-		known:     make(map[string]neighbour),
-		spoken:    make(map[string]time.Time),
+		sharing: newSharing(s.Host, logger, func(to string, body *fleetpb.Body) {
+			hub.Send(to, []*fleetpb.Body{body})
+		}),
+		known:  make(map[string]neighbour),
+		spoken: make(map[string]time.Time),
 	}
 }
 
@@ -186,33 +191,49 @@
 	case happened.Connected:
 		event.LinkUp.Log(n.logger, happened.Peer)
 		n.spoken[happened.Peer] = time.Now()
-		region := n.region(happened.Peer)
+		if happened.Zone == n.own.Zone {
+			n.sharing.connected(happened.Peer)
+		}
 		n.scheduler.do(func(core *dispatch.Dispatcher, now time.Time) {
-			core.Connected(now, dispatch.Peer{Name: happened.Peer, Region: region})
+			core.Connected(now, dispatch.Peer{Name: happened.Peer, Region: happened.Region})
 		})
 	case happened.Disconnected:
 		event.LinkDown.Log(n.logger, happened.Peer)
 		delete(n.spoken, happened.Peer)
+		n.sharing.disconnected(happened.Peer)
 		n.scheduler.do(func(core *dispatch.Dispatcher, _ time.Time) { core.Disconnected(happened.Peer) })
 	case happened.Failed:
 	default:
-		n.scheduler.do(func(core *dispatch.Dispatcher, now time.Time) {
-			for _, body := range happened.Bodies {
-				core.Receive(now, happened.Peer, body)
-			}
-		})
+		n.receive(happened.Peer, happened.Bodies)
 	}
 }
 
-// region returns the region of a peer. One that is not listed yet counts as being in another region.
-func (n *neighbours) region(peer string) string {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.known[peer].Region
+// receive takes the messages of a peer.
+func (n *neighbours) receive(from string, bodies []*fleetpb.Body) {
+	activities := bodies[:0]
+	for _, body := range bodies {
+		switch {
+		case body.GetTopicRead() != nil:
+			n.sharing.asked(time.Now(), from, body.GetTopicRead())
+		case body.GetTopicPage() != nil:
+			n.sharing.answered(body.GetTopicPage())
+		default:
+			activities = append(activities, body)
+		}
+	}
+	if len(activities) == 0 {
+		return
+	}
+	n.scheduler.do(func(core *dispatch.Dispatcher, now time.Time) {
+		for _, body := range activities {
+			core.Receive(now, from, body)
+		}
+	})
 }
 
 // tick sends what is due.
 func (n *neighbours) tick(now time.Time) {
+	n.sharing.tick(now)
 	n.scheduler.do(func(core *dispatch.Dispatcher, now time.Time) {
 		for _, envelope := range core.Tick(now) {
 			n.hub.Send(envelope.To, []*fleetpb.Body{envelope.Body})
--- a/internal/keyed/follower.go
+++ b/internal/keyed/follower.go
@@ -10,8 +10,6 @@
 )
 
 const (
-	// callLimit bounds one call to the store beyond the time that it was asked to wait.
-	callLimit = 1200 * time.Millisecond
 	// shortestPause and longestPause bound the pause after a failed call. It is random, so that routers do not come
 	// back together.
 	shortestPause = 100 * time.Millisecond
@@ -63,30 +61,27 @@
 			continue
 		}
 		next, loaded = page.Next, true
-		sleep(ctx, f.pace)
+		if !page.Relayed { // The other router keeps the pace and answers when it has read something.
+			sleep(ctx, f.pace)
+		}
 	}
 }
 
 // call makes one call to the store and hands its answer on.
 func (f *Follower) call(ctx context.Context, loaded bool, from uint64) (Page, error) {
 	asked := boottime.Now()
-	now := time.Now()
 	if !loaded {
-		limited, cancel := context.WithDeadline(ctx, now.Add(callLimit))
-		defer cancel()
-		page, err := f.topic.Newest(limited)
+		page, err := f.topic.Newest(ctx)
 		if err == nil {
 			f.handler.Reset(time.Now(), page.Records)
-			f.handler.Confirmed(asked)
+			f.handler.Confirmed(asked.Add(page.Known))
 		}
 		return page, err
 	}
-	limited, cancel := context.WithDeadline(ctx, now.Add(f.wait+callLimit))
-	defer cancel()
-	page, err := f.topic.Read(limited, from, now.Add(f.wait))
+	page, err := f.topic.Read(ctx, from, time.Now().Add(f.wait))
 	if err == nil {
 		f.handler.Apply(time.Now(), page.Records)
-		f.handler.Confirmed(asked)
+		f.handler.Confirmed(asked.Add(page.Known))
 	}
 	return page, err
 }
--- a/internal/keyed/topic.go
+++ b/internal/keyed/topic.go
@@ -12,6 +12,8 @@
 	Key string
 	// Value is the content; it is nil if the key was removed.
 	Value []byte
+	// Offset is the place of the record in the topic, zero if it is not known.
+	Offset uint64
 }
 
 // Page holds records in the order in which they were written.
@@ -20,6 +22,11 @@
 	Records []Record
 	// Next is the offset after the page.
 	Next uint64
+	// Known is the time from the call until the instant as of which the page is complete. It is negative if that was before
+	// the call, and zero for answers of the store itself.
+	Known time.Duration
+	// Relayed is set if another router answered for the store.
+	Relayed bool
 }
 
 // Topic is a topic of the platform's store.
--- a/internal/link/event.go
+++ b/internal/link/event.go
@@ -8,6 +8,8 @@
 	Peer string
 	// Incarnation is the other router's incarnation, with Connected.
 	Incarnation uint64
+	// Region and Zone are those of the other router, with Connected.
+	Region, Zone string
 	// Connected is set when a session begins.
 	Connected bool
 	// Disconnected is set when a session has ended.
--- a/internal/link/hub.go
+++ b/internal/link/hub.go
@@ -173,7 +173,9 @@
 func (h *Hub) hello(recipient string) *fleetpb.Packet {
 	return &fleetpb.Packet{
 		Version: ProtocolVersion,
-		Hello:   &fleetpb.Hello{Host: h.self.Name, Incarnation: h.incarnation, Recipient: recipient},
+		Hello: &fleetpb.Hello{
+			Host: h.self.Name, Incarnation: h.incarnation, Recipient: recipient, Region: h.self.Region, Zone: h.self.Zone,
+		},
 	}
 }
 
@@ -215,7 +217,9 @@
 		previous.close()
 		h.emit(Event{Peer: candidate.peer, Disconnected: true})
 	}
-	h.emit(Event{Peer: candidate.peer, Incarnation: candidate.incarnation, Connected: true})
+	h.emit(Event{
+		Peer: candidate.peer, Incarnation: candidate.incarnation, Region: candidate.region, Zone: candidate.zone, Connected: true,
+	})
 	return true
 }
 
--- a/internal/link/hub_test.go
+++ b/internal/link/hub_test.go
@@ -69,8 +69,8 @@
 	b, peerB := start(t, "b", 2, "west")
 	a.Connect([]string{"b"}, []link.Peer{peerA, peerB})
 	connected := next(t, a)
-	qt.Assert(t, connected, qt.DeepEquals, link.Event{Peer: "b", Incarnation: 2, Connected: true})
-	qt.Assert(t, next(t, b), qt.DeepEquals, link.Event{Peer: "a", Incarnation: 1, Connected: true})
+	qt.Assert(t, connected, qt.DeepEquals, link.Event{Peer: "b", Incarnation: 2, Region: "west", Connected: true})
+	qt.Assert(t, next(t, b), qt.DeepEquals, link.Event{Peer: "a", Incarnation: 1, Region: "east", Connected: true})
 	const messages = 300
 	for i := range messages {
 		a.Send("b", []*fleetpb.Body{heartbeat(uint64(i))})
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -8,4 +8,6 @@
 	Address string
 	// Region is the router's region, to count traffic that crosses regions.
 	Region string
+	// Zone is the router's availability zone.
+	Zone string
 }
--- a/internal/link/session.go
+++ b/internal/link/session.go
@@ -26,6 +26,8 @@
 type session struct {
 	peer        string
 	incarnation uint64
+	region      string
+	zone        string
 	dialled     bool
 	cross       bool
 	outgoing    chan *fleetpb.Packet
@@ -41,6 +43,8 @@
 	return &session{
 		peer:        hello.GetHost(),
 		incarnation: hello.GetIncarnation(),
+		region:      hello.GetRegion(),
+		zone:        hello.GetZone(),
 		dialled:     dialled,
 		cross:       cross,
 		outgoing:    make(chan *fleetpb.Packet, queueLimit),
