Break off a resumed stream that its new target begins anew

Callers saw events twice, from two runs.

Ruled out: comparing ids for being consecutive, since engines number events by tokens in steps.

After: the attempt counts as broken and another target is tried, or the connection is closed; TestResumed covers the ids.

Conclusion: a stream is only joined where the ids go on.

--- a/internal/emulator/replicaserver/server.go
+++ b/internal/emulator/replicaserver/server.go
@@ -34,6 +34,8 @@
 	// Long answers with a megabyte; LongTorn breaks it off in the middle.
 	Long
 	LongTorn
+	// Restarting begins each stream anew, whatever the caller has got of it.
+	Restarting
 	// Unsigned runs requests and answers with a success that lacks the signature.
 	Unsigned
 	// Silent runs requests and sends nothing.
@@ -163,7 +165,7 @@
 	case Long, LongTorn:
 		long(w, mode)
 		return
-	case Sound, Refusing, Torn:
+	case Sound, Refusing, Torn, Restarting:
 	}
 	w.Header().Set("X-Replica-Seal", "seal")
 	if s.events > 0 {
@@ -185,7 +187,7 @@
 func (s *Server) stream(w http.ResponseWriter, r *http.Request, mode Mode) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	from, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	if err != nil {
+	if err != nil || mode == Restarting {
 		from = 0
 	}
 	control := http.NewResponseController(w)
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -26,6 +26,14 @@
 // Error describes the answer.
 func (e *rejectedError) Error() string { return fmt.Sprintf("rejected with status %d", e.status) }
 
+// restartedError says that a target which was to go on with a stream after an event began with an earlier one.
+type restartedError struct{ after, id string }
+
+// Error describes the events.
+func (e *restartedError) Error() string {
+	return fmt.Sprintf("the stream goes on with event %s after event %s", e.id, e.after)
+}
+
 // isTimeout tells whether an error comes from a deadline.
 func isTimeout(err error) bool {
 	var timeout net.Error
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -95,6 +95,7 @@
 		if !x.attempt(ctx, decision) {
 			return
 		}
+		x.splitter.resume()
 		request.Avoid = append(slices.Clone(request.Avoid), decision.Target.Name)
 		given = x.gateway.scheduler.repeat(given.id, request)
 	}
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -23,7 +23,8 @@
 	for len(stream) > 0 {
 		piece := stream[:min(size, len(stream))]
 		stream = stream[len(piece):]
-		whole += string(splitter.add([]byte(piece)))
+		events, _ := splitter.add([]byte(piece)) // The first target of a stream cannot begin it anew.
+		whole += string(events)
 	}
 	return whole, splitter.last
 }
@@ -73,3 +74,16 @@
 
 // Tick answers the questions that are due.
 func (s Sharer) Tick() { s.tick(time.Now()) }
+
+// Resumed returns what reaches the caller of a stream that a target breaks off and another one goes on with.
+func Resumed(first, second string) (string, error) {
+	var splitter eventSplitter
+	before, err := splitter.add([]byte(first))
+	if err != nil {
+		return "", err
+	}
+	seen := string(before)
+	splitter.resume()
+	after, err := splitter.add([]byte(second))
+	return seen + string(after), err
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -26,6 +26,9 @@
 	eventPause = 1200 * time.Millisecond
 )
 
+// errNotTaken says that the caller does not take the head of an answer.
+var errNotTaken = errors.New("the caller does not take the answer")
+
 // errTooLong says that an answer does not fit into the buffer.
 var errTooLong = errors.New("the answer is too long to be held")
 
@@ -193,17 +196,14 @@
 			} else {
 				x.gateway.scheduler.heard(decision.ID)
 			}
-			if !x.forward((*piece)[:n], answer, resumable) {
-				x.finish(decision, dispatch.Cancelled)
-				x.left()
-				return false
+			if failed := x.forward((*piece)[:n], answer, resumable); failed != nil {
+				return x.stopped(decision, failed)
 			}
 		}
 		if errors.Is(err, io.EOF) {
 			return x.ended(decision, answer, first)
 		}
 		if err != nil {
-			x.splitter.drop()
 			return x.broken(decision, err)
 		}
 	}
@@ -230,19 +230,33 @@
 	return false
 }
 
-// forward passes on a piece of a stream; of a resumable one only whole events. It reports whether the caller takes it.
-func (x *exchange) forward(piece []byte, answer *forward.Answer, resumable bool) bool {
+// stopped ends an attempt whose stream could not be passed on: the caller does not take it, or the target began it anew. It
+// reports whether the request shall go to another target.
+func (x *exchange) stopped(decision dispatch.Decision, err error) bool {
+	var restarted *restartedError
+	if errors.As(err, &restarted) {
+		return x.broken(decision, err)
+	}
+	x.finish(decision, dispatch.Cancelled)
+	x.left()
+	return false
+}
+
+// forward passes on a piece of a stream; of a resumable one only whole events. The error is a *restartedError or that of the
+// caller's connection.
+func (x *exchange) forward(piece []byte, answer *forward.Answer, resumable bool) error {
 	if resumable {
-		if piece = x.splitter.add(piece); len(piece) == 0 {
-			return true
+		var err error
+		if piece, err = x.splitter.add(piece); err != nil || len(piece) == 0 {
+			return err
 		}
 	}
 	if !x.began && !x.begin(answer) {
-		return false
+		return errNotTaken
 	}
 	n, err := x.w.Write(piece)
 	x.record.bytes += int64(n)
-	return err == nil && x.control.Flush() == nil
+	return errors.Join(err, x.control.Flush())
 }
 
 // begin sends the head of a stream. It reports whether the caller takes it.
