Look at some targets of a large service only

Cause: a decision looked at every target of a service up to five times, and each message to a peer at every target.

Ruled out: only the targets of the own region (thousands still, and no way out of a full region); an exact index of all cached parts (it has to follow each eviction).

Mend: beyond 128 targets a request is shown to the last readers of its parts, to its session's home on a ring, and to some 50 drawn by zone, region and elsewhere; open targets are counted on a sample. Peers are told of changed targets only. Up to 128 targets nothing changes.

Conclusion: the cost of a decision no longer grows with the fleet.

--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -8,9 +8,16 @@
 )
 
 // BenchmarkRequest measures the decisions of one request with 64 events before 18 engines.
-func BenchmarkRequest(b *testing.B) {
+func BenchmarkRequest(b *testing.B) { benchmarkRequest(b, 18) }
+
+// BenchmarkRequestLarge measures the same before as many engines as the fleet has in two years.
+func BenchmarkRequestLarge(b *testing.B) { benchmarkRequest(b, 5100) }
+
+// benchmarkRequest measures the decisions of one request with 64 events.
+func benchmarkRequest(b *testing.B, targets int) {
+	b.Helper()
 	d := dispatch.New(here, 1)
-	d.Locate(start, engines(18, 32))
+	d.Locate(start, engines(targets, 32))
 	now := start
 	for i := 0; b.Loop(); i++ {
 		now = now.Add(10 * time.Millisecond)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -71,6 +71,7 @@
 		if !known || state.Born != target.Born || state.Address != target.Address {
 			state = newTargetState(target)
 			d.sum(state)
+			d.mark(state)
 		}
 		state.Target, state.memory = target, d.service(target.Service).memory
 		present[target.Name] = state
@@ -78,9 +79,15 @@
 		s := d.service(target.Service)
 		s.targets = append(s.targets, state)
 	}
+	for name, state := range d.targets {
+		state.gone = present[name] != state
+	}
 	d.targets = present
 	for _, s := range d.services {
 		slices.SortFunc(s.targets, func(a, b *targetState) int { return cmp.Compare(a.Name, b.Name) })
+		if s.large() {
+			s.wide.locate(d.place, s.targets)
+		}
 		d.pump(now, s)
 	}
 }
@@ -198,6 +205,7 @@
 		r.state.forget(&r.request)
 	}
 	r.state.end(r)
+	d.mark(r.state)
 	switch outcome {
 	case Done:
 		r.state.note(now, 0)
@@ -273,6 +281,10 @@
 	for _, linked := range d.peers {
 		linked.added[state.short] += uint32(chosen.missing)
 	}
+	d.mark(state)
+	for _, part := range w.request.Parts {
+		s.remember(part.ID, state)
+	}
 	d.charge(now, s, w.request.Customer, started.cost, 0)
 	s.started = s.started.with(now)
 	d.runs[w.id] = started
@@ -303,7 +315,7 @@
 func (d *Dispatcher) service(name string) *service {
 	found, ok := d.services[name]
 	if !ok {
-		found = newService(name)
+		found = newService(name, d.random)
 		d.services[name] = found
 	}
 	return found
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -64,6 +64,8 @@
 	// told are the runs of this router that the peer knows of, has those of the peer that this router knows of.
 	told map[uint32]uint32
 	has  map[uint32]uint32
+	// changed are the targets at which something is not told yet.
+	changed map[uint32]struct{}
 	// added are the tokens given to targets that are not told yet.
 	added map[uint32]uint32
 	// readings and customers are not told yet.
@@ -84,7 +86,8 @@
 	}
 	return &peer{
 		Peer: described, period: period,
-		told: make(map[uint32]uint32), has: make(map[uint32]uint32), added: make(map[uint32]uint32), customers: make(map[uint32]spending),
+		changed: make(map[uint32]struct{}),
+		told:    make(map[uint32]uint32), has: make(map[uint32]uint32), added: make(map[uint32]uint32), customers: make(map[uint32]spending),
 		lines: make(map[uint32]lineReport), reported: make(map[uint32]bool),
 	}
 }
@@ -93,7 +96,7 @@
 func short(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
 
 // message returns what is new since the last message, nil if nothing is.
-func (p *peer) message(now time.Time, targets map[string]*targetState, speeds map[string]float64, lines []*fleetpb.Line,
+func (p *peer) message(now time.Time, targets map[uint32]*targetState, speeds map[string]float64, lines []*fleetpb.Line,
 ) *fleetpb.Activity {
 	told := &fleetpb.Activity{Readings: p.readings}
 	for _, line := range lines {
@@ -104,9 +107,13 @@
 		}
 	}
 	p.readings = nil
-	for _, state := range targets {
-		current, added := uint32(state.running), p.added[state.short]
-		if p.told[state.short] == current && added == 0 {
+	for short := range p.changed {
+		state, listed := targets[short]
+		if !listed {
+			continue
+		}
+		current, added := uint32(state.running), p.added[short]
+		if p.told[short] == current && added == 0 {
 			continue
 		}
 		p.told[state.short] = current
@@ -121,6 +128,7 @@
 	}
 	clear(p.customers)
 	clear(p.added)
+	clear(p.changed)
 	if len(told.GetTargets())+len(told.GetReadings())+len(told.GetCustomers())+len(told.GetLines()) == 0 {
 		return nil
 	}
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -14,6 +14,11 @@
 	d.Disconnected(described.Name)
 	linked := newPeer(described, d.place)
 	d.peers[described.Name] = linked
+	for short, state := range d.shorts {
+		if state.running > 0 {
+			linked.changed[short] = struct{}{}
+		}
+	}
 	if described.Region != d.place.Region {
 		return
 	}
@@ -59,6 +64,7 @@
 			for i, part := range reading.GetParts() {
 				if i < len(reading.GetTokens()) {
 					state.cache.use(now, Part{ID: part, Tokens: int(reading.GetTokens()[i])}, state.memory)
+					d.service(state.Service).remember(part, state)
 				}
 			}
 		}
@@ -104,6 +110,13 @@
 	}
 }
 
+// mark notes that the peers are to be told what this router has at a target.
+func (d *Dispatcher) mark(state *targetState) {
+	for _, linked := range d.peers {
+		linked.changed[state.short] = struct{}{}
+	}
+}
+
 // sum sets the number of runs that all peers have at a target that is new to this router.
 func (d *Dispatcher) sum(state *targetState) {
 	for _, linked := range d.peers {
@@ -185,7 +198,7 @@
 		if now.Before(linked.next) {
 			continue
 		}
-		told := linked.message(now, d.targets, speeds, lines)
+		told := linked.message(now, d.shorts, speeds, lines)
 		if told == nil {
 			continue
 		}
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"github.com/chicorydale/chicorydale/internal/engine"
@@ -45,20 +46,44 @@
 	// short is the hash of the name in messages to peers.
 	short   uint32
 	targets []*targetState
-	line    *line
-	fit     engine.Fit
+	// wide chooses the targets to look at if there are many.
+	wide *candidates
+	line *line
+	fit  engine.Fit
 	// speed is the number of tokens that a target reads in a second, as this router and its peers have learnt it.
 	speed float64
 	// memory is the number of tokens that each target holds, zero if it is not known.
 	memory  int
 	started meter
+	// offset is the first target of the next estimate of the open ones.
+	offset int
 	// yielded is the instant from which room is left to the peers' customers, zero if none is.
 	yielded time.Time
 }
 
 // newService returns a service without targets.
-func newService(name string) *service {
-	return &service{name: name, short: short(name), line: newLine(), speed: engine.Fit{}.Speed()}
+func newService(name string, random *rand.Rand) *service {
+	return &service{
+		name: name, short: short(name), line: newLine(), speed: engine.Fit{}.Speed(), wide: newCandidates(random),
+	}
+}
+
+// large tells whether not all targets are looked at for each request.
+func (s *service) large() bool { return len(s.targets) > exactTargets }
+
+// candidates returns the targets to look at for a request.
+func (s *service) candidates(request *Request) []*targetState {
+	if s.large() {
+		return s.wide.pick(request)
+	}
+	return s.targets
+}
+
+// remember notes that a target reads parts of a prompt.
+func (s *service) remember(part uint64, state *targetState) {
+	if s.large() {
+		s.wide.remember(part, state)
+	}
 }
 
 // serves tells whether any target may run a request now or soon.
@@ -107,14 +132,15 @@
 // choose returns the target of least cost for a request. Targets that something speaks against are taken only if that
 // holds for all; a request waits rather than go to one.
 func (s *service) choose(now time.Time, from Place, request *Request) (choice, bool) {
+	looked := s.candidates(request)
 	home, holder, held := s.home(from, request), (*targetState)(nil), 0
 	if home != nil {
-		holder, held = s.holder(now, from, request)
+		holder, held = holderOf(now, from, looked, request)
 	}
 	best := choice{cost: math.Inf(1)}
-	sound := s.anySound(now, request)
+	sound := anySound(now, looked, request)
 	choices := 0
-	for _, state := range s.targets {
+	for _, state := range looked {
 		if state.Leaving || avoids(request, state.Name) || sound && !state.sound(now) {
 			continue
 		}
@@ -141,8 +167,8 @@
 }
 
 // anySound tells whether nothing speaks against one of the targets that a request may go to.
-func (s *service) anySound(now time.Time, request *Request) bool {
-	for _, state := range s.targets {
+func anySound(now time.Time, looked []*targetState, request *Request) bool {
+	for _, state := range looked {
 		if !state.Leaving && !avoids(request, state.Name) && state.sound(now) {
 			return true
 		}
@@ -150,15 +176,23 @@
 	return false
 }
 
-// open returns the number of targets that could take a request now.
+// open returns the number of targets that could take a request now; if there are many, it is estimated from some.
 func (s *service) open(now time.Time) int {
+	looked, step := len(s.targets), 1
+	if s.large() {
+		looked, step = openSamples, max(len(s.targets)/openSamples, 1)
+	}
 	count := 0
-	for _, state := range s.targets {
+	for i := range looked {
+		state := s.targets[(s.offset+i*step)%len(s.targets)]
 		if !state.Leaving && state.room(now) && s.shallow(now, state) && state.sound(now) {
 			count++
 		}
 	}
-	return count
+	if s.large() {
+		s.offset = (s.offset + 1) % len(s.targets)
+	}
+	return count * len(s.targets) / max(looked, 1)
 }
 
 // first returns the expected time to the first byte at a chosen target.
@@ -177,12 +211,12 @@
 	return state.queued(now, speed) <= deepest*speed
 }
 
-// holder returns the target that has most of a request's prompt in its cache, and how many tokens that are. Of several
+// holderOf returns the target that has most of a request's prompt in its cache, and how many tokens that are. Of several
 // ones it is the nearest.
-func (s *service) holder(now time.Time, from Place, request *Request) (*targetState, int) {
+func holderOf(now time.Time, from Place, looked []*targetState, request *Request) (*targetState, int) {
 	var best *targetState
 	held, distance := 0, 0.0
-	for _, state := range s.targets {
+	for _, state := range looked {
 		cached := state.cached(now, request.Parts)
 		if cached == 0 || !state.sound(now) {
 			continue
@@ -211,6 +245,9 @@
 	if session == 0 {
 		return nil
 	}
+	if s.large() {
+		return s.wide.home(session)
+	}
 	var best *targetState
 	var highest uint64
 	for _, state := range s.targets {
--- a/internal/dispatch/targetstate.go
+++ b/internal/dispatch/targetstate.go
@@ -77,6 +77,8 @@
 	// not accept.
 	blocked  time.Time
 	refusals int
+	// gone is set if the target is not listed any more.
+	gone bool
 }
 
 // newTargetState returns the state of a target of which nothing is known.
