Link up to 128 routers with each other, with rarer messages to many

Ruled out: the processor (0.7% of a core in use), the store.

Mend: all routers are linked up to 128 of them; with more than 6 peers in the region or 10 elsewhere the messages come further apart, so that their number stays near 330 a second for 90 peers.

Conclusion: what routers share has to reach all that use the same targets.

--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -9,10 +9,12 @@
 )
 
 const (
-	// nearPeriod and farPeriod are the times between messages to a peer of the same and of another region. Traffic
-	// between regions is billed.
-	nearPeriod = 25 * time.Millisecond
-	farPeriod  = 120 * time.Millisecond
+	// nearPeriod and farPeriod are the least times between messages to a peer of the same and of another region. Traffic
+	// between regions is billed. With many peers the messages to all of them come nearSpacing or farSpacing apart.
+	nearPeriod  = 25 * time.Millisecond
+	farPeriod   = 120 * time.Millisecond
+	nearSpacing = 4 * time.Millisecond
+	farSpacing  = 12 * time.Millisecond
 	// announcedSpan is the time after which the use of a part that was announced before is announced again.
 	announcedSpan = 4 * time.Second
 	// speedPeriod is the time between messages with learnt speeds if nothing waits.
@@ -59,8 +61,9 @@
 // peer is a linked router.
 type peer struct {
 	Peer
-	period time.Duration
-	next   time.Time
+	// near is set if the peer is in the router's region.
+	near bool
+	next time.Time
 	// told are the runs of this router that the peer knows of, has those of the peer that this router knows of.
 	told map[uint32]uint32
 	has  map[uint32]uint32
@@ -80,12 +83,8 @@
 
 // newPeer returns a peer that was told nothing.
 func newPeer(described Peer, from Place) *peer {
-	period := farPeriod
-	if described.Region == from.Region {
-		period = nearPeriod
-	}
 	return &peer{
-		Peer: described, period: period,
+		Peer: described, near: described.Region == from.Region,
 		changed: make(map[uint32]struct{}),
 		told:    make(map[uint32]uint32), has: make(map[uint32]uint32), added: make(map[uint32]uint32), customers: make(map[uint32]spending),
 		lines: make(map[uint32]lineReport), reported: make(map[uint32]bool),
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -183,6 +183,17 @@
 	return lines
 }
 
+// periods returns the times between messages to a peer of the same and of another region.
+func (d *Dispatcher) periods() (near, far time.Duration) {
+	count := 0
+	for _, linked := range d.peers {
+		if linked.near {
+			count++
+		}
+	}
+	return max(nearPeriod, time.Duration(count)*nearSpacing), max(farPeriod, time.Duration(len(d.peers)-count)*farSpacing)
+}
+
 // Tick places requests for which room was left to peers, and returns the messages that are due.
 func (d *Dispatcher) Tick(now time.Time) []message.Envelope {
 	for _, s := range d.services {
@@ -194,6 +205,7 @@
 	for name, s := range d.services {
 		speeds[name] = s.speed
 	}
+	near, far := d.periods()
 	for name, linked := range d.peers {
 		if now.Before(linked.next) {
 			continue
@@ -202,7 +214,10 @@
 		if told == nil {
 			continue
 		}
-		linked.next = now.Add(linked.period)
+		linked.next = now.Add(far)
+		if linked.near {
+			linked.next = now.Add(near)
+		}
 		envelopes = append(envelopes, message.Envelope{
 			To: name, Body: &fleetpb.Body{Kind: &fleetpb.Body_Activity{Activity: told}},
 		})
--- a/internal/dispatch/peers_test.go
+++ b/internal/dispatch/peers_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -176,3 +177,42 @@
 	}
 	qt.Check(t, desk > 200, qt.IsTrue, qt.Commentf("the desk got %d of 400, the flood %d", desk, flood))
 }
+
+// TestMessageRate guards against messages that take up the processors of a large fleet, and against late ones in a small
+// one.
+func TestMessageRate(t *testing.T) {
+	for _, c := range []struct {
+		near, far int
+		// most is the number of messages in a second, least the number to each near peer.
+		most, least int
+	}{
+		{near: 2, far: 5, most: 130, least: 35},
+		{near: 30, far: 60, most: 400, least: 7},
+		{near: 120, far: 0, most: 370, least: 2},
+	} {
+		d := dispatch.New(here, 1)
+		d.Locate(start, engines(20, 1000))
+		for i := range c.near + c.far {
+			peer := dispatch.Peer{Name: fmt.Sprint("peer-", i), Region: "r"}
+			if i >= c.near {
+				peer.Region = "s"
+			}
+			d.Connected(start, peer)
+		}
+		sent := make(map[string]int)
+		sum := 0
+		for at := time.Duration(0); at < time.Second; at += 5 * time.Millisecond {
+			now := start.Add(at)
+			d.Submit(now, dispatch.Request{
+				Customer: "c", Service: "m", Objective: now.Add(time.Second), Deadline: now.Add(time.Second),
+			})
+			for _, envelope := range d.Tick(now) {
+				sent[envelope.To]++
+				sum++
+			}
+		}
+		note := qt.Commentf("%d near and %d far peers: %d messages", c.near, c.far, sum)
+		qt.Check(t, sum <= c.most, qt.IsTrue, note)
+		qt.Check(t, sent["peer-0"] >= c.least, qt.IsTrue, note)
+	}
+}
--- a/internal/gateway/neighbours.go
+++ b/internal/gateway/neighbours.go
@@ -21,7 +21,7 @@
 const (
 	// meshLimit is the number of routers up to which all of them are linked with each other. In larger fleets a router
 	// is linked with those of its region, and beyond that with those of its availability zone.
-	meshLimit = 24
+	meshLimit = 128
 	// tickPeriod is the time between looks for messages that are due.
 	tickPeriod = 25 * time.Millisecond
 	// heartbeatPeriod is the time after which a peer that was sent nothing gets a heartbeat.
