--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -87,3 +88,20 @@
 	after, err := splitter.add([]byte(second))
 	return seen + string(after), err
 }
+
+// ConfigView is the newest configuration that a router has read.
+type ConfigView struct{ *configView }
+
+// NewConfigView returns a view whose records hold a version each, and for which keys must not be accepted after a bound.
+func NewConfigView(bound time.Duration) ConfigView {
+	return ConfigView{&configView{
+		logger: zerolog.Nop(), bound: bound, applied: func(*route.Table) {},
+		decode: func(record keyed.Record) (*route.Table, error) {
+			version, err := strconv.ParseUint(string(record.Value), 10, 64)
+			return route.New(version, nil, nil, nil, route.Limits{}), err
+		},
+	}}
+}
+
+// Fresh tells whether keys are accepted.
+func (v ConfigView) Fresh() bool { return v.fresh() }
--- a/internal/keyed/follower_test.go
+++ b/internal/keyed/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -115,3 +116,56 @@
 		<-ended
 	})
 }
+
+// limitedStore is a topic that rejects calls while it is away, and notes when calls come.
+type limitedStore struct {
+	mu    sync.Mutex
+	away  bool
+	calls []time.Time
+}
+
+func (s *limitedStore) call() (keyed.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls = append(s.calls, time.Now())
+	if s.away {
+		return keyed.Page{}, errors.New("too many calls")
+	}
+	return keyed.Page{}, nil
+}
+
+func (s *limitedStore) Newest(context.Context) (keyed.Page, error) { return s.call() }
+
+func (s *limitedStore) Read(context.Context, uint64, time.Time) (keyed.Page, error) { return s.call() }
+
+func (s *limitedStore) Put(context.Context, string, []byte) error { return nil }
+
+// TestHerd guards against routers that ask a store which rejects calls all at the same moments, and all at once when it is
+// back.
+func TestHerd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const followers = 60
+		// most is the number of calls in a tenth of a second: on average one in 0.4 s of each follower, and twice as many.
+		const most = 2 * followers / 4
+		store := &limitedStore{away: true}
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		for range followers {
+			running.Go(func() { keyed.NewFollower(store, &handler{}, 0, time.Second).Run(ctx) })
+		}
+		time.Sleep(10 * time.Second)
+		store.mu.Lock()
+		store.away = false
+		store.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		cancel()
+		running.Wait()
+		counts := make(map[int64]int)
+		for _, at := range store.calls[followers:] {
+			counts[at.UnixMilli()/100]++
+		}
+		for window, count := range counts {
+			qt.Check(t, count <= most, qt.IsTrue, qt.Commentf("%d calls in window %d", count, window))
+		}
+	})
+}
