Measure lateness by the steady clock, and count only a lack of capacity as refusal

Cause: found on reading the diff. Refusals because no target is listed counted as refusals for lack of capacity when requests are refused early, although they say nothing of the customer.

Before: no test. After: TestLateness; the tests of the package pass.

--- a/internal/gateway/door.go
+++ b/internal/gateway/door.go
@@ -46,11 +46,11 @@
 	return d.guard.Behind(now)
 }
 
-// note counts a request that was read.
-func (d *door) note(customer string, refused bool) {
+// note counts a request that was read, with its refusal if it got no target. Only a lack of capacity counts as refusal.
+func (d *door) note(customer string, refused *refusal.Error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.guard.Note(time.Now(), customer, refused)
+	d.guard.Note(time.Now(), customer, refused != nil && refused.Code == refusal.Overloaded)
 }
 
 // refuses tells whether a request of a customer is refused early.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -87,7 +87,7 @@
 			x.left()
 			return
 		}
-		x.gateway.door.note(x.customer, decision.Refused != nil)
+		x.gateway.door.note(x.customer, decision.Refused)
 		if decision.Refused != nil {
 			x.giveUp(decision.Refused)
 			return
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/chicorydale/chicorydale/internal/fleetpb"
 	"github.com/chicorydale/chicorydale/internal/keyed"
+	"github.com/chicorydale/chicorydale/internal/refusal"
 	"github.com/chicorydale/chicorydale/internal/route"
 )
 
@@ -35,7 +36,7 @@
 func Door(g *Gateway, table *route.Table, customer string, inner net.Listener) net.Listener {
 	g.config.table.Store(table)
 	for range 100 {
-		g.door.note(customer, true)
+		g.door.note(customer, refusal.New(refusal.Overloaded, "no room"))
 	}
 	return &acceptor{Listener: inner, callers: g.callers, door: g.door, logger: g.logger}
 }
@@ -105,3 +106,12 @@
 
 // Fresh tells whether keys are accepted.
 func (v ConfigView) Fresh() bool { return v.fresh() }
+
+// Lateness returns the largest lateness of runs at instants that are due once a period.
+func Lateness(period time.Duration, runs ...time.Time) time.Duration {
+	var measured lag
+	for _, at := range runs {
+		measured.note(at, period)
+	}
+	return measured.take()
+}
--- a/internal/gateway/lag.go
+++ b/internal/gateway/lag.go
@@ -5,24 +5,23 @@
 	"time"
 )
 
-// lag measures how late this process gets the processor: how much later than due its periodic work ran. It is safe for
-// concurrent use by one writer and many readers.
+// lag measures how late this process gets the processor: how much later than due its periodic work ran. One goroutine notes
+// runs, others may take the result.
 type lag struct {
-	// last is the Unix nanosecond of the last run, now the lateness of that run, worst the largest one since it was taken.
-	last, now, worst atomic.Int64
+	last time.Time
+	// worst is the largest lateness in nanoseconds since it was taken.
+	worst atomic.Int64
 }
 
-// note takes over a run of work that is due once a period.
+// note takes over a run of work that is due once a period. The instants have the steady clock, which steps of the time of day
+// do not change.
 func (l *lag) note(at time.Time, period time.Duration) {
-	before := l.last.Swap(at.UnixNano())
-	if before == 0 {
-		return
-	}
-	late := max(at.UnixNano()-before-int64(period), 0)
-	l.now.Store(late)
-	if late > l.worst.Load() {
-		l.worst.Store(late)
+	if !l.last.IsZero() {
+		if late := int64(at.Sub(l.last) - period); late > l.worst.Load() {
+			l.worst.Store(late)
+		}
 	}
+	l.last = at
 }
 
 // take returns the largest lateness since the last call.
