Ask other routers when the store does not answer one

It asked only routers of its zone with a higher weight, of which there was none.

Ruled out: accepting keys for longer (the bound of revocation).

Mend: after the store did not answer, any linked router is asked, and for three seconds before the store. The age in its answer bounds what is believed as before, so that in an outage of the store for all nothing changes.

Before: TestReaderCutOff, with the cut-off router included, fails: it goes without news. After: it passes, twice with the race detector.

Conclusion: one host that loses the store alone goes on with keys and configuration as fresh as those of the others.

--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -60,7 +60,7 @@
 func (s Sharer) Share(direct keyed.Topic) keyed.Topic { return s.share("topic", direct) }
 
 // Link notes the begin of a session with a peer, Unlink its end.
-func (s Sharer) Link(peer string) { s.connected(peer) }
+func (s Sharer) Link(peer string) { s.connected(peer, true) }
 
 // Unlink notes the end of a session with a peer.
 func (s Sharer) Unlink(peer string) { s.disconnected(peer) }
--- a/internal/gateway/neighbours.go
+++ b/internal/gateway/neighbours.go
@@ -191,9 +191,7 @@
 	case happened.Connected:
 		event.LinkUp.Log(n.logger, happened.Peer)
 		n.spoken[happened.Peer] = time.Now()
-		if happened.Zone == n.own.Zone {
-			n.sharing.connected(happened.Peer)
-		}
+		n.sharing.connected(happened.Peer, happened.Zone == n.own.Zone)
 		n.scheduler.do(func(core *dispatch.Dispatcher, now time.Time) {
 			core.Connected(now, dispatch.Peer{Name: happened.Peer, Region: happened.Region})
 		})
--- a/internal/gateway/sharing.go
+++ b/internal/gateway/sharing.go
@@ -26,6 +26,8 @@
 	relayedAge = 2*confirmWait + 300*time.Millisecond
 	// avoidSpan is how long a router is not asked that did not answer well.
 	avoidSpan = 5 * time.Second
+	// awaySpan is how long other routers are asked first after the store did not answer.
+	awaySpan = 3 * time.Second
 	// leastRevocation is the bound of revocation from which records of another router are fresh enough: their age and the
 	// time to the next answer stay well below it.
 	leastRevocation = 4 * time.Second
@@ -42,8 +44,9 @@
 // sharing lets the routers of an availability zone read the store through one of them. Calls to the store are billed, and
 // their number is limited for the fleet.
 //
-// Each router asks the peer that has the highest weight, if that is above its own, so that questions never go round in a
-// circle. A router whose question is not answered well reads the store itself and leaves the peer alone for a while.
+// Each router asks the peer of its availability zone that has the highest weight, if that is above its own, so that questions
+// do not go round in a circle. A router whose question is not answered well reads the store itself and leaves the peer alone
+// for a while. If the store does not answer either, it asks any other linked router: it may be cut off from the store alone.
 type sharing struct {
 	self   string
 	logger zerolog.Logger
@@ -51,7 +54,8 @@
 
 	mu     sync.Mutex
 	topics map[string]*sharedTopic
-	// near holds the weights of the linked peers of the availability zone.
+	// linked holds the weights of the linked peers, near those of the ones in the availability zone.
+	linked  map[string]uint64
 	near    map[string]uint64
 	avoided map[string]time.Time
 	open    map[uint64]openQuestion
@@ -77,7 +81,8 @@
 // newSharing returns the sharing of a router without links.
 func newSharing(self string, logger zerolog.Logger, send func(to string, body *fleetpb.Body)) *sharing {
 	return &sharing{
-		self: self, logger: logger, send: send, topics: make(map[string]*sharedTopic), near: make(map[string]uint64),
+		self: self, logger: logger, send: send, topics: make(map[string]*sharedTopic),
+		linked: make(map[string]uint64), near: make(map[string]uint64),
 		avoided: make(map[string]time.Time), open: make(map[uint64]openQuestion),
 	}
 }
@@ -92,11 +97,14 @@
 	return shared
 }
 
-// connected notes a session with a peer of the availability zone.
-func (s *sharing) connected(peer string) {
+// connected notes a session with a peer, which may be in the availability zone.
+func (s *sharing) connected(peer string, near bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.near[peer] = weightOf(peer)
+	s.linked[peer] = weightOf(peer)
+	if near {
+		s.near[peer] = weightOf(peer)
+	}
 }
 
 // disconnected notes the end of a session: its questions get no answer.
@@ -104,6 +112,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.near, peer)
+	delete(s.linked, peer)
 	delete(s.avoided, peer)
 	for number, asked := range s.open {
 		if asked.peer == peer {
@@ -114,9 +123,17 @@
 }
 
 // reader returns the peer to ask, empty if this router reads the store itself.
-func (s *sharing) reader(now time.Time) string {
-	best, highest := "", weightOf(s.self)
-	for peer, weight := range s.near {
+func (s *sharing) reader(now time.Time) string { return s.highest(now, s.near, weightOf(s.self)) }
+
+// helper returns the peer to ask while the store does not answer this router, empty if there is none.
+func (s *sharing) helper(now time.Time) string { return s.highest(now, s.linked, 0) }
+
+// highest returns the peer of the highest weight above a bound that is not left alone.
+func (s *sharing) highest(now time.Time, peers map[string]uint64, above uint64) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	best, highest := "", above
+	for peer, weight := range peers {
 		if weight > highest && !now.Before(s.avoided[peer]) {
 			best, highest = peer, weight
 		}
@@ -236,34 +253,55 @@
 	memory  *keyed.Memory
 	// source is the peer through which the topic is read, empty if it is read from the store.
 	source string
+	// away is the instant until which other routers are asked first, since the store did not answer.
+	away time.Time
 }
 
 // Newest returns the newest record of each key.
 func (t *sharedTopic) Newest(ctx context.Context) (keyed.Page, error) {
 	asked := boottime.Now()
-	page, relayed := t.relayed(ctx, &fleetpb.TopicRead{Topic: t.name, Newest: true})
-	if !relayed {
-		var err error
-		if page, err = t.Topic.Newest(ctx); err != nil {
-			return page, err
-		}
+	page, err := t.read(ctx, &fleetpb.TopicRead{Topic: t.name, Newest: true}, func() (keyed.Page, error) {
+		return t.Topic.Newest(ctx)
+	})
+	if err == nil {
+		t.remember(page, asked, t.memory.Reset)
 	}
-	t.remember(page, asked, t.memory.Reset)
-	return page, nil
+	return page, err
 }
 
 // Read returns the records from an offset on.
 func (t *sharedTopic) Read(ctx context.Context, from uint64, deadline time.Time) (keyed.Page, error) {
 	asked := boottime.Now()
-	page, relayed := t.relayed(ctx, &fleetpb.TopicRead{Topic: t.name, From: from})
-	if !relayed {
-		var err error
-		if page, err = t.Topic.Read(ctx, from, deadline); err != nil {
-			return page, err
-		}
+	page, err := t.read(ctx, &fleetpb.TopicRead{Topic: t.name, From: from}, func() (keyed.Page, error) {
+		return t.Topic.Read(ctx, from, deadline)
+	})
+	if err == nil {
+		t.remember(page, asked, t.memory.Apply)
+	}
+	return page, err
+}
+
+// read asks the reader of the zone, then the store, then any other router; the other router comes first for a while after the
+// store did not answer.
+func (t *sharedTopic) read(ctx context.Context, question *fleetpb.TopicRead, direct func() (keyed.Page, error)) (keyed.Page, error) {
+	now := time.Now()
+	peer := t.sharing.reader(now)
+	if peer == "" && now.Before(t.away) {
+		peer = t.sharing.helper(now)
 	}
-	t.remember(page, asked, t.memory.Apply)
-	return page, nil
+	if page, relayed := t.relayed(ctx, peer, question); relayed {
+		return page, nil
+	}
+	page, err := direct()
+	var expired *keyed.ExpiredError
+	if err == nil || errors.As(err, &expired) || ctx.Err() != nil {
+		return page, err
+	}
+	t.away = time.Now().Add(awaySpan)
+	if page, relayed := t.relayed(ctx, t.sharing.helper(time.Now()), question); relayed {
+		return page, nil
+	}
+	return page, err
 }
 
 // remember takes a page over into the memory, and answers the peers that wait for it.
@@ -274,11 +312,8 @@
 	t.sharing.release(time.Now())
 }
 
-// relayed returns the answer of a peer; it reports whether there is a good one.
-func (t *sharedTopic) relayed(ctx context.Context, read *fleetpb.TopicRead) (keyed.Page, bool) {
-	t.sharing.mu.Lock()
-	peer := t.sharing.reader(time.Now())
-	t.sharing.mu.Unlock()
+// relayed returns the answer of a peer; it reports whether there is a good one. Without a peer there is none.
+func (t *sharedTopic) relayed(ctx context.Context, peer string, read *fleetpb.TopicRead) (keyed.Page, bool) {
 	if peer != t.source {
 		t.source = peer
 		event.StoreShared.Log(t.sharing.logger, t.name, peer)
--- a/internal/gateway/sharing_test.go
+++ b/internal/gateway/sharing_test.go
@@ -224,7 +224,8 @@
 	}
 }
 
-// TestReaderCutOff guards against records that count as fresh although the router that read them no longer reaches the store.
+// TestReaderCutOff guards against records that count as fresh although the router that read them no longer reaches the store,
+// and against a router that goes without news although others reach the store.
 // The clock that goes on while a host is suspended has no virtual form, so this test takes real time.
 func TestReaderCutOff(t *testing.T) {
 	t.Parallel()
@@ -238,9 +239,6 @@
 	z.store.write("new")
 	time.Sleep(3 * time.Second)
 	for peer, m := range z.members {
-		if peer == reader {
-			continue
-		}
 		qt.Check(t, m.value("a"), qt.Equals, "new", qt.Commentf("%s", peer))
 		m.mu.Lock()
 		qt.Check(t, m.confirmed > cut, qt.IsTrue, qt.Commentf("%s", peer))
