Ask a router that could not help again after one second

In a zone whose reader is cut off it went without news for more than five seconds.

Ruled out: the fixed windows of the links (the test has none).

Mend: a router that could not help is left alone for one second; a reader for five as before.

--- a/internal/gateway/sharing.go
+++ b/internal/gateway/sharing.go
@@ -24,8 +24,10 @@
 	// relayedAge is the age from which records of another router are not used. While the store is well, confirmations are up to
 	// two waits old.
 	relayedAge = 2*confirmWait + 300*time.Millisecond
-	// avoidSpan is how long a router is not asked that did not answer well.
-	avoidSpan = 5 * time.Second
+	// avoidSpan is how long a reader is not asked that did not answer well, and helperSpan how long another router is not: it
+	// may have lost its own reader a moment ago.
+	avoidSpan  = 5 * time.Second
+	helperSpan = time.Second
 	// awaySpan is how long other routers are asked first after the store did not answer.
 	awaySpan = 3 * time.Second
 	// leastRevocation is the bound of revocation from which records of another router are fresh enough: their age and the
@@ -160,11 +162,11 @@
 	delete(s.open, number)
 }
 
-// avoid leaves a peer alone for a while.
-func (s *sharing) avoid(now time.Time, peer string, topic string, cause error) {
+// avoid leaves a peer alone until an instant.
+func (s *sharing) avoid(until time.Time, peer string, topic string, cause error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.avoided[peer] = now.Add(avoidSpan)
+	s.avoided[peer] = until
 	event.StoreUnshared.Log(s.logger, topic, peer, cause)
 }
 
@@ -285,11 +287,11 @@
 // store did not answer.
 func (t *sharedTopic) read(ctx context.Context, question *fleetpb.TopicRead, direct func() (keyed.Page, error)) (keyed.Page, error) {
 	now := time.Now()
-	peer := t.sharing.reader(now)
+	peer, span := t.sharing.reader(now), avoidSpan
 	if peer == "" && now.Before(t.away) {
-		peer = t.sharing.helper(now)
+		peer, span = t.sharing.helper(now), helperSpan
 	}
-	if page, relayed := t.relayed(ctx, peer, question); relayed {
+	if page, relayed := t.relayed(ctx, peer, span, question); relayed {
 		return page, nil
 	}
 	page, err := direct()
@@ -298,7 +300,7 @@
 		return page, err
 	}
 	t.away = time.Now().Add(awaySpan)
-	if page, relayed := t.relayed(ctx, t.sharing.helper(time.Now()), question); relayed {
+	if page, relayed := t.relayed(ctx, t.sharing.helper(time.Now()), helperSpan, question); relayed {
 		return page, nil
 	}
 	return page, err
@@ -312,8 +314,11 @@
 	t.sharing.release(time.Now())
 }
 
-// relayed returns the answer of a peer; it reports whether there is a good one. Without a peer there is none.
-func (t *sharedTopic) relayed(ctx context.Context, peer string, read *fleetpb.TopicRead) (keyed.Page, bool) {
+// relayed returns the answer of a peer; it reports whether there is a good one. Without a peer there is none. A peer that does
+// not answer well is left alone for the span.
+func (t *sharedTopic) relayed(
+	ctx context.Context, peer string, span time.Duration, read *fleetpb.TopicRead,
+) (keyed.Page, bool) {
 	if peer != t.source {
 		t.source = peer
 		event.StoreShared.Log(t.sharing.logger, t.name, peer)
@@ -331,7 +336,7 @@
 		err = errOld
 	}
 	if ctx.Err() == nil {
-		t.sharing.avoid(time.Now(), peer, t.name, err)
+		t.sharing.avoid(time.Now().Add(span), peer, t.name, err)
 	}
 	return keyed.Page{}, false
 }
