Number each question to a peer by itself

Cause: found on reading the diff. A question that got no answer was sent again to another router as the same message with a new number, while the first one could still wait for its encoding: the first peer's answer could then count as the second one's, and the race detector could see a write during the encoding. Answers now count only if they come from the peer that was asked.

Conclusion: questions are values of their own.

--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -71,7 +71,7 @@
 		s.asked(time.Now(), from, read)
 		return
 	}
-	s.answered(body.GetTopicPage())
+	s.answered(from, body.GetTopicPage())
 }
 
 // Tick answers the questions that are due.
--- a/internal/gateway/neighbours.go
+++ b/internal/gateway/neighbours.go
@@ -214,7 +214,7 @@
 		case body.GetTopicRead() != nil:
 			n.sharing.asked(time.Now(), from, body.GetTopicRead())
 		case body.GetTopicPage() != nil:
-			n.sharing.answered(body.GetTopicPage())
+			n.sharing.answered(from, body.GetTopicPage())
 		default:
 			activities = append(activities, body)
 		}
--- a/internal/gateway/sharing.go
+++ b/internal/gateway/sharing.go
@@ -148,11 +148,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.last++
-	read.Number = s.last
+	// A question that was sent before may still wait for its encoding.
+	numbered := &fleetpb.TopicRead{Number: s.last, Topic: read.GetTopic(), Newest: read.GetNewest(), From: read.GetFrom()}
 	asked := openQuestion{peer: peer, answer: make(chan *fleetpb.TopicPage, 1)}
-	s.open[read.Number] = asked
-	s.send(peer, &fleetpb.Body{Kind: &fleetpb.Body_TopicRead{TopicRead: read}})
-	return read.Number, asked.answer
+	s.open[numbered.Number] = asked
+	s.send(peer, &fleetpb.Body{Kind: &fleetpb.Body_TopicRead{TopicRead: numbered}})
+	return numbered.Number, asked.answer
 }
 
 // giveUp forgets a question.
@@ -171,10 +172,10 @@
 }
 
 // answered hands an answer of a peer to whoever waits for it.
-func (s *sharing) answered(page *fleetpb.TopicPage) {
+func (s *sharing) answered(from string, page *fleetpb.TopicPage) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if asked, found := s.open[page.GetNumber()]; found {
+	if asked, found := s.open[page.GetNumber()]; found && asked.peer == from {
 		delete(s.open, page.GetNumber())
 		asked.answer <- page
 	}
