--- a/internal/gateway/door_test.go
+++ b/internal/gateway/door_test.go
@@ -13,11 +13,27 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
 
+	"github.com/chicorydale/chicorydale/internal/forward"
 	"github.com/chicorydale/chicorydale/internal/gateway"
+	"github.com/chicorydale/chicorydale/internal/refusal"
 	"github.com/chicorydale/chicorydale/internal/route"
-	"github.com/chicorydale/chicorydale/platform"
 )
 
+// codec reads the headers Id and Key of requests.
+type codec struct{}
+
+func (codec) Call(r *http.Request, arrived time.Time) (gateway.Call, *refusal.Error) {
+	return gateway.Call{
+		ID: r.Header.Get("Id"), Key: r.Header.Get("Key"), Deadline: arrived.Add(3 * time.Second),
+	}, nil
+}
+
+func (codec) Header(caller http.Header, _ gateway.Delivery) http.Header { return caller }
+
+func (codec) Answer(target http.Header) http.Header { return target }
+
+func (codec) Verdict(string, int, http.Header) forward.Verdict { return forward.Verdict{} }
+
 // knock sends a request to a door and returns the first read of the door's side, and the answer that the caller got.
 func knock(t *testing.T, door net.Listener, late time.Duration, request string) (string, *http.Response, error) {
 	t.Helper()
@@ -45,14 +61,14 @@
 	table := route.New(1, nil, nil, []route.Customer{
 		{Name: "crowd", Keys: []string{"k1"}}, {Name: "desk", Keys: []string{"k2"}},
 	}, route.Limits{})
-	process := platform.New(platform.Settings{}, zerolog.New(io.Discard), func() uint64 { return 0 })
+	process := gateway.New(gateway.Settings{}, gateway.Outside{Codec: codec{}}, zerolog.New(io.Discard),
+		func() uint64 { return 0 })
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	defer func() { _ = inner.Close() }()
 	body := strings.Repeat("x", 3000)
 	request := func(key, length string) string {
-		return fmt.Sprintf("POST /a HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a1\r\nX-Deadline-Ms: 3000\r\nX-Credential: %s\r\n"+
-			"Content-Length: %s\r\n\r\n%s", key, length, body)
+		return fmt.Sprintf("POST /a HTTP/1.1\r\nHost: h\r\nId: a1\r\nKey: %s\r\nContent-Length: %s\r\n\r\n%s", key, length, body)
 	}
 	door := gateway.Door(process, table, "crowd", inner)
 	seen, _, failed := knock(t, door, 0, request("k1", "3000"))
