Log what a router believes of the customers that it refuses

The log names the reason of a refusal, but not the usage, demand and share that the router compared, nor what it believed to wait at peers.

New: event 612, once a second for at most eight customers with refusals: tokens asked and started here, refusals, usage, demand and share as believed. Event 610 has the number of yields and the requests that wait at peers, by reports that count and by reports out of date. No decision changes.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -128,7 +128,9 @@
 	}
 	qr.waitDeadline = s.waitDeadline(now, qr)
 	if !qr.isRetry {
-		d.recordUsage(now, s, qr.request.Customer, 0, requestCost(&qr.request))
+		cost := requestCost(&qr.request)
+		d.recordUsage(now, s, qr.request.Customer, 0, cost)
+		s.activityOf(qr.request.Customer).askedTokens += cost
 		if d.exceedsShare(now, s, &qr.request) {
 			d.refuse(now, qr, d.overloadRefusal(now, &qr.request, "the customer has its share"))
 			return
@@ -294,6 +296,7 @@
 		s.recordReader(part.ID, state)
 	}
 	d.recordUsage(now, s, qr.request.Customer, r.charged, 0)
+	s.activityOf(qr.request.Customer).startedTokens += r.charged
 	s.startRate = s.startRate.withEvent(now)
 	d.runs[qr.id] = r
 	d.decisions = append(d.decisions, Decision{
--- a/internal/dispatch/fairness.go
+++ b/internal/dispatch/fairness.go
@@ -39,6 +39,7 @@
 	}
 	if s.yieldingSince.IsZero() {
 		s.yieldingSince = now
+		s.yields++
 	}
 	return now.Sub(s.yieldingSince) < maxYieldTime
 }
--- a/internal/dispatch/refuse.go
+++ b/internal/dispatch/refuse.go
@@ -46,5 +46,6 @@
 
 // refuse records the decision that a request gets no target.
 func (d *Dispatcher) refuse(now time.Time, qr *queuedRequest, refused *refusal.Error) {
+	d.getOrCreateService(qr.request.Service).activityOf(qr.request.Customer).refusals++
 	d.decisions = append(d.decisions, Decision{ID: qr.id, Refusal: refused, Waited: now.Sub(qr.queuedAt)})
 }
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -63,13 +63,17 @@
 	sampleOffset int
 	// yieldingSince is the time since which capacity is left to customers of peers, zero if none is.
 	yieldingSince time.Time
+	// yields counts how often capacity was left to a peer since the last status.
+	yields int
+	// activities holds what the customers' requests did since the last report, by customer.
+	activities map[string]*activity
 }
 
 // newService returns a service without targets.
 func newService(name string, random *rand.Rand) *service {
 	return &service{
 		name: name, nameHash: hashName(name), queue: newRequestQueue(), readSpeed: engine.LatencyModel{}.TokensPerSecond(),
-		sampler: newCandidateSampler(random),
+		sampler: newCandidateSampler(random), activities: make(map[string]*activity),
 	}
 }
 
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -103,6 +103,10 @@
 	RefusalsSummed = Event{611, levelInfo, "refusals_summed", []string{"customer", "code", "reason", "count"}}
 	ServiceState   = Event{610, levelInfo, "service_state", []string{
 		"service", "targets", "sound", "open", "running", "occupied", "slots", "waiting", "unread", "speed", "base_ms", "pace",
+		"yields", "peers_waiting", "peers_expired",
+	}}
+	CustomerState = Event{612, levelInfo, "customer_state", []string{
+		"service", "customer", "asked", "started", "refused", "usage", "demand", "share",
 	}}
 )
 
@@ -130,7 +134,7 @@
 		StoreShared, StoreUnshared,
 		TargetAdded, TargetLeaving, TargetGone, TargetCrashed,
 		Refused, Retried, Resumed, Abandoned,
-		RequestAnswered, RequestRefused, AttemptFailed, CallerLeft, StreamBroken, ServiceState, RefusalsSummed,
+		RequestAnswered, RequestRefused, AttemptFailed, CallerLeft, StreamBroken, ServiceState, RefusalsSummed, CustomerState,
 		ClaimLost, ClaimUnknown,
 		SuspectFound, SuspectRefused,
 	}
--- a/internal/gateway/maintenance.go
+++ b/internal/gateway/maintenance.go
@@ -17,6 +17,8 @@
 	runsPerStateLog = 5
 	// defaultIdleTimeout is the idle timeout of callers' connections while the configuration sets none.
 	defaultIdleTimeout = 15 * time.Second
+	// maxCustomerLines is the maximum number of log lines about customers in one maintenance run.
+	maxCustomerLines = 8
 )
 
 // runMaintenance closes idle connections, updates gauges and writes periodic log lines until ctx ends.
@@ -63,11 +65,18 @@
 // updateGauges updates the gauges of requests, of the configuration and of dropped log lines, and logs the service states.
 func (g *Gateway) updateGauges() {
 	waiting, running := 0, 0
+	g.maintenanceRuns++
 	var statuses []dispatch.Status
+	var customers []dispatch.CustomerStatus
 	g.scheduler.withDispatcher(func(dispatcher *dispatch.Dispatcher, now time.Time) {
-		waiting, running, statuses = dispatcher.NumWaiting(), dispatcher.NumRunning(), dispatcher.Status(now)
+		waiting, running = dispatcher.NumWaiting(), dispatcher.NumRunning()
+		customers = dispatcher.TakeCustomerStatuses(now, maxCustomerLines)
+		if g.maintenanceRuns%runsPerStateLog == 0 {
+			statuses = dispatcher.Status(now)
+		}
 	})
 	g.logServiceStates(statuses)
+	g.logCustomerStates(customers)
 	g.metrics.SetGauge(metric.RequestsWaiting, float64(waiting))
 	g.metrics.SetGauge(metric.RequestsRunning, float64(running))
 	g.metrics.SetGauge(metric.ConfigStaleness, g.config.age().Seconds())
@@ -77,19 +86,25 @@
 	g.metrics.SetGauge(metric.LogDroppedLines, float64(g.droppedLogLines()))
 }
 
-// logServiceStates logs the state of each service with running or waiting requests, once in runsPerStateLog calls.
+// logServiceStates logs the state of each service with running or waiting requests.
 func (g *Gateway) logServiceStates(statuses []dispatch.Status) {
-	if g.maintenanceRuns++; g.maintenanceRuns%runsPerStateLog != 0 {
-		return
-	}
 	for _, s := range statuses {
 		if s.Running+s.Waiting > 0 {
 			event.ServiceState.Log(g.logger, s.Service, s.Targets, s.Healthy, s.Available, s.Running, s.Occupied, s.Slots, s.Waiting,
-				s.UnreadTokens, s.TokensPerSecond, s.BaseLatency.Milliseconds(), s.LatencyRatio)
+				s.UnreadTokens, s.TokensPerSecond, s.BaseLatency.Milliseconds(), s.LatencyRatio, s.Yields, s.PeersWaiting,
+				s.PeersExpired)
 		}
 	}
 }
 
+// logCustomerStates logs what the router believes of customers whose requests were refused.
+func (g *Gateway) logCustomerStates(customers []dispatch.CustomerStatus) {
+	for _, c := range customers {
+		event.CustomerState.Log(g.logger, c.Service, c.Customer, c.AskedTokens, c.StartedTokens, c.Refusals, c.Usage, c.Demand,
+			c.FairShare)
+	}
+}
+
 // logReadiness logs a change of readiness and updates its gauge. It returns the current readiness.
 func (g *Gateway) logReadiness(wasReady bool) bool {
 	ready := g.ready()
