--- /dev/null
+++ b/internal/dispatch/fairshare_test.go
@@ -0,0 +1,124 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chicorydale/chicorydale/internal/dispatch"
+	"github.com/chicorydale/chicorydale/internal/fleetpb"
+)
+
+// hashOf returns the hash by which messages between routers identify a name.
+func hashOf(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+
+// newActivity returns a message of a peer at which requests for service m wait.
+func newActivity(waiting uint32, customers ...*fleetpb.CustomerUse) *fleetpb.Body {
+	return &fleetpb.Body{Kind: &fleetpb.Body_Activity{Activity: &fleetpb.Activity{
+		Lines: []*fleetpb.Line{{Service: hashOf("m"), Waiting: waiting}}, Customers: customers,
+	}}}
+}
+
+// checkShares fails the test if a customer got less than half of what it is owed in some window of a simulation.
+func checkShares(t *testing.T, f *simFleet) {
+	t.Helper()
+	worst := f.worstWindow()
+	t.Logf("%s got %.2f of what it is owed in the six seconds from second %d", worst.customer, worst.got/worst.owed, worst.from)
+	qt.Check(t, worst.got >= worst.owed/2, qt.IsTrue, qt.Commentf("seed %d: %+v", f.seed, worst))
+}
+
+// smallLoads returns the loads of customers that send one in a hundred of what the fleet serves, at all routers.
+func smallLoads(f *simFleet, count int, until time.Duration) []load {
+	loads := make([]load, 0, count)
+	for i := range count {
+		loads = append(loads, load{customer: fmt.Sprint("small", i), perSecond: f.capacity() / 100, until: until})
+	}
+	return loads
+}
+
+// TestIdleCustomerGetsNoCreditForThePast guards against a customer that sent nothing for some seconds and then displaces the
+// others until it has caught up with their usage.
+func TestIdleCustomerGetsNoCreditForThePast(t *testing.T) {
+	const length = 16 * time.Second
+	for _, seed := range []uint64{0, 2} {
+		f := newSimFleet(seed, 4, 3, 8)
+		f.run(length, append(
+			smallLoads(f, 20, length),
+			load{customer: "idle", perSecond: f.capacity() * 1.2, from: 8 * time.Second, until: length},
+			load{customer: "busy", at: "r0a", perSecond: f.capacity(), until: length},
+			load{customer: "tied", at: "r1a", perSecond: f.capacity(), until: length},
+		))
+		checkShares(t, f)
+	}
+}
+
+// TestCustomerOfOneRouterGetsItsShare guards against a customer that gets less than others because all its callers are connected
+// to one router, while those of the others are spread over the fleet.
+func TestCustomerOfOneRouterGetsItsShare(t *testing.T) {
+	const length = 10 * time.Second
+	f := newSimFleet(0, 4, 3, 8)
+	f.run(length, append(
+		smallLoads(f, 20, length),
+		load{customer: "wide", perSecond: f.capacity() * 1.2, until: length},
+		load{customer: "single", at: "r0a-0", perSecond: f.capacity(), until: length},
+	))
+	checkShares(t, f)
+}
+
+// TestQueueIsNotPacedByWaitingPeers guards against a router that leaves each free slot to its peers for a while as long as a
+// request waits at any of them. Its own customers then start a few requests per second, however many slots become free.
+func TestQueueIsNotPacedByWaitingPeers(t *testing.T) {
+	const slots, steps = 8, 200
+	d := dispatch.New(routerLocality, 1)
+	d.SetTargets(startTime, newTargets(1, slots))
+	d.AddPeer(startTime, dispatch.Peer{Name: "b", Region: "r"})
+	now := startTime
+	var running []uint64
+	started := 0
+	takeDecisions := func() {
+		for _, decision := range d.TakeDecisions() {
+			if decision.Refusal == nil {
+				started++
+				running = append(running, decision.ID)
+				d.RecordFirstByte(now, decision.ID, nil)
+			}
+		}
+	}
+	for step := range steps {
+		now = now.Add(10 * time.Millisecond)
+		d.Receive(now, "b", newActivity(2))
+		if len(running) >= slots || step > slots && len(running) > 0 {
+			d.Finish(now, running[0], dispatch.Done)
+			running = running[1:]
+		}
+		takeDecisions()
+		d.Submit(now, newRequest(now, "c", 9))
+		takeDecisions()
+	}
+	qt.Check(t, started >= steps*3/4, qt.IsTrue, qt.Commentf("%d requests started although %d slots became free", started, steps))
+}
+
+// TestShareHoldsWhileRequestsWaitAtPeer guards against a customer that exceeds its share at routers without a queue while
+// requests of other customers wait elsewhere.
+func TestShareHoldsWhileRequestsWaitAtPeer(t *testing.T) {
+	d := dispatch.New(routerLocality, 1)
+	d.SetTargets(startTime, newTargets(8, 8))
+	d.AddPeer(startTime, dispatch.Peer{Name: "b", Region: "r"})
+	now := startTime
+	for range 50 {
+		now = now.Add(10 * time.Millisecond)
+		answerAndFinish(d, now, submitOne(t, d, now, newRequest(now, "heavy", 9)).ID)
+	}
+	d.Receive(now, "b", newActivity(5, &fleetpb.CustomerUse{
+		Customer: hashOf("m/other"), Of: hashOf("m"), Service: 50_000, Asked: 500_000,
+	}))
+	now = now.Add(100 * time.Millisecond)
+	decision := submitOne(t, d, now, newRequest(now, "heavy", 9))
+	qt.Assert(t, decision.Refusal != nil, qt.IsTrue)
+	qt.Check(t, decision.Refusal.Message, qt.Equals, "the customer has its share")
+	d.Receive(now, "b", newActivity(0))
+	qt.Check(t, submitOne(t, d, now, newRequest(now, "heavy", 9)).Refusal == nil, qt.IsTrue)
+}
