Compute the fair share again when the usage has changed

What callers saw: a customer without competitors is refused with "the customer has its share". Cause: a share is reused for 50 ms, while the usage that it is compared with is current. After the first requests on an empty service the usage is a multiple of what the share was computed from. Found on reading, and because the test for a customer that returns passed or failed by it.

Now the share is computed again when 2% of the total usage have been added. TestLoneCustomerIsNotRefusedForItsShare fails before (its second waiting request is refused).

--- a/internal/dispatch/accounts.go
+++ b/internal/dispatch/accounts.go
@@ -1,12 +1,17 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"time"
 )
 
-// shareTTL is how long a computed fair share is reused before it is computed again.
-const shareTTL = 50 * time.Millisecond
+const (
+	// shareTTL is how long a computed fair share is reused before it is computed again.
+	shareTTL = 50 * time.Millisecond
+	// shareReuseLimit is the usage that may be added to a service while its fair share is reused, as a fraction of the total usage.
+	shareReuseLimit = 0.02
+)
 
 // account is the recent usage and demand of one customer at one service, summed over this router and its connected peers. Both
 // are in the units of requestCost.
@@ -27,6 +32,8 @@
 type cachedShare struct {
 	share      float64
 	computedAt time.Time
+	// remaining is the usage that may still be added to the service before the share is computed again.
+	remaining float64
 }
 
 // newCustomerAccounts returns an empty set of accounts.
@@ -60,6 +67,10 @@
 	acct := a.getOrCreate(serviceHash, key)
 	acct.usage = acct.usage.withAdded(now, usage)
 	acct.demand = acct.demand.withAdded(now, demand)
+	if cached, ok := a.shareByService[serviceHash]; ok {
+		cached.remaining -= math.Abs(usage)
+		a.shareByService[serviceHash] = cached
+	}
 }
 
 // fairShare returns the max-min fair share of a service. The customers' total usage is divided so that no customer gets more
@@ -67,11 +78,11 @@
 // of any service, whose demand has decayed below 1.
 func (a *customerAccounts) fairShare(now time.Time, serviceHash uint32) float64 {
 	cached := a.shareByService[serviceHash]
-	if now.Sub(cached.computedAt) < shareTTL {
+	if now.Sub(cached.computedAt) < shareTTL && cached.remaining > 0 {
 		return cached.share
 	}
 	var demands []float64
-	remaining := 0.0
+	total := 0.0
 	for key, acct := range a.byKey {
 		demand := acct.demand.valueAt(now)
 		switch {
@@ -79,11 +90,11 @@
 			delete(a.byKey, key)
 		case acct.serviceHash == serviceHash:
 			demands = append(demands, demand)
-			remaining += acct.usage.valueAt(now)
+			total += acct.usage.valueAt(now)
 		}
 	}
 	slices.Sort(demands)
-	share := 0.0
+	share, remaining := 0.0, total
 	for i, demand := range demands {
 		share = remaining / float64(len(demands)-i)
 		if demand > share {
@@ -91,6 +102,6 @@
 		}
 		remaining -= demand
 	}
-	a.shareByService[serviceHash] = cachedShare{share: share, computedAt: now}
+	a.shareByService[serviceHash] = cachedShare{share: share, computedAt: now, remaining: total * shareReuseLimit}
 	return share
 }
--- a/internal/dispatch/fairshare_test.go
+++ b/internal/dispatch/fairshare_test.go
@@ -39,17 +39,19 @@
 	return loads
 }
 
-// TestIdleCustomerGetsNoCreditForThePast guards against a customer that sent nothing for some seconds and then displaces the
-// others until it has caught up with their usage.
+// TestIdleCustomerGetsNoCreditForThePast guards against customers that sent nothing for some seconds and then displace the others,
+// one after another, until they have caught up with their usage.
 func TestIdleCustomerGetsNoCreditForThePast(t *testing.T) {
-	const length = 16 * time.Second
-	for _, seed := range []uint64{0, 2} {
+	const length = 14 * time.Second
+	for seed := range uint64(3) {
 		f := newSimFleet(seed, 4, 3, 8)
 		f.run(length, append(
 			smallLoads(f, 20, length),
-			load{customer: "idle", perSecond: f.capacity() * 1.2, from: 8 * time.Second, until: length},
 			load{customer: "busy", at: "r0a", perSecond: f.capacity(), until: length},
 			load{customer: "tied", at: "r1a", perSecond: f.capacity(), until: length},
+			load{customer: "first", perSecond: f.capacity(), from: 6 * time.Second, until: length},
+			load{customer: "second", perSecond: f.capacity(), from: 8 * time.Second, until: length},
+			load{customer: "third", perSecond: f.capacity(), from: 10 * time.Second, until: length},
 		))
 		checkShares(t, f)
 	}
@@ -122,3 +124,23 @@
 	d.Receive(now, "b", newActivity(0))
 	qt.Check(t, submitOne(t, d, now, newRequest(now, "heavy", 9)).Refusal == nil, qt.IsTrue)
 }
+
+// TestLoneCustomerIsNotRefusedForItsShare guards against a share that is older than the usage that it is compared with. A customer
+// without competitors then exceeds the share of a moment ago.
+func TestLoneCustomerIsNotRefusedForItsShare(t *testing.T) {
+	d := dispatch.New(routerLocality, 1)
+	d.SetTargets(startTime, newTargets(1, 1))
+	now := startTime
+	running := submitOne(t, d, now, newRequest(now, "c", 9)).ID
+	for range 5 {
+		waiting := d.Submit(now, newRequest(now, "c", 9))
+		qt.Assert(t, d.TakeDecisions(), qt.HasLen, 0)
+		now = now.Add(5 * time.Millisecond)
+		answerAndFinish(d, now, running)
+		decisions := d.TakeDecisions()
+		qt.Assert(t, decisions, qt.HasLen, 1)
+		qt.Assert(t, decisions[0].ID, qt.Equals, waiting)
+		qt.Assert(t, decisions[0].Refusal == nil, qt.IsTrue)
+		running = waiting
+	}
+}
