Never shed a retry for the length of the queue

What callers saw: a stream that is to go on at another target ends with a refusal when too many requests wait. Cause: the newest request of the customer with the highest usage is refused, and that may be a retry, which the shares and the objectives already spare.

Now only requests that no target has had are shed. TestRetryIsNotShed fails before ("too many requests wait") and passes after. Checks on refusals compared a typed nil with qt.IsNil, which holds for none; they compare with nil now, so they are stricter.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -177,7 +177,7 @@
 	targets[0].Leaving = true
 	d.SetTargets(startTime, targets)
 	decision := submitOne(t, d, startTime, newRequest(startTime, "c", 9))
-	qt.Assert(t, decision.Refusal, qt.Not(qt.IsNil))
+	qt.Assert(t, decision.Refusal != nil, qt.IsTrue)
 	qt.Check(t, decision.Refusal.Code, qt.Equals, refusal.NoTarget)
 }
 
@@ -241,7 +241,7 @@
 	d.Expire(deadline, waiting)
 	decisions := d.TakeDecisions()
 	qt.Assert(t, decisions, qt.HasLen, 1)
-	qt.Check(t, decisions[0].Refusal, qt.Not(qt.IsNil))
+	qt.Check(t, decisions[0].Refusal != nil, qt.IsTrue)
 	qt.Check(t, d.NumWaiting(), qt.Equals, 0)
 }
 
@@ -325,3 +325,25 @@
 	qt.Check(t, decisions[0].ID, qt.Equals, first.ID)
 	qt.Check(t, decisions[0].Refusal == nil, qt.IsTrue)
 }
+
+// TestRetryIsNotShed guards against a retry that is refused because too many requests wait, although its caller may have a part of
+// the answer.
+func TestRetryIsNotShed(t *testing.T) {
+	d := dispatch.New(routerLocality, 1)
+	d.SetTargets(startTime, newTargets(1, 1))
+	now := startTime
+	first := submitOne(t, d, now, newRequest(now, "flood", 9))
+	for range 5 {
+		now = now.Add(50 * time.Millisecond)
+		answerAndFinish(d, now, first.ID)
+		first = submitOne(t, d, now, newRequest(now, "flood", 9))
+	}
+	d.RecordFirstByte(now, first.ID, nil)
+	d.Retry(now, 1000, newRequest(now, "flood", 9))
+	for range 10 {
+		d.Submit(now, newRequest(now, "desk", 8))
+	}
+	for _, decision := range d.TakeDecisions() {
+		qt.Check(t, decision.ID, qt.Not(qt.Equals), uint64(1000), qt.Commentf("%v", decision.Refusal))
+	}
+}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -89,11 +89,12 @@
 	return q.byCustomer[customer][0]
 }
 
-// newestFor returns the newest request of a customer, or nil if it has none.
+// newestFor returns the newest request of a customer that is not a retry, or nil if it has none.
 func (q *requestQueue) newestFor(customer string) *queuedRequest {
-	requests := q.byCustomer[customer]
-	if len(requests) == 0 {
-		return nil
+	for _, qr := range slices.Backward(q.byCustomer[customer]) {
+		if !qr.isRetry {
+			return qr
+		}
 	}
-	return requests[len(requests)-1]
+	return nil
 }
--- a/internal/dispatch/refuse.go
+++ b/internal/dispatch/refuse.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/chicorydale/chicorydale/internal/refusal"
@@ -20,16 +21,29 @@
 )
 
 // shedExcess refuses the waiting requests beyond the queue limit, which could not be served in time. It takes the newest
-// requests of the customer that ranks last, which is the one with the highest usage among those of the lowest priority.
+// requests of the customer that ranks last, which is the one with the highest usage among those of the lowest priority. Retries
+// stay: their callers may already have a part of the answer.
 func (d *Dispatcher) shedExcess(now time.Time, s *service) {
 	for s.queue.length > s.queueLimit(now) {
-		ranks := d.customersByRank(now, s)
-		victim := s.queue.newestFor(ranks[len(ranks)-1].customer)
+		victim := d.requestToShed(now, s)
+		if victim == nil {
+			return
+		}
 		d.dequeue(s, victim)
 		d.refuse(now, victim, d.overloadRefusal(now, &victim.request, "too many requests wait"))
 	}
 }
 
+// requestToShed returns the waiting request to refuse first, or nil if only retries wait.
+func (d *Dispatcher) requestToShed(now time.Time, s *service) *queuedRequest {
+	for _, rank := range slices.Backward(d.customersByRank(now, s)) {
+		if newest := s.queue.newestFor(rank.customer); newest != nil {
+			return newest
+		}
+	}
+	return nil
+}
+
 // overloadRefusal returns the refusal of a request for which there is no capacity in time. Retry times are spread over what
 // the caller can wait: an overload lasts for seconds, and a request that is sent again during it is refused again.
 func (d *Dispatcher) overloadRefusal(now time.Time, request *Request, reason string) *refusal.Error {
