Give customers below their share headroom at targets instead of yielding to peers

Cause: a router left each free slot to its peers for up to 80 ms as long as a request of a customer with less usage waited at any of them, and did so again after each request that it started. In a fleet of 67 routers some small customer nearly always waits somewhere, so a router starts some 12 requests a second, however many slots become free. A customer at 67 routers has that 67 times, one at a single router once. Evidence: event 610 of edge-limon-a-11 counts 163 and 139 yields in five seconds, with 66 requests waiting and 341 running; event 612 has xaje600 below its share (4.9 M against 5.7 M) and jeda71 far above (10.1 M) at 23 s. The class: a pause for each decision, whose cost grows with the number of routers, in place of a limit on what is shared.

Ruled out as the main cause: reports that are out of date (on average 21 of the 76 waiting requests that peers had reported).

Now, if no target has room, a customer below its share may use up to an eighth more of a target's slots and twice the unread prompts. Nobody has to learn first of a free slot, and no slot stays free for a peer. A retry may use the headroom too. A customer below its share is no longer refused because its answer would be late: the lateness comes from the others' requests.

TestYieldToPeerWhoseCustomerGotLess tested the mechanism that is gone; TestCustomerIsNotShutOutByBusyPeer asks more: the customer gets its target at once, and the slot is not idle in between. TestHeadroomIsBounded is new. TestPeersShareSlots and TestPeersShareUsage use a customer that has its share, since only that one has to wait; TestRetryIsQueuedNotRefused allows that a waiting request of the customer below its share gets a target after the retry; TestSampledServiceFillsAllSlots still demands that all slots are used, and allows the headroom of one run.

--- a/internal/dispatch/fairness.go
+++ b/internal/dispatch/fairness.go
@@ -2,18 +2,9 @@
 
 import "time"
 
-const (
-	// shareTolerance is the fraction by which a customer may exceed its share. The demand that the share is computed from is
-	// known with a delay.
-	shareTolerance = 0.1
-	// maxYieldTime limits how long capacity is left to a peer whose waiting customer has less usage. Within that time the peer
-	// learns of the capacity.
-	maxYieldTime = 80 * time.Millisecond
-	// yieldUsageMargin and yieldUsageTokens are the fraction and the number of tokens by which a customer's usage must exceed
-	// that of the peer's waiting customer.
-	yieldUsageMargin = 0.25
-	yieldUsageTokens = 15_000
-)
+// shareTolerance is the fraction by which a customer may exceed its share. The demand that the share is computed from is known with
+// a delay.
+const shareTolerance = 0.1
 
 // customersByRank returns the customers with waiting requests in the order in which they are to be served.
 func (d *Dispatcher) customersByRank(now time.Time, s *service) []customerRank {
@@ -27,30 +18,16 @@
 		d.accounts.usage(now, s, request.Customer) > d.accounts.fairShare(now, s.nameHash)*(1+shareTolerance)
 }
 
-// shouldYield reports whether free capacity is left to a peer, at which a customer with clearly less usage waits. This ends
-// after maxYieldTime, so that the capacity is used if the peer does not take it.
-func (d *Dispatcher) shouldYield(now time.Time, s *service, customer string) bool {
-	if len(d.peers) == 0 {
-		return false
-	}
-	limit := d.accounts.usage(now, s, customer)/(1+yieldUsageMargin) - yieldUsageTokens
-	if waiting := d.waitingAtPeersBelow(now, s, limit); waiting == 0 || s.countAvailable(now) > waiting {
-		return false
-	}
-	if s.yieldingSince.IsZero() {
-		s.yieldingSince = now
-		s.yields++
-	}
-	return now.Sub(s.yieldingSince) < maxYieldTime
+// isBelowShare reports whether a customer has got less than its share.
+func (d *Dispatcher) isBelowShare(now time.Time, s *service, customer string) bool {
+	return d.accounts.usage(now, s, customer) < d.accounts.fairShare(now, s.nameHash)
 }
 
-// waitingAtPeersBelow returns the number of requests that wait at peers whose waiting customer with the least usage is below a
-// limit.
-func (d *Dispatcher) waitingAtPeersBelow(now time.Time, s *service, limit float64) int {
+// countWaitingAtPeers returns the number of requests that wait at peers by their recent reports.
+func (d *Dispatcher) countWaitingAtPeers(now time.Time, s *service) int {
 	waiting := 0
 	for _, p := range d.peers {
-		report, found := p.queueReports[s.nameHash]
-		if found && now.Sub(report.receivedAt) <= queueReportTTL && report.lowestUsage < limit {
+		if report, found := p.queueReports[s.nameHash]; found && now.Sub(report.receivedAt) <= queueReportTTL {
 			waiting += report.waiting
 		}
 	}
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -37,13 +37,12 @@
 	Region string
 }
 
-// queueReport is the content of a fleetpb.Line, a peer's report on one service: its waiting requests, the lowest usage among
-// their customers, and the read speed of the targets in tokens per second.
+// queueReport is the content of a fleetpb.Line, a peer's report on one service: its waiting requests and the read speed of the
+// targets in tokens per second.
 type queueReport struct {
-	waiting     int
-	readSpeed   float64
-	lowestUsage float64
-	receivedAt  time.Time
+	waiting    int
+	readSpeed  float64
+	receivedAt time.Time
 }
 
 // usageDelta is the change of a customer's usage and demand at a service since the last message to a peer.
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"math"
 	"time"
 
 	"github.com/chicorydale/chicorydale/internal/fleetpb"
@@ -72,8 +71,7 @@
 	}
 	for _, entry := range activity.GetLines() {
 		sender.queueReports[entry.GetService()] = queueReport{
-			waiting: int(entry.GetWaiting()), lowestUsage: float64(entry.GetLowest()), readSpeed: float64(entry.GetSpeed()),
-			receivedAt: now,
+			waiting: int(entry.GetWaiting()), readSpeed: float64(entry.GetSpeed()), receivedAt: now,
 		}
 	}
 	if len(activity.GetLines()) > 0 {
@@ -172,18 +170,12 @@
 }
 
 // queueLines returns one line for each service. It reports the service's queue and read speed to the peers.
-func (d *Dispatcher) queueLines(now time.Time) []*fleetpb.Line {
+func (d *Dispatcher) queueLines() []*fleetpb.Line {
 	lines := make([]*fleetpb.Line, 0, len(d.services))
 	for _, s := range d.services {
-		line := &fleetpb.Line{Service: s.nameHash, Waiting: uint32(s.queue.length), Speed: uint32(s.latency.TokensPerSecond())}
-		if s.queue.length > 0 {
-			lowestUsage := math.Inf(1)
-			for customer := range s.queue.byCustomer {
-				lowestUsage = min(lowestUsage, d.accounts.usage(now, s, customer))
-			}
-			line.Lowest = uint32(lowestUsage)
-		}
-		lines = append(lines, line)
+		lines = append(lines, &fleetpb.Line{
+			Service: s.nameHash, Waiting: uint32(s.queue.length), Speed: uint32(s.latency.TokensPerSecond()),
+		})
 	}
 	return lines
 }
@@ -200,14 +192,14 @@
 	return nearPeriod + time.Duration(excessNear)*nearPeriodStep, farPeriod + time.Duration(excessFar)*farPeriodStep
 }
 
-// Tick gives waiting requests the capacity that was left to peers for long enough, and returns the messages to peers that are
+// Tick gives waiting requests targets whose expected state has changed with time, and returns the messages to peers that are
 // due. It is called periodically.
 func (d *Dispatcher) Tick(now time.Time) []message.Envelope {
 	for _, s := range d.services {
 		d.assignWaiting(now, s)
 	}
 	var envelopes []message.Envelope
-	lines := d.queueLines(now)
+	lines := d.queueLines()
 	readSpeeds := make(map[string]float64, len(d.services))
 	for name, s := range d.services {
 		readSpeeds[name] = s.readSpeed
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -61,10 +61,6 @@
 	startRate meter
 	// sampleOffset is the index of the first target of the next availability estimate.
 	sampleOffset int
-	// yieldingSince is the time since which capacity is left to customers of peers, zero if none is.
-	yieldingSince time.Time
-	// yields counts how often capacity was left to a peer since the last status.
-	yields int
 	// activities holds what the customers' requests did since the last report, by customer.
 	activities map[string]*activity
 }
@@ -141,9 +137,9 @@
 	eligible int
 }
 
-// selectTarget returns the target with the lowest cost for a request, and false if no target has capacity. Unhealthy targets
-// are considered only if all are unhealthy: while a healthy one is full, the request waits.
-func (s *service) selectTarget(now time.Time, own Locality, request *Request) (selection, bool) {
+// selectTarget returns the target with the lowest cost for a request, and false if no target has capacity, including the
+// headroom. Unhealthy targets are considered only if all are unhealthy: while a healthy one is full, the request waits.
+func (s *service) selectTarget(now time.Time, own Locality, request *Request, extra headroom) (selection, bool) {
 	candidates := s.candidates(request)
 	home, holder, heldTokens := s.homeTarget(own, request), (*targetState)(nil), 0
 	if home != nil {
@@ -156,7 +152,7 @@
 		if state.Leaving || isExcluded(request, state.Name) || healthyOnly && !state.isHealthy(now) {
 			continue
 		}
-		if !state.hasFreeSlot(now) || !s.hasShortBacklog(now, state) {
+		if !state.hasFreeSlot(now, extra) || !s.hasShortBacklog(now, state, extra) {
 			continue
 		}
 		candidate := selection{target: state, prefillTokens: request.PromptTokens - state.cachedTokens(now, request.Parts)}
@@ -198,7 +194,7 @@
 	count := 0
 	for i := range checked {
 		state := s.targets[(s.sampleOffset+i*step)%len(s.targets)]
-		if !state.Leaving && state.hasFreeSlot(now) && s.hasShortBacklog(now, state) && state.isHealthy(now) {
+		if !state.Leaving && state.hasFreeSlot(now, noHeadroom) && s.hasShortBacklog(now, state, noHeadroom) && state.isHealthy(now) {
 			count++
 		}
 	}
@@ -218,10 +214,9 @@
 	return s.queue.length > 0 || s.countAvailable(now) <= len(s.targets)/contentionDivisor
 }
 
-// hasShortBacklog reports whether a target is expected to read all unread tokens within maxBacklogSeconds.
-func (s *service) hasShortBacklog(now time.Time, state *targetState) bool {
-	readSpeed := s.readSpeed
-	return state.backlog(now, readSpeed) <= maxBacklogSeconds*readSpeed
+// hasShortBacklog reports whether a target is expected to read all unread tokens within maxBacklogSeconds and the headroom.
+func (s *service) hasShortBacklog(now time.Time, state *targetState, extra headroom) bool {
+	return state.backlog(now, s.readSpeed) <= extra.backlogLimit(maxBacklogSeconds*s.readSpeed)
 }
 
 // bestCacheHolder returns the healthy target that has most of a request's prompt in its cache, and the number of cached
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -26,19 +26,17 @@
 	BaseLatency     time.Duration
 	// LatencyRatio is the mean over all targets of the ratio of observed to predicted times to the first byte.
 	LatencyRatio float64
-	// Yields is the number of times that capacity was left to a peer since the last call of Status. PeersWaiting is the number of
-	// requests that wait at peers by their recent reports, PeersExpired the same by reports that are out of date.
-	Yields, PeersWaiting, PeersExpired int
+	// PeersWaiting is the number of requests that wait at peers by their recent reports.
+	PeersWaiting int
 }
 
-// Status returns a summary of each service that has targets, ordered by name. It resets the counts of yields.
+// Status returns a summary of each service that has targets, ordered by name.
 func (d *Dispatcher) Status(now time.Time) []Status {
 	all := make([]Status, 0, len(d.services))
 	for _, s := range d.services {
 		if len(s.targets) > 0 {
 			status := s.status(now)
-			status.PeersWaiting, status.PeersExpired = d.countWaitingAtPeers(now, s)
-			status.Yields, s.yields = s.yields, 0
+			status.PeersWaiting = d.countWaitingAtPeers(now, s)
 			all = append(all, status)
 		}
 	}
@@ -64,17 +62,3 @@
 	}
 	return status
 }
-
-// countWaitingAtPeers returns the number of requests that wait at peers by reports that are recent and by reports that are out of
-// date.
-func (d *Dispatcher) countWaitingAtPeers(now time.Time, s *service) (recent, expired int) {
-	for _, p := range d.peers {
-		report := p.queueReports[s.nameHash]
-		if now.Sub(report.receivedAt) <= queueReportTTL {
-			recent += report.waiting
-		} else {
-			expired += report.waiting
-		}
-	}
-	return recent, expired
-}
--- a/internal/dispatch/targetstate.go
+++ b/internal/dispatch/targetstate.go
@@ -118,9 +118,9 @@
 	t.assignedTokens += float64(tokens)
 }
 
-// hasFreeSlot reports whether the target has a free slot.
-func (t *targetState) hasFreeSlot(now time.Time) bool {
-	return t.occupiedSlots(now)+0.5 < float64(max(t.Slots, 1))
+// hasFreeSlot reports whether the target has a free slot, or room in the headroom.
+func (t *targetState) hasFreeSlot(now time.Time, extra headroom) bool {
+	return t.occupiedSlots(now)+0.5 < extra.slotLimit(t.Slots)
 }
 
 // isHealthy reports whether the target may be given requests. It is unhealthy while it is blocked, and when it has sent no
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -103,7 +103,7 @@
 	RefusalsSummed = Event{611, levelInfo, "refusals_summed", []string{"customer", "code", "reason", "count"}}
 	ServiceState   = Event{610, levelInfo, "service_state", []string{
 		"service", "targets", "sound", "open", "running", "occupied", "slots", "waiting", "unread", "speed", "base_ms", "pace",
-		"yields", "peers_waiting", "peers_expired",
+		"peers_waiting",
 	}}
 	CustomerState = Event{612, levelInfo, "customer_state", []string{
 		"service", "customer", "asked", "started", "refused", "usage", "demand", "share",
--- a/internal/gateway/maintenance.go
+++ b/internal/gateway/maintenance.go
@@ -91,8 +91,7 @@
 	for _, s := range statuses {
 		if s.Running+s.Waiting > 0 {
 			event.ServiceState.Log(g.logger, s.Service, s.Targets, s.Healthy, s.Available, s.Running, s.Occupied, s.Slots, s.Waiting,
-				s.UnreadTokens, s.TokensPerSecond, s.BaseLatency.Milliseconds(), s.LatencyRatio, s.Yields, s.PeersWaiting,
-				s.PeersExpired)
+				s.UnreadTokens, s.TokensPerSecond, s.BaseLatency.Milliseconds(), s.LatencyRatio, s.PeersWaiting)
 		}
 	}
 }
