Let the usage of a customer decay in one second

What callers saw: a customer that had been busy is refused, or waits, for seconds while one that had been idle gets a multiple of the share. Cause: usage and demand decayed in 4 s, and customers are compared by them. An idle customer had a credit of four seconds of its share, and one that had used capacity that nobody wanted had a debt.

--- a/internal/dispatch/usage.go
+++ b/internal/dispatch/usage.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// usageDecayTime is the time in which the recorded usage and demand of a customer decay to 1/e. Fairness is provided over a few
-// seconds.
-const usageDecayTime = 4 * time.Second
+// usageDecayTime is the time in which the recorded usage and demand of a customer decay to 1/e. It is short because usage that lies
+// further back would be a credit for customers that were idle, and a debt for those that used capacity that nobody else needed.
+const usageDecayTime = time.Second
 
 // decayingSum is an exponentially decaying sum of request costs.
 type decayingSum struct {
