Refuse customers beyond their share while requests wait at any router

Cause: the share is applied only while requests compete for capacity, and that was judged by the router's own queue and by its view of the targets. 66 routers have no queue and see 4 to 13 of 60 targets with room, around the limit of an eighth, so they admit what the share forbids. The reports of peers on their queues were there, but counted for 400 ms only, less than the 540 ms (67 routers) or 720 ms (91) between messages to routers of other regions; the constant held for small fleets.

Now requests that wait at a peer count as well, by reports that are at most two message periods old. The usage is compared first, so that a customer within its share costs nothing more.

--- a/internal/dispatch/fairness.go
+++ b/internal/dispatch/fairness.go
@@ -14,8 +14,8 @@
 // exceedsShare reports whether the customer of a request has exceeded its share while requests compete for capacity. Its
 // requests are then refused on arrival, which leaves the capacity to the other customers, also at other routers.
 func (d *Dispatcher) exceedsShare(now time.Time, s *service, request *Request) bool {
-	return s.isContended(now) &&
-		d.accounts.usage(now, s, request.Customer) > d.accounts.fairShare(now, s.nameHash)*(1+shareTolerance)
+	limit := d.accounts.fairShare(now, s.nameHash) * (1 + shareTolerance)
+	return d.accounts.usage(now, s, request.Customer) > limit && d.hasContention(now, s)
 }
 
 // isBelowShare reports whether a customer has got less than its share.
@@ -23,17 +23,29 @@
 	return d.accounts.usage(now, s, customer) < d.accounts.fairShare(now, s.nameHash)
 }
 
+// hasContention reports whether requests compete for the capacity of a service, at this router or at a peer.
+func (d *Dispatcher) hasContention(now time.Time, s *service) bool {
+	return s.isContended(now) || d.countWaitingAtPeers(now, s) > 0
+}
+
 // countWaitingAtPeers returns the number of requests that wait at peers by their recent reports.
 func (d *Dispatcher) countWaitingAtPeers(now time.Time, s *service) int {
-	waiting := 0
+	waiting, oldest := 0, now.Add(-d.queueReportTTL())
 	for _, p := range d.peers {
-		if report, found := p.queueReports[s.nameHash]; found && now.Sub(report.receivedAt) <= queueReportTTL {
+		if report, found := p.queueReports[s.nameHash]; found && !report.receivedAt.Before(oldest) {
 			waiting += report.waiting
 		}
 	}
 	return waiting
 }
 
+// queueReportTTL returns the time after which a peer's report on its waiting requests is out of date. Peers repeat it with every
+// message, and their periods are about those of this router.
+func (d *Dispatcher) queueReportTTL() time.Duration {
+	_, far := d.messagePeriods()
+	return 2*far + queueReportSlack
+}
+
 // recordUsage adds to a customer's usage and demand at this router, and queues both for the next messages to peers.
 func (d *Dispatcher) recordUsage(now time.Time, s *service, customer string, usage, demand float64) {
 	key := accountKey(s, customer)
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -24,9 +24,8 @@
 	speedReportPeriod = time.Second
 	// announcementPruneLimit is the number of recorded announcements from which expired ones are removed.
 	announcementPruneLimit = 4096
-	// queueReportTTL is the time after which a peer's report on its waiting requests is out of date. Peers repeat it more
-	// often.
-	queueReportTTL = 400 * time.Millisecond
+	// queueReportSlack is how much longer than two periods of messages a peer's report on its waiting requests counts.
+	queueReportSlack = 200 * time.Millisecond
 )
 
 // Peer describes another router that dispatches to the same targets.
