--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -157,8 +157,12 @@
 // zones returns the localities of the fleet.
 func (f *simFleet) zones() []dispatch.Locality {
 	return []dispatch.Locality{
-		{Zone: "r0a", Region: "r0"}, {Zone: "r0b", Region: "r0"}, {Zone: "r1a", Region: "r1"}, {Zone: "r1b", Region: "r1"},
-		{Zone: "r2a", Region: "r2"}, {Zone: "r2b", Region: "r2"},
+		{Zone: "r0a", Region: "r0"},
+		{Zone: "r0b", Region: "r0"},
+		{Zone: "r1a", Region: "r1"},
+		{Zone: "r1b", Region: "r1"},
+		{Zone: "r2a", Region: "r2"},
+		{Zone: "r2b", Region: "r2"},
 	}
 }
 
