Take back usage at peers when a target did not run a request

Cause: the charge of a request that no target ran is taken back at its router, and peers got a negative change as zero. So they counted usage that the customer did not have, until it decayed.

A message carries the refund in a field of its own.

--- a/internal/dispatch/fairshare_test.go
+++ b/internal/dispatch/fairshare_test.go
@@ -144,3 +144,27 @@
 		running = waiting
 	}
 }
+
+// TestRefundReachesPeers guards against peers that go on counting the usage of requests that no target ran. Their customer is then
+// refused at the peers for a share that it did not get.
+func TestRefundReachesPeers(t *testing.T) {
+	a, b := newPeerPair(newTargets(1, 1))
+	now := startTime
+	failed := submitOne(t, a, now, newRequest(now, "unlucky", 9))
+	exchangeMessages(now, a, b)
+	now = now.Add(50 * time.Millisecond)
+	a.Finish(now, failed.ID, dispatch.Rejected)
+	exchangeMessages(now, a, b)
+	for range 10 {
+		b.Submit(now, newRequest(now, "unlucky", 9))
+	}
+	started := 0
+	for _, decision := range b.TakeDecisions() {
+		if decision.Refusal == nil {
+			started++
+		}
+	}
+	statuses := b.TakeCustomerStatuses(now, 8)
+	qt.Assert(t, statuses, qt.HasLen, 1)
+	qt.Check(t, statuses[0].Usage, qt.Equals, 5200*started)
+}
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -130,7 +130,8 @@
 	for customer, delta := range p.unreportedUsage {
 		// In a CustomerUse, Service is the usage, Asked is the demand, and Of identifies the service.
 		activity.Customers = append(activity.Customers, &fleetpb.CustomerUse{
-			Customer: customer, Service: uint32(max(delta.usage, 0)), Asked: uint32(delta.demand), Of: delta.serviceHash,
+			Customer: customer, Service: uint32(max(delta.usage, 0)), Refunded: uint32(max(-delta.usage, 0)),
+			Asked: uint32(delta.demand), Of: delta.serviceHash,
 		})
 	}
 	clear(p.unreportedUsage)
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -78,7 +78,8 @@
 		d.averageReadSpeeds()
 	}
 	for _, entry := range activity.GetCustomers() {
-		d.accounts.add(now, entry.GetOf(), entry.GetCustomer(), float64(entry.GetService()), float64(entry.GetAsked()))
+		usage := float64(entry.GetService()) - float64(entry.GetRefunded())
+		d.accounts.add(now, entry.GetOf(), entry.GetCustomer(), usage, float64(entry.GetAsked()))
 	}
 	for _, s := range d.services {
 		d.assignWaiting(now, s)
