Write no keyed call after the deadline of its claim

Cause, by reading: the deadline is checked in the loop of the router; the request is written later by package net/http, in other goroutines and perhaps on a new connection. A pause in between is not seen.

The body of a keyed call now ends with an error if it is read after the deadline. It is read immediately before the write, so what remains is the time between that and the system call. The outcome stays unknown, as before. TestNoRequestAfterSendDeadline fails without it (the request is answered). Its server counts complete requests only, as a service does.

--- a/internal/external/service.go
+++ b/internal/external/service.go
@@ -1,6 +1,9 @@
 package external
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // InvokeRequest holds the parameters of a call of a plain service. Its tags define the JSON form on the wire.
 type InvokeRequest struct {
@@ -14,6 +17,8 @@
 	// FencingToken is the log offset of the claim plus one, zero if there is no claim. Some services refuse a token lower
 	// than one they have seen.
 	FencingToken uint64 `json:"fence,omitempty"`
+	// SendDeadline is the time from which on the call must not be sent, zero for none.
+	SendDeadline time.Time `json:"-"`
 }
 
 // Service is a replica of a plain service.
--- a/internal/external/serviceclient/client.go
+++ b/internal/external/serviceclient/client.go
@@ -37,6 +37,7 @@
 	}
 	request := transport.Request{
 		System: c.name, Address: c.address, Method: http.MethodPost, Path: "/invoke", Body: body,
+		SendDeadline: invocation.SendDeadline,
 	}
 	var response wire.InvokeResponse
 	if err := c.transport.DoJSON(ctx, request, maxResponseBytes, &response); err != nil {
--- a/internal/external/transport/client.go
+++ b/internal/external/transport/client.go
@@ -80,6 +80,10 @@
 	if request.Body != nil {
 		req.Header.Set("Content-Type", "application/json")
 	}
+	if !request.SendDeadline.IsZero() {
+		req.Body = io.NopCloser(deadlineReader{Reader: req.Body, deadline: request.SendDeadline})
+		req.GetBody = nil // Package net/http would send its copy of the body without the deadline.
+	}
 	response, err := c.httpClient.Do(req)
 	switch {
 	case err != nil && !tracker.connected.Load():
--- a/internal/external/transport/client_test.go
+++ b/internal/external/transport/client_test.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -72,7 +73,9 @@
 		if err != nil {
 			return
 		}
-		_, _ = io.Copy(io.Discard, request.Body)
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return // A server does not run a request that is not complete.
+		}
 		requests.Add(1)
 		if i == 0 {
 			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
@@ -155,3 +158,33 @@
 	_, _ = io.Copy(io.Discard, r.Body)
 	<-r.Context().Done()
 }
+
+// TestNoRequestAfterSendDeadline guards against a request that is written after its deadline, because the process was paused, or
+// the connection took long, since the last check.
+func TestNoRequestAfterSendDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		var network pipenet.Network
+		listener := network.Listen("s:1")
+		defer func() { _ = listener.Close() }()
+		var requests atomic.Int64
+		go func() {
+			for conn, err := listener.Accept(); err == nil; conn, err = listener.Accept() {
+				go respondOnce(conn, &requests)
+			}
+		}()
+		dialDelay := time.Duration(0)
+		client := transport.New(transport.WithDial(func(ctx context.Context, networkName, address string) (net.Conn, error) {
+			time.Sleep(dialDelay)
+			return network.DialContext(ctx, networkName, address)
+		}))
+		defer client.Close()
+		request := post
+		request.SendDeadline = time.Now().Add(100 * time.Millisecond)
+		c.Assert(client.DoJSON(t.Context(), request, 10, nil), qt.IsNil)
+		client.Close()
+		dialDelay = 200 * time.Millisecond
+		c.Check(errorKind(client.DoJSON(t.Context(), request, 10, nil)), qt.Equals, "crashed")
+		c.Check(requests.Load(), qt.Equals, int64(1))
+	})
+}
--- a/internal/external/transport/request.go
+++ b/internal/external/transport/request.go
@@ -1,5 +1,7 @@
 package transport
 
+import "time"
+
 // Request describes an HTTP request to an external system.
 type Request struct {
 	// System identifies the external system in errors.
@@ -12,4 +14,6 @@
 	Path string
 	// Body is the JSON body, nil for none.
 	Body []byte
+	// SendDeadline is the time from which on a request with a body must not be sent, zero for none.
+	SendDeadline time.Time
 }
--- a/internal/router/invoke.go
+++ b/internal/router/invoke.go
@@ -164,6 +164,7 @@
 	case claim.OutcomeHeld:
 		// The fence of a verdict is a log offset and can be zero, but a fencing token of zero means that there is none.
 		inv.request.FencingToken = verdict.Fence + 1
+		inv.request.SendDeadline = inv.deadline
 		return nil, nil
 	case claim.OutcomeReplay:
 		result := make(oas.InvokeResponseResult)
