Let queues of peers count as contention only while few targets are available

What callers would see: one router that cannot reach the targets has a queue for as long as it is cut off, and all others refuse customers beyond their share although targets are idle. The share is computed from what was served, so each refusal makes it smaller.

Now a queue at a peer counts only while at most a third of the targets is available here.

--- a/internal/dispatch/fairness.go
+++ b/internal/dispatch/fairness.go
@@ -23,9 +23,11 @@
 	return d.accounts.usage(now, s, customer) < d.accounts.fairShare(now, s.nameHash)
 }
 
-// hasContention reports whether requests compete for the capacity of a service, at this router or at a peer.
+// hasContention reports whether requests compete for the capacity of a service, at this router or at a peer. Requests that wait at
+// a peer do not count while many targets are available here, since that peer may be cut off from them.
 func (d *Dispatcher) hasContention(now time.Time, s *service) bool {
-	return s.isContended(now) || d.countWaitingAtPeers(now, s) > 0
+	return s.isContended(now) ||
+		s.countAvailable(now) <= len(s.targets)/peerContentionDivisor && d.countWaitingAtPeers(now, s) > 0
 }
 
 // countWaitingAtPeers returns the number of requests that wait at peers by their recent reports.
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -36,6 +36,8 @@
 	maxBacklogSeconds = 0.05
 	// contentionDivisor sets when requests compete for capacity: at most 1/contentionDivisor of the targets is available.
 	contentionDivisor = 8
+	// peerContentionDivisor is the same while requests wait at a peer.
+	peerContentionDivisor = 3
 	// stallFactor and stallSlack set how much longer than predicted the first byte may take before the target may count as
 	// stalled.
 	stallFactor = 4
