--- a/internal/dispatch/headroom.go
+++ b/internal/dispatch/headroom.go
@@ -8,7 +8,7 @@
 
 var (
 	noHeadroom   = headroom{}
-	fullHeadroom = headroom{slots: 0.125, backlog: 1}
+	fullHeadroom = headroom{slots: 0.125, backlog: 0.5}
 )
 
 // slotLimit returns the number of runs that a target with the given slots may have. Any headroom is at least one run.
