Name the fields of a customer's use, and receive each kind of figure in a function of its own

Receive had four nested loops and looked up each target twice. The accept loop of two transport tests stands once. No decision changes; the tests of dispatch and transport pass.

--- a/internal/dispatch/fairshare_test.go
+++ b/internal/dispatch/fairshare_test.go
@@ -122,7 +122,7 @@
 		running = append(running, decision.ID)
 	}
 	waitingAtPeer := newActivity(&fleetpb.Line{Service: hashOf("m"), Waiting: 5}, &fleetpb.CustomerUse{
-		Customer: hashOf("m/other"), Of: hashOf("m"), Service: 50_000, Asked: 500_000,
+		Customer: hashOf("m/other"), Service: hashOf("m"), Usage: 50_000, Demand: 500_000,
 	})
 	d.Receive(now, "b", waitingAtPeer)
 	now = now.Add(100 * time.Millisecond)
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -128,10 +128,9 @@
 		})
 	}
 	for customer, delta := range p.unreportedUsage {
-		// In a CustomerUse, Service is the usage, Asked is the demand, and Of identifies the service.
 		activity.Customers = append(activity.Customers, &fleetpb.CustomerUse{
-			Customer: customer, Service: uint32(max(delta.usage, 0)), Refunded: uint32(max(-delta.usage, 0)),
-			Asked: uint32(delta.demand), Of: delta.serviceHash,
+			Customer: customer, Service: delta.serviceHash, Usage: uint32(max(delta.usage, 0)),
+			Refunded: uint32(max(-delta.usage, 0)), Demand: uint32(delta.demand),
 		})
 	}
 	clear(p.unreportedUsage)
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -50,42 +50,58 @@
 	if !known || activity == nil {
 		return
 	}
-	for _, entry := range activity.GetTargets() {
-		d.setPeerRuns(sender, entry.GetTarget(), entry.GetRunning())
-		if state := d.targetsByHash[entry.GetTarget()]; state != nil && entry.GetAdded() > 0 {
-			state.addUnread(now, d.getOrCreateService(state.Service).readSpeed, int(entry.GetAdded()))
-		}
-		if state := d.targetsByHash[entry.GetTarget()]; state != nil {
-			state.mergePeerBacklog(now, d.getOrCreateService(state.Service).readSpeed, float64(entry.GetUnread()))
-		}
+	for _, use := range activity.GetTargets() {
+		d.receiveTargetUse(now, sender, use)
 	}
 	for _, reading := range activity.GetReadings() {
-		if state := d.targetsByHash[reading.GetTarget()]; state != nil {
-			for i, part := range reading.GetParts() {
-				if i < len(reading.GetTokens()) {
-					state.cache.touch(now, Part{ID: part, Tokens: int(reading.GetTokens()[i])}, state.kvCapacity)
-					d.getOrCreateService(state.Service).recordReader(part, state)
-				}
-			}
-		}
+		d.receiveReading(now, reading)
 	}
-	for _, entry := range activity.GetLines() {
-		sender.queueReports[entry.GetService()] = queueReport{
-			waiting: int(entry.GetWaiting()), readSpeed: float64(entry.GetSpeed()), receivedAt: now,
+	for _, line := range activity.GetLines() {
+		sender.queueReports[line.GetService()] = queueReport{
+			waiting: int(line.GetWaiting()), readSpeed: float64(line.GetSpeed()), receivedAt: now,
 		}
 	}
 	if len(activity.GetLines()) > 0 {
 		d.averageReadSpeeds()
 	}
-	for _, entry := range activity.GetCustomers() {
-		usage := float64(entry.GetService()) - float64(entry.GetRefunded())
-		d.accounts.add(now, entry.GetOf(), entry.GetCustomer(), usage, float64(entry.GetAsked()))
+	for _, use := range activity.GetCustomers() {
+		usage := float64(use.GetUsage()) - float64(use.GetRefunded())
+		d.accounts.add(now, use.GetService(), use.GetCustomer(), usage, float64(use.GetDemand()))
 	}
 	for _, s := range d.services {
 		d.assignWaiting(now, s)
 	}
 }
 
+// receiveTargetUse takes a peer's figures of its runs at a target and of the prompts that the target has to read.
+func (d *Dispatcher) receiveTargetUse(now time.Time, sender *peer, use *fleetpb.TargetUse) {
+	d.setPeerRuns(sender, use.GetTarget(), use.GetRunning())
+	state := d.targetsByHash[use.GetTarget()]
+	if state == nil {
+		return
+	}
+	readSpeed := d.getOrCreateService(state.Service).readSpeed
+	if use.GetAdded() > 0 {
+		state.addUnread(now, readSpeed, int(use.GetAdded()))
+	}
+	state.mergePeerBacklog(now, readSpeed, float64(use.GetUnread()))
+}
+
+// receiveReading takes the prompt parts that a target has read for a peer. Parts without a length are ignored.
+func (d *Dispatcher) receiveReading(now time.Time, reading *fleetpb.Reading) {
+	state := d.targetsByHash[reading.GetTarget()]
+	if state == nil {
+		return
+	}
+	s := d.getOrCreateService(state.Service)
+	for i, part := range reading.GetParts() {
+		if i < len(reading.GetTokens()) {
+			state.cache.touch(now, Part{ID: part, Tokens: int(reading.GetTokens()[i])}, state.kvCapacity)
+			s.recordReader(part, state)
+		}
+	}
+}
+
 // averageReadSpeeds sets the read speed of each service to the mean of the estimates of this router and its peers.
 func (d *Dispatcher) averageReadSpeeds() {
 	for _, s := range d.services {
--- a/internal/external/transport/client_test.go
+++ b/internal/external/transport/client_test.go
@@ -50,11 +50,7 @@
 		listener := network.Listen("s:1")
 		defer func() { _ = listener.Close() }()
 		var requests atomic.Int64
-		go func() {
-			for conn, err := listener.Accept(); err == nil; conn, err = listener.Accept() {
-				go respondOnce(conn, &requests)
-			}
-		}()
+		go respondOnceEach(listener, &requests)
 		client := transport.New(transport.WithDial(network.DialContext))
 		defer client.Close()
 		c.Assert(client.DoJSON(t.Context(), post, 10, nil), qt.IsNil)
@@ -64,6 +60,13 @@
 	})
 }
 
+// respondOnceEach accepts connections until the listener is closed and handles each with respondOnce.
+func respondOnceEach(listener net.Listener, requests *atomic.Int64) {
+	for conn, err := listener.Accept(); err == nil; conn, err = listener.Accept() {
+		go respondOnce(conn, requests)
+	}
+}
+
 // respondOnce responds to the first request of a connection, reads the second and closes the connection.
 func respondOnce(conn net.Conn, requests *atomic.Int64) {
 	defer func() { _ = conn.Close() }()
@@ -168,11 +171,7 @@
 		listener := network.Listen("s:1")
 		defer func() { _ = listener.Close() }()
 		var requests atomic.Int64
-		go func() {
-			for conn, err := listener.Accept(); err == nil; conn, err = listener.Accept() {
-				go respondOnce(conn, &requests)
-			}
-		}()
+		go respondOnceEach(listener, &requests)
 		dialDelay := time.Duration(0)
 		client := transport.New(transport.WithDial(func(ctx context.Context, networkName, address string) (net.Conn, error) {
 			time.Sleep(dialDelay)
