Hold a customer at each router to its part of the share

Cause: usage at routers of other regions is known 0.5 to 0.7 s late, so all routers admitted what was asked for until they knew of each other's starts, and then nothing.

A router knows its own starts at once, and its part of the customer's demand. It now refuses, while requests compete, also when its own starts exceed that part of the share. A customer at one router is not affected: its part is all.

--- a/internal/dispatch/accounts.go
+++ b/internal/dispatch/accounts.go
@@ -13,12 +13,21 @@
 	shareReuseLimit = 0.02
 )
 
-// account is the recent usage and demand of one customer at one service, summed over this router and its connected peers. Both
-// are in the units of requestCost.
+// account is the recent usage and demand of one customer at one service, in the units of requestCost: summed over this router and its
+// connected peers, and of this router alone.
 type account struct {
-	serviceHash uint32
-	usage       decayingSum
-	demand      decayingSum
+	serviceHash         uint32
+	usage, demand       decayingSum
+	ownUsage, ownDemand decayingSum
+}
+
+// ownFraction returns the part of the demand that reached this router.
+func (a *account) ownFraction(now time.Time) float64 {
+	demand := a.demand.valueAt(now)
+	if demand <= 0 {
+		return 1
+	}
+	return min(a.ownDemand.valueAt(now)/demand, 1)
 }
 
 // customerAccounts holds the accounts of all customers by the hash of service and customer name. It also caches the fair share
@@ -62,6 +71,14 @@
 	return 0
 }
 
+// addOwn adds to the usage and the demand of an account what this router has started and received.
+func (a *customerAccounts) addOwn(now time.Time, serviceHash, key uint32, usage, demand float64) {
+	a.add(now, serviceHash, key, usage, demand)
+	acct := a.getOrCreate(serviceHash, key)
+	acct.ownUsage = acct.ownUsage.withAdded(now, usage)
+	acct.ownDemand = acct.ownDemand.withAdded(now, demand)
+}
+
 // add adds to the usage and the demand of an account.
 func (a *customerAccounts) add(now time.Time, serviceHash, key uint32, usage, demand float64) {
 	acct := a.getOrCreate(serviceHash, key)
--- a/internal/dispatch/fairness.go
+++ b/internal/dispatch/fairness.go
@@ -12,10 +12,13 @@
 }
 
 // exceedsShare reports whether the customer of a request has exceeded its share while requests compete for capacity. Its
-// requests are then refused on arrival, which leaves the capacity to the other customers, also at other routers.
+// requests are then refused on arrival, which leaves the capacity to the other customers, also at other routers. As usage at other
+// routers is known with a delay, this router also holds the customer to the part of the share that its callers here ask for.
 func (d *Dispatcher) exceedsShare(now time.Time, s *service, request *Request) bool {
 	limit := d.accounts.fairShare(now, s.nameHash) * (1 + shareTolerance)
-	return d.accounts.usage(now, s, request.Customer) > limit && d.hasContention(now, s)
+	acct := d.accounts.getOrCreate(s.nameHash, accountKey(s, request.Customer))
+	exceeds := acct.usage.valueAt(now) > limit || acct.ownUsage.valueAt(now) > limit*acct.ownFraction(now)
+	return exceeds && d.hasContention(now, s)
 }
 
 // isBelowShare reports whether a customer has got less than its share.
@@ -51,7 +54,7 @@
 // recordUsage adds to a customer's usage and demand at this router, and queues both for the next messages to peers.
 func (d *Dispatcher) recordUsage(now time.Time, s *service, customer string, usage, demand float64) {
 	key := accountKey(s, customer)
-	d.accounts.add(now, s.nameHash, key, usage, demand)
+	d.accounts.addOwn(now, s.nameHash, key, usage, demand)
 	for _, p := range d.peers {
 		p.unreportedUsage[key] = p.unreportedUsage[key].plus(s.nameHash, usage, demand)
 	}
--- a/internal/dispatch/fairshare_test.go
+++ b/internal/dispatch/fairshare_test.go
@@ -135,6 +135,39 @@
 	qt.Check(t, submitOne(t, d, now, newRequest(now, "heavy", 9)).Refusal == nil, qt.IsTrue)
 }
 
+// TestRouterHoldsCustomerToItsPart guards against routers that each give a customer its whole share until they learn of its usage at
+// the others.
+func TestRouterHoldsCustomerToItsPart(t *testing.T) {
+	const cost, requests = 5200, 100
+	d := dispatch.New(routerLocality, 1)
+	d.SetTargets(startTime, newTargets(8, 1))
+	d.AddPeer(startTime, dispatch.Peer{Name: "b", Region: "r"})
+	now := startTime
+	for range 6 {
+		d.RecordFirstByte(now, submitOne(t, d, now, newRequest(now, "other", 9)).ID, nil)
+	}
+	// The peer gets nine tenths of the customer's requests, and has started requests of another customer.
+	d.Receive(now, "b", newActivity(&fleetpb.Line{Service: hashOf("m"), Waiting: 5},
+		&fleetpb.CustomerUse{Customer: hashOf("m/wide"), Service: hashOf("m"), Demand: 9 * requests * cost},
+		&fleetpb.CustomerUse{Customer: hashOf("m/other"), Service: hashOf("m"), Usage: requests * cost, Demand: 10 * requests * cost},
+	))
+	started := 0
+	for range requests {
+		now = now.Add(time.Millisecond)
+		d.Submit(now, newRequest(now, "wide", 9))
+		for _, decision := range d.TakeDecisions() {
+			if decision.Refusal == nil {
+				started++
+				answerAndFinish(d, now, decision.ID)
+			}
+		}
+	}
+	part := float64(6+requests+started) / 2 / 10
+	note := qt.Commentf("%d requests started, the part is %.1f", started, part)
+	qt.Check(t, float64(started) <= part*1.1+1, qt.IsTrue, note)
+	qt.Check(t, float64(started) >= part/2, qt.IsTrue, note)
+}
+
 // TestLoneCustomerIsNotRefusedForItsShare guards against a share that is older than the usage that it is compared with. A customer
 // without competitors then exceeds the share of a moment ago.
 func TestLoneCustomerIsNotRefusedForItsShare(t *testing.T) {
