--- a/internal/router/deadline_test.go
+++ b/internal/router/deadline_test.go
@@ -9,12 +9,14 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/chicorydale/chicorydale/internal/emulator/fault"
+	"github.com/chicorydale/chicorydale/internal/timerlag"
 )
 
 // TestDeadlineDuringAnswer guards against a call that continues and occupies its slot after the caller's deadline has passed
 // during the answer.
 func TestDeadlineDuringAnswer(t *testing.T) {
 	t.Parallel()
+	timerlag.Log(t)
 	f := newFleet(t)
 	f.addRouter("r1", "a")
 	f.waitReady(0)
@@ -39,6 +41,7 @@
 // taken for a crash of the target. After a second crash the request would be quarantined.
 func TestDeadlineBeforeAnswer(t *testing.T) {
 	t.Parallel()
+	timerlag.Log(t)
 	f := newFleet(t)
 	f.addRouter("r1", "a")
 	f.waitReady(0)
@@ -54,7 +57,8 @@
 		start := time.Now()
 		status, body := f.request(http.MethodPost, f.apiURLs[0]+"/v1/models/m/generate", customerKey, call, nil)
 		qt.Assert(t, status, qt.Equals, http.StatusGatewayTimeout, qt.Commentf("%s", body))
-		qt.Assert(t, time.Since(start) < 3*time.Second, qt.IsTrue)
+		took := time.Since(start)
+		qt.Assert(t, took < 3*time.Second, qt.IsTrue, qt.Commentf("the refusal took %v", took))
 		qt.Assert(t, strings.Contains(string(body), `"ran":"unknown"`), qt.IsTrue, qt.Commentf("%s", body))
 	}
 	for _, engine := range f.engines {
