Check shares under random loads of a simulated fleet

Up to six large customers that come and go, at one router, in one availability zone or at all routers; the check is the users' rule.

--- a/internal/dispatch/fairshare_test.go
+++ b/internal/dispatch/fairshare_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
 	"testing"
 	"time"
 
@@ -70,6 +73,36 @@
 	checkShares(t, f)
 }
 
+// TestSharesHoldUnderRandomLoads guards against customers that get less than half of what they are owed under loads that nobody thought
+// of: up to six large customers, at one router, in one availability zone or at all routers, that come and go. The environment
+// variable SHARES sets the number of seeds.
+func TestSharesHoldUnderRandomLoads(t *testing.T) {
+	const length = 14 * time.Second
+	seeds := uint64(2)
+	if text := os.Getenv("SHARES"); text != "" {
+		parsed, err := strconv.ParseUint(text, 10, 64)
+		qt.Assert(t, err, qt.IsNil)
+		seeds = parsed
+	}
+	places := []string{"", "", "r0a", "r1b", "r2a-1", "r0b-0"}
+	for seed := range seeds {
+		random := rand.New(rand.NewPCG(seed, 5))
+		f := newSimFleet(seed, 4, 3, 8)
+		loads := smallLoads(f, 10, length)
+		for i := range 2 + random.IntN(5) {
+			for range 1 + random.IntN(2) {
+				from := time.Duration(random.IntN(10)) * time.Second
+				loads = append(loads, load{
+					customer: fmt.Sprint("large", i), at: places[random.IntN(len(places))], perSecond: f.capacity() * (0.3 + random.Float64()),
+					from: from, until: from + time.Duration(3+random.IntN(10))*time.Second,
+				})
+			}
+		}
+		f.run(length, loads)
+		checkShares(t, f)
+	}
+}
+
 // TestQueueIsNotPacedByWaitingPeers guards against a router that leaves each free slot to its peers for a while as long as a
 // request waits at any of them. Its own customers then start a few requests per second, however many slots become free.
 func TestQueueIsNotPacedByWaitingPeers(t *testing.T) {
