Look at caches only when a target has room, and at each target once

Cause, a part of it: a request that finds no room was looked at three times over all targets and their caches, because of the headroom, and contention counted the available targets twice.

Now caches and homes are looked at only if a target has room, room is checked before health, the decayed count of other runs is computed only if it matters. No decision changes but one: a retry whose only free target is excluded may use the headroom of another.

--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -41,3 +42,24 @@
 		d.RecordData(startTime, id)
 	}
 }
+
+// BenchmarkRequestWithoutCapacity measures the decisions on a request that waits and is then refused, at a router with 66 peers while
+// all 60 targets are full.
+func BenchmarkRequestWithoutCapacity(b *testing.B) {
+	d := dispatch.New(routerLocality, 1)
+	d.SetTargets(startTime, newTargets(60, 24))
+	for i := range 66 {
+		d.AddPeer(startTime, dispatch.Peer{Name: fmt.Sprint("peer-", i), Region: "s"})
+	}
+	now := startTime
+	for d.NumWaiting() == 0 {
+		now = now.Add(time.Millisecond)
+		d.Submit(now, newRequest(now, fmt.Sprint("c", d.NumRunning()%5), 9))
+	}
+	for b.Loop() {
+		now = now.Add(20 * time.Microsecond)
+		id := d.Submit(now, newRequest(now, "c0", 9))
+		d.Expire(now, id)
+		d.TakeDecisions()
+	}
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -264,7 +264,8 @@
 // caller may already have a part of the answer, or a target has already worked on it.
 func (d *Dispatcher) tryAssign(now time.Time, s *service, qr *queuedRequest) bool {
 	selected, found := s.selectTarget(now, d.locality, &qr.request, noHeadroom)
-	if !found && (qr.isRetry || d.isBelowShare(now, s, qr.request.Customer)) && s.countAvailable(now) == 0 {
+	if !found && (qr.isRetry || d.isBelowShare(now, s, qr.request.Customer)) &&
+		(!s.usesSampling() || s.countAvailable(now) == 0) {
 		selected, found = s.selectTarget(now, d.locality, &qr.request, fullHeadroom)
 	}
 	if !found {
--- a/internal/dispatch/fairness.go
+++ b/internal/dispatch/fairness.go
@@ -29,8 +29,12 @@
 // hasContention reports whether requests compete for the capacity of a service, at this router or at a peer. Requests that wait at
 // a peer do not count while many targets are available here, since that peer may be cut off from them.
 func (d *Dispatcher) hasContention(now time.Time, s *service) bool {
-	return s.isContended(now) ||
-		s.countAvailable(now) <= len(s.targets)/peerContentionDivisor && d.countWaitingAtPeers(now, s) > 0
+	if s.queue.length > 0 {
+		return true
+	}
+	available := s.countAvailable(now)
+	return available <= len(s.targets)/contentionDivisor ||
+		available <= len(s.targets)/peerContentionDivisor && d.countWaitingAtPeers(now, s) > 0
 }
 
 // countWaitingAtPeers returns the number of requests that wait at peers by their recent reports.
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -63,6 +63,8 @@
 	startRate meter
 	// sampleOffset is the index of the first target of the next availability estimate.
 	sampleOffset int
+	// eligible is the result of the last call of eligibleTargets. Its memory is reused by the next call.
+	eligible []*targetState
 	// activities holds what the customers' requests did since the last report, by customer.
 	activities map[string]*activity
 }
@@ -143,20 +145,16 @@
 // headroom. Unhealthy targets are considered only if all are unhealthy: while a healthy one is full, the request waits.
 func (s *service) selectTarget(now time.Time, own Locality, request *Request, extra headroom) (selection, bool) {
 	candidates := s.candidates(request)
+	eligible := s.eligibleTargets(now, candidates, request, extra)
+	if len(eligible) == 0 {
+		return selection{}, false
+	}
 	home, holder, heldTokens := s.homeTarget(own, request), (*targetState)(nil), 0
 	if home != nil {
 		holder, heldTokens = bestCacheHolder(now, own, candidates, request)
 	}
 	best := selection{cost: math.Inf(1)}
-	healthyOnly := anyHealthy(now, candidates, request)
-	eligible := 0
-	for _, state := range candidates {
-		if state.Leaving || isExcluded(request, state.Name) || healthyOnly && !state.isHealthy(now) {
-			continue
-		}
-		if !state.hasFreeSlot(now, extra) || !s.hasShortBacklog(now, state, extra) {
-			continue
-		}
+	for _, state := range eligible {
 		candidate := selection{target: state, prefillTokens: request.PromptTokens - state.cachedTokens(now, request.Parts)}
 		if extraTokens := heldTokens - (request.PromptTokens - candidate.prefillTokens); extraTokens >= minFetchTokens {
 			candidate.prefillTokens -= extraTokens - extraTokens/fetchSpeedup
@@ -167,15 +165,29 @@
 		if heldTokens == 0 && state == home {
 			candidate.cost -= homeTargetBonus
 		}
-		eligible++
 		if candidate.cost < best.cost {
 			best = candidate
 		}
 	}
-	best.eligible = eligible
+	best.eligible = len(eligible)
 	return best, best.target != nil
 }
 
+// eligibleTargets returns the candidates that a request may go to now. The result is valid until the next call.
+func (s *service) eligibleTargets(now time.Time, candidates []*targetState, request *Request, extra headroom) []*targetState {
+	s.eligible = s.eligible[:0]
+	healthyOnly := anyHealthy(now, candidates, request)
+	for _, state := range candidates {
+		if state.Leaving || !state.hasFreeSlot(now, extra) || !s.hasShortBacklog(now, state, extra) {
+			continue
+		}
+		if !isExcluded(request, state.Name) && (!healthyOnly || state.isHealthy(now)) {
+			s.eligible = append(s.eligible, state)
+		}
+	}
+	return s.eligible
+}
+
 // anyHealthy reports whether any of the targets that a request may go to is healthy.
 func anyHealthy(now time.Time, candidates []*targetState, request *Request) bool {
 	for _, state := range candidates {
--- a/internal/dispatch/targetstate.go
+++ b/internal/dispatch/targetstate.go
@@ -94,8 +94,12 @@
 // occupiedSlots returns the number of runs at the target, of all routers as far as known. The target's own report is the only
 // source for routers that are not connected, and it soon goes out of date.
 func (t *targetState) occupiedSlots(now time.Time) float64 {
+	peerRuns := float64(t.peerRuns)
+	if t.otherRuns <= peerRuns {
+		return float64(t.running) + peerRuns
+	}
 	otherRuns := t.otherRuns * math.Exp(-float64(max(now.Sub(t.otherRunsAt), 0))/float64(otherRunsDecayTime))
-	return float64(t.running) + max(otherRuns, float64(t.peerRuns))
+	return float64(t.running) + max(otherRuns, peerRuns)
 }
 
 // backlog returns the estimated number of tokens that the target still has to read, given its read speed in tokens per second.
