Log what the requests at a crashed target had in common, and that it crashed

Cause: line 607 of a broken attempt named neither the customer nor the parts of the prompt nor whether the head of a response had arrived, and nothing told a target that crashed from one that broke off a single answer.

607 now has customer, head and parts (hashes of the parts that sessions share).

--- a/internal/emulator/targetserver/server.go
+++ b/internal/emulator/targetserver/server.go
@@ -63,6 +63,9 @@
 	mu      sync.Mutex
 	runs    []Run
 	running int
+	// crashPart is the part of a prompt on which the target crashes, crash what ends the target then.
+	crashPart string
+	crash     func()
 	// abandonedStreams counts the streams that ended because the caller disconnected.
 	abandonedStreams int
 }
@@ -76,6 +79,24 @@
 // SetMode sets the mode for the requests that arrive from now on.
 func (s *Server) SetMode(mode Mode) { s.mode.Store(int32(mode)) }
 
+// CrashOn makes the target crash on each request whose prompt has a part with the given ID. It sends the head of a response and
+// then calls crash, which must close the listener and the connections of the target.
+func (s *Server) CrashOn(part string, crash func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashPart, s.crash = part, crash
+}
+
+// crashFor returns the function that ends the target on a request, or nil if the request does not crash it.
+func (s *Server) crashFor(r *http.Request) func() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.crashPart == "" || !strings.Contains(r.Header.Get("X-Prompt-Prefix"), s.crashPart+":") {
+		return nil
+	}
+	return s.crash
+}
+
 // Runs returns a copy of all runs so far, in the order in which they started.
 func (s *Server) Runs() []Run {
 	s.mu.Lock()
@@ -110,6 +131,12 @@
 		return
 	}
 	defer s.endRun()
+	if crash := s.crashFor(r); crash != nil {
+		w.Header().Set("X-Replica-Seal", "seal")
+		_ = http.NewResponseController(w).Flush() // The caller may have disconnected.
+		crash()
+		panic(http.ErrAbortHandler)
+	}
 	s.respond(w, r, mode)
 }
 
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -96,7 +96,7 @@
 		"config_age_ms",
 	}}
 	AttemptFailed = Event{607, levelInfo, "attempt_failed", []string{
-		"id", "target", "outcome", "error", "sent", "again", "took_ms",
+		"id", "target", "outcome", "error", "sent", "again", "took_ms", "customer", "head", "parts",
 	}}
 	CallerLeft     = Event{608, levelInfo, "caller_left", []string{"id", "target", "took_ms"}}
 	StreamBroken   = Event{609, levelInfo, "stream_broken", []string{"id", "target", "bytes", "error"}}
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -99,6 +99,18 @@
 	return response, nil
 }
 
+// Probe opens a connection to a target and keeps it for reuse. It returns the error if the target accepts no connection.
+func (c *Client) Probe(ctx context.Context, target, address string) error {
+	socket, err := c.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	opened := newConn(socket)
+	opened.idleDeadline = time.Now().Add(defaultIdleTimeout)
+	c.putIdle(endpoint{target: target, address: address}, opened)
+	return nil
+}
+
 // earliest returns the earlier of two instants. If the first is zero, it returns the second.
 func earliest(first, second time.Time) time.Time {
 	if !first.IsZero() && first.Before(second) {
--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -23,6 +23,12 @@
 	PromptTokens, MaxOutputTokens int
 }
 
+// SharedParts returns the parts of the prompt that requests of other sessions may share: all but the last one, which belongs to
+// the session or to the request alone.
+func (i RequestInfo) SharedParts() []dispatch.Part {
+	return i.PromptParts[:max(len(i.PromptParts)-1, 0)]
+}
+
 // AttemptInfo holds what the headers of a request to a target state in addition to the caller's headers.
 type AttemptInfo struct {
 	// Target is the name of the target.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/chicorydale/chicorydale/internal/dispatch"
@@ -47,6 +48,8 @@
 	sentAttempts, unsentAttempts int
 	// mayHaveRun reports whether a target may have run the request.
 	mayHaveRun bool
+	// headReceived reports whether the head of a response to the last attempt has arrived.
+	headReceived bool
 	// failedResponse is a server error of a target, which is relayed if no other target responds.
 	failedResponse *bufferedResponse
 	// responseStarted reports whether a part of the response has been sent to the caller.
@@ -166,6 +169,7 @@
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	response, err := x.gateway.client.Send(attemptCtx, x.newAttempt(decision))
+	x.headReceived = err == nil
 	if err != nil {
 		return x.handleSendError(decision, err)
 	}
@@ -275,6 +279,9 @@
 		outcome = dispatch.Stalled
 	}
 	x.finishAttempt(decision, outcome)
+	if outcome == dispatch.Broken {
+		x.gateway.crashes.attemptBroke(decision.Target)
+	}
 	retry = x.takeRetry()
 	x.logFailedAttempt(decision, outcome, err, retry)
 	if retry {
@@ -307,5 +314,14 @@
 // logFailedAttempt logs a failed attempt and whether the request is retried.
 func (x *exchange) logFailedAttempt(decision dispatch.Decision, outcome dispatch.Outcome, err error, retry bool) {
 	event.AttemptFailed.Log(x.gateway.logger, x.info.ID, decision.Target.Name, string(outcome), err, x.sentAttempts, retry,
-		time.Since(x.arrivedAt).Milliseconds())
+		time.Since(x.arrivedAt).Milliseconds(), x.customer, x.headReceived, x.sharedPartNames())
+}
+
+// sharedPartNames returns the hashes of the prompt parts that requests of other sessions may share, for the log.
+func (x *exchange) sharedPartNames() []string {
+	names := make([]string, 0, len(x.info.PromptParts))
+	for _, part := range x.info.SharedParts() {
+		names = append(names, strconv.FormatUint(part.ID, 16))
+	}
+	return names
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,6 +55,7 @@
 	scheduler       *scheduler
 	targets         *targetDirectory
 	client          *forward.Client
+	crashes         *crashDetector
 	retryBudgets    *retryBudgets
 	callerConns     *callerConns
 	peers           *peerLinks
@@ -97,6 +98,7 @@
 			decode: adapters.DecodeTarget, logger: logger, registry: registry.New(), scheduler: scheduler, client: client,
 		},
 		client:       client,
+		crashes:      newCrashDetector(client, logger),
 		retryBudgets: newRetryBudgets(settings.RetryRatio, settings.RetryReserve),
 		callerConns:  newCallerConns(settings.MaxOpenFiles),
 		peers:        newPeerLinks(settings, adapters.RouterTopic, logger, scheduler, metrics, lateness),
