Refuse requests with a part that crashes targets

Cause: nothing on the gateway's path recognized what crashes targets; the package suspect serves the other path only, and would not help: it goes by the whole request, and no two of these are alike. docs/design.md listed the gap as open. Ruled out: load (engines crashed with 4 and with 30 requests), and recognition that comes too late (the record has no refusal for it at all).

The package quarantine keeps crash records by fingerprint, of the whole request and of each part that sessions share. Three crashes without an answer in between quarantine a fingerprint, an answer clears it at all routers, and single requests probe it while there are fewer than five crashes. Routers exchange the records over their links. A crash counts only if the target accepts no new connection, so that lost and spoilt answers give no records.

TestBadPartIsQuarantined simulates fleets of 1, 9 and 60 routers: it fails if routers do not exchange records and if answers do not clear them.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -120,6 +120,10 @@
 var (
 	SuspectFound   = Event{801, levelWarn, "suspect_found", []string{"fingerprint", "customer", "target"}}
 	SuspectRefused = Event{802, levelWarn, "suspect_refused", []string{"fingerprint", "customer"}}
+
+	Quarantined      = Event{803, levelWarn, "quarantined", []string{"fingerprint", "crashes"}}
+	QuarantineLifted = Event{804, levelInfo, "quarantine_lifted", []string{"fingerprint"}}
+	QuarantineProbed = Event{805, levelInfo, "quarantine_probed", []string{"fingerprint", "id"}}
 )
 
 // All returns all events in ascending order of their numbers.
@@ -136,6 +140,6 @@
 		Refused, Retried, Resumed, Abandoned,
 		RequestAnswered, RequestRefused, AttemptFailed, CallerLeft, StreamBroken, ServiceState, RefusalsSummed, CustomerState,
 		ClaimLost, ClaimUnknown,
-		SuspectFound, SuspectRefused,
+		SuspectFound, SuspectRefused, Quarantined, QuarantineLifted, QuarantineProbed,
 	}
 }
--- a/internal/gateway/crashdetector.go
+++ b/internal/gateway/crashdetector.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
+	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -10,6 +14,7 @@
 	"github.com/chicorydale/chicorydale/internal/dispatch"
 	"github.com/chicorydale/chicorydale/internal/event"
 	"github.com/chicorydale/chicorydale/internal/forward"
+	"github.com/chicorydale/chicorydale/internal/quarantine"
 )
 
 const (
@@ -26,44 +31,82 @@
 	startUnixMilli int64
 }
 
+// crash returns the crash with which this start of the target ended.
+func (s targetStart) crash() quarantine.Crash {
+	return quarantine.Crash{ID: s.name + "/" + strconv.FormatInt(s.startUnixMilli, 10), Target: s.name}
+}
+
+// targetProbe is the probe of a target at which attempts broke.
+type targetProbe struct {
+	// fingerprints are those of the attempts that broke without an answer while the probe ran.
+	fingerprints []uint64
+	// crashed is set if the target accepted no connection.
+	crashed bool
+}
+
 // crashDetector tells targets that crashed from those that broke off a single answer: a target that crashed accepts no
 // connection. It is safe for concurrent use.
 type crashDetector struct {
 	client *forward.Client
 	logger zerolog.Logger
+	// recordCrash is called for each crash, perhaps several times, with fingerprints of requests that the target had not answered.
+	// It must be safe for concurrent use.
+	recordCrash func(crash quarantine.Crash, fingerprints []uint64)
 
 	mu sync.Mutex
-	// probed holds the starts of targets that are being probed or were probed within probeRepeatTime.
-	probed map[targetStart]bool
+	// probes holds the probes that run or ended within probeRepeatTime.
+	probes map[targetStart]*targetProbe
 }
 
 // newCrashDetector returns a detector that opens its connections with the client.
-func newCrashDetector(client *forward.Client, logger zerolog.Logger) *crashDetector {
-	return &crashDetector{client: client, logger: logger, probed: make(map[targetStart]bool)}
+func newCrashDetector(
+	client *forward.Client, logger zerolog.Logger, recordCrash func(quarantine.Crash, []uint64),
+) *crashDetector {
+	return &crashDetector{client: client, logger: logger, recordCrash: recordCrash, probes: make(map[targetStart]*targetProbe)}
 }
 
-// attemptBroke starts a probe of a target whose connection was lost in the middle of an attempt.
-func (d *crashDetector) attemptBroke(target dispatch.Target) {
+// attemptBroke starts a probe of a target whose connection was lost in the middle of an attempt. The fingerprints are those of the
+// request, or none if the target had begun to answer it.
+func (d *crashDetector) attemptBroke(target dispatch.Target, fingerprints []uint64) {
 	start := targetStart{name: target.Name, startUnixMilli: target.StartUnixMilli}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.probed[start] {
-		return
+	probe, found := d.probes[start]
+	switch {
+	case !found:
+		d.probes[start] = &targetProbe{fingerprints: fingerprints}
+		go d.probe(target, start)
+	case probe.crashed:
+		d.recordCrash(start.crash(), fingerprints)
+	default:
+		probe.fingerprints = append(slices.Clip(probe.fingerprints), fingerprints...)
 	}
-	d.probed[start] = true
-	go d.probe(target, start)
 }
 
-// probe opens a connection to a target and logs a crash if the target accepts none.
+// probe opens a connection to a target and records a crash if the target accepts none.
 func (d *crashDetector) probe(target dispatch.Target, start targetStart) {
 	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(probeTimeout))
 	defer cancel()
-	if err := d.client.Probe(ctx, target.Name, target.Address); err != nil {
+	err := d.client.Probe(ctx, target.Name, target.Address)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if isRefusedOrSilent(err) {
 		event.TargetCrashed.Log(d.logger, target.Name, err)
+		d.probes[start].crashed = true
+		d.recordCrash(start.crash(), d.probes[start].fingerprints)
 	}
-	time.AfterFunc(probeRepeatTime, func() {
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		delete(d.probed, start)
-	})
+	time.AfterFunc(probeRepeatTime, func() { d.forget(start) })
+}
+
+// forget makes the next broken attempt at a target cause another probe.
+func (d *crashDetector) forget(start targetStart) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.probes, start)
+}
+
+// isRefusedOrSilent reports whether the error of an attempt to connect shows that there is no process at the address. Other errors,
+// such as a lack of file descriptors, say nothing about the target.
+func isRefusedOrSilent(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || isTimeout(err)
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -25,6 +25,8 @@
 	// a retryable request is sent to another target.
 	firstByteTimeoutFactor = 4
 	firstByteTimeoutSlack  = 250 * time.Millisecond
+	// earlyAnswerTime is the time after the first data of an answer in which a crash of the target may be due to the request.
+	earlyAnswerTime = 100 * time.Millisecond
 )
 
 // exchange is one request of a caller with its response. It belongs to the goroutine that handles the request.
@@ -40,6 +42,8 @@
 	priority   int
 	service    string
 	body       []byte
+	// fingerprints identify the whole request and the shared parts of its prompt.
+	fingerprints []uint64
 	// deadline is the time by which the response must be complete.
 	deadline time.Time
 
@@ -48,8 +52,10 @@
 	sentAttempts, unsentAttempts int
 	// mayHaveRun reports whether a target may have run the request.
 	mayHaveRun bool
-	// headReceived reports whether the head of a response to the last attempt has arrived.
+	// headReceived reports whether the head of a response to the last attempt has arrived, firstDataAt when the first data of its
+	// body did. It is zero if there was none.
 	headReceived bool
+	firstDataAt  time.Time
 	// failedResponse is a server error of a target, which is relayed if no other target responds.
 	failedResponse *bufferedResponse
 	// responseStarted reports whether a part of the response has been sent to the caller.
@@ -89,6 +95,11 @@
 	x.gateway.retryBudgets.recordRequest(x.service)
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
+	x.fingerprints = x.computeFingerprints()
+	if refusalErr := x.gateway.suspects.admit(x.info.ID, x.fingerprints); refusalErr != nil {
+		x.refuse(refusalErr)
+		return
+	}
 	request := x.dispatchRequest()
 	pending := x.gateway.scheduler.submit(request)
 	for {
@@ -105,6 +116,10 @@
 		if !x.attempt(ctx, decision) {
 			return
 		}
+		if refusalErr := x.gateway.suspects.admit(x.info.ID, x.fingerprints); refusalErr != nil {
+			x.failRequest(refusalErr)
+			return
+		}
 		x.splitter.resume()
 		request.ExcludedTargets = append(slices.Clone(request.ExcludedTargets), decision.Target.Name)
 		pending = x.gateway.scheduler.resubmit(pending.id, request)
@@ -169,7 +184,7 @@
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	response, err := x.gateway.client.Send(attemptCtx, x.newAttempt(decision))
-	x.headReceived = err == nil
+	x.headReceived, x.firstDataAt = err == nil, time.Time{}
 	if err != nil {
 		return x.handleSendError(decision, err)
 	}
@@ -280,7 +295,7 @@
 	}
 	x.finishAttempt(decision, outcome)
 	if outcome == dispatch.Broken {
-		x.gateway.crashes.attemptBroke(decision.Target)
+		x.gateway.crashes.attemptBroke(decision.Target, x.suspectFingerprints())
 	}
 	retry = x.takeRetry()
 	x.logFailedAttempt(decision, outcome, err, retry)
@@ -296,6 +311,15 @@
 	return false
 }
 
+// suspectFingerprints returns the fingerprints of the request if the last attempt broke before its answer had well begun, and none
+// otherwise: what crashes a target does so when the target begins to work or to answer.
+func (x *exchange) suspectFingerprints() []uint64 {
+	if !x.firstDataAt.IsZero() && time.Since(x.firstDataAt) > earlyAnswerTime {
+		return nil
+	}
+	return x.fingerprints
+}
+
 // takeRetry reports whether a request that may have run can be sent to another target. If so, it takes a retry from the
 // budget.
 func (x *exchange) takeRetry() bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/chicorydale/chicorydale/internal/event"
 	"github.com/chicorydale/chicorydale/internal/forward"
 	"github.com/chicorydale/chicorydale/internal/metric"
+	"github.com/chicorydale/chicorydale/internal/quarantine"
 	"github.com/chicorydale/chicorydale/internal/refusal"
 	"github.com/chicorydale/chicorydale/internal/registry"
 	"github.com/chicorydale/chicorydale/internal/topiclog"
@@ -55,6 +56,7 @@
 	scheduler       *scheduler
 	targets         *targetDirectory
 	client          *forward.Client
+	suspects        *suspects
 	crashes         *crashDetector
 	retryBudgets    *retryBudgets
 	callerConns     *callerConns
@@ -84,6 +86,7 @@
 	client := forward.NewClient(adapters.Codec)
 	metrics := metric.New()
 	lateness := new(latenessMeter)
+	suspects := newSuspects(quarantine.New(quarantine.DefaultLimits(), settings.Seed), logger)
 	g := &Gateway{
 		settings:        settings,
 		adapters:        adapters,
@@ -98,10 +101,11 @@
 			decode: adapters.DecodeTarget, logger: logger, registry: registry.New(), scheduler: scheduler, client: client,
 		},
 		client:       client,
-		crashes:      newCrashDetector(client, logger),
+		suspects:     suspects,
+		crashes:      newCrashDetector(client, logger, suspects.recordCrash),
 		retryBudgets: newRetryBudgets(settings.RetryRatio, settings.RetryReserve),
 		callerConns:  newCallerConns(settings.MaxOpenFiles),
-		peers:        newPeerLinks(settings, adapters.RouterTopic, logger, scheduler, metrics, lateness),
+		peers:        newPeerLinks(settings, adapters.RouterTopic, logger, scheduler, suspects, metrics, lateness),
 		lateness:     lateness,
 
 		refusalLog:    newRefusalLog(logger),
--- a/internal/gateway/peerlinks.go
+++ b/internal/gateway/peerlinks.go
@@ -48,6 +48,7 @@
 	logger      zerolog.Logger
 	hub         *link.Hub
 	scheduler   *scheduler
+	suspects    *suspects
 	routerTopic topiclog.Topic
 	lateness    *latenessMeter
 	sharing     *topicSharing
@@ -60,8 +61,8 @@
 }
 
 // newPeerLinks returns the links of a router, none of which is open yet.
-func newPeerLinks(settings Settings, routerTopic topiclog.Topic, logger zerolog.Logger, scheduler *scheduler, metrics *metric.Set,
-	lateness *latenessMeter,
+func newPeerLinks(settings Settings, routerTopic topiclog.Topic, logger zerolog.Logger, scheduler *scheduler, suspects *suspects,
+	metrics *metric.Set, lateness *latenessMeter,
 ) *peerLinks {
 	incarnation := rand.Uint64() | 1
 	hub := link.NewHub(link.Peer{Name: settings.Host, Region: settings.Locality.Region, Zone: settings.Locality.Zone}, incarnation, metrics)
@@ -73,6 +74,7 @@
 		logger:      logger,
 		hub:         hub,
 		scheduler:   scheduler,
+		suspects:    suspects,
 		routerTopic: routerTopic,
 		lateness:    lateness,
 		sharing: newTopicSharing(settings.Host, logger, func(to string, body *fleetpb.Body) {
@@ -192,13 +194,14 @@
 	}
 }
 
-// handleLinkEvent passes a change or the messages of a link on to the topic sharing and to the dispatcher.
+// handleLinkEvent passes a change or the messages of a link on to the topic sharing, the suspects and the dispatcher.
 func (p *peerLinks) handleLinkEvent(linkEvent link.Event) {
 	switch {
 	case linkEvent.Connected:
 		event.LinkUp.Log(p.logger, linkEvent.Peer)
 		p.lastSent[linkEvent.Peer] = time.Now()
 		p.sharing.peerConnected(linkEvent.Peer, linkEvent.Zone == p.ownRecord.Zone)
+		p.suspects.peerConnected(linkEvent.Peer)
 		p.scheduler.withDispatcher(func(dispatcher *dispatch.Dispatcher, now time.Time) {
 			dispatcher.AddPeer(now, dispatch.Peer{Name: linkEvent.Peer, Region: linkEvent.Region})
 		})
@@ -206,6 +209,7 @@
 		event.LinkDown.Log(p.logger, linkEvent.Peer)
 		delete(p.lastSent, linkEvent.Peer)
 		p.sharing.peerDisconnected(linkEvent.Peer)
+		p.suspects.peerDisconnected(linkEvent.Peer)
 		p.scheduler.withDispatcher(func(dispatcher *dispatch.Dispatcher, _ time.Time) { dispatcher.RemovePeer(linkEvent.Peer) })
 	case linkEvent.ConnectFailed:
 	default:
@@ -222,6 +226,8 @@
 			p.sharing.handleTopicRead(time.Now(), from, body.GetTopicRead())
 		case body.GetTopicPage() != nil:
 			p.sharing.handleTopicPage(from, body.GetTopicPage())
+		case body.GetCrashRecords() != nil:
+			p.suspects.receive(from, body.GetCrashRecords().GetRecords())
 		default:
 			others = append(others, body)
 		}
@@ -236,9 +242,14 @@
 	})
 }
 
-// sendDue answers held reads, sends the dispatcher's messages, and sends heartbeats to peers that were sent nothing else.
+// sendDue answers held reads, sends crash records and the dispatcher's messages, and sends heartbeats to peers that were sent
+// nothing else.
 func (p *peerLinks) sendDue(now time.Time) {
 	p.sharing.answerDue(now)
+	for _, envelope := range p.suspects.tick() {
+		p.hub.Send(envelope.To, []*fleetpb.Body{envelope.Body})
+		p.lastSent[envelope.To] = now
+	}
 	p.scheduler.withDispatcher(func(dispatcher *dispatch.Dispatcher, now time.Time) {
 		for _, envelope := range dispatcher.Tick(now) {
 			p.hub.Send(envelope.To, []*fleetpb.Body{envelope.Body})
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -38,7 +38,10 @@
 // router.
 func (x *exchange) refuse(refusalErr *refusal.Error) {
 	status := refusalErr.Code.Status()
-	if refusalErr.Code == refusal.Expired && refusalErr.Execution == refusal.NotExecuted {
+	switch {
+	case refusalErr.Code == refusal.Expired && refusalErr.Execution == refusal.NotExecuted,
+		refusalErr.Code == refusal.Quarantined:
+		// A quarantine may be a mistake, and it ends, so the request is not refused for good.
 		status = http.StatusServiceUnavailable
 	}
 	x.gateway.metrics.CountRefusal(refusalErr.Code)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -63,6 +63,7 @@
 	buffered := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body, targetName: decision.Target.Name}
 	if response.StatusCode < http.StatusInternalServerError {
 		x.finishAttempt(decision, dispatch.Done)
+		x.recordAnswer(response.StatusCode)
 		x.writeBuffered(buffered)
 		return false
 	}
@@ -102,10 +103,19 @@
 		x.abortDisconnected()
 	default:
 		x.finishAttempt(decision, dispatch.Done)
+		x.recordAnswer(response.StatusCode)
 		x.logResponse()
 	}
 }
 
+// recordAnswer records that a target has answered the request completely. A status other than success does not show that the target
+// has worked on the request.
+func (x *exchange) recordAnswer(status int) {
+	if status/100 == 2 {
+		x.gateway.suspects.recordAnswer(x.fingerprints)
+	}
+}
+
 // errorRecorder is a reader that records its error, so that io.Copy's read errors can be told from its write errors.
 type errorRecorder struct {
 	io.Reader
@@ -192,6 +202,7 @@
 		n, err := response.Read(*buffer)
 		if n > 0 {
 			if first {
+				x.firstDataAt = time.Now()
 				x.gateway.scheduler.firstByteReceived(decision.ID, load)
 				x.recordFirstByte()
 				first = false
@@ -218,6 +229,7 @@
 		x.gateway.scheduler.firstByteReceived(decision.ID, response.Info.Load)
 	}
 	x.finishAttempt(decision, dispatch.Done)
+	x.recordAnswer(response.StatusCode)
 	if !x.responseStarted && !x.startResponse(response) {
 		x.abortDisconnected()
 		return false
--- /dev/null
+++ b/internal/gateway/suspects.go
@@ -0,0 +1,114 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/chicorydale/chicorydale/internal/event"
+	"github.com/chicorydale/chicorydale/internal/fleetpb"
+	"github.com/chicorydale/chicorydale/internal/message"
+	"github.com/chicorydale/chicorydale/internal/quarantine"
+	"github.com/chicorydale/chicorydale/internal/refusal"
+)
+
+// provenRetryDelay is the time after which callers should retry a request with a fingerprint that is refused for long.
+const provenRetryDelay = time.Minute
+
+// suspects makes a quarantine tracker safe for concurrent use and logs its changes.
+type suspects struct {
+	logger zerolog.Logger
+
+	mu      sync.Mutex
+	tracker *quarantine.Tracker
+}
+
+// newSuspects returns suspects that use the tracker.
+func newSuspects(tracker *quarantine.Tracker, logger zerolog.Logger) *suspects {
+	return &suspects{tracker: tracker, logger: logger}
+}
+
+// withTracker calls action with exclusive access to the tracker and the current time, and logs the changes.
+func (s *suspects) withTracker(action func(tracker *quarantine.Tracker, now time.Time)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	action(s.tracker, time.Now())
+	for _, change := range s.tracker.TakeChanges() {
+		if change.Quarantined {
+			event.Quarantined.Log(s.logger, change.Fingerprint, change.Crashes)
+		} else {
+			event.QuarantineLifted.Log(s.logger, change.Fingerprint)
+		}
+	}
+}
+
+// admit returns a refusal if a request with the fingerprints must not be sent to a target, and nil otherwise.
+func (s *suspects) admit(id string, fingerprints []uint64) *refusal.Error {
+	var verdict quarantine.Verdict
+	var now time.Time
+	s.withTracker(func(tracker *quarantine.Tracker, at time.Time) {
+		verdict, now = tracker.Admit(at, fingerprints), at
+	})
+	if verdict.Probe {
+		event.QuarantineProbed.Log(s.logger, verdict.Fingerprint, id)
+	}
+	if !verdict.Refused {
+		return nil
+	}
+	retryAt := verdict.RetryAt
+	if retryAt.IsZero() {
+		retryAt = now.Add(provenRetryDelay)
+	}
+	return refusal.New(refusal.Quarantined, "the request, or a part of its prompt, crashes targets").WithRetryAt(retryAt)
+}
+
+// recordCrash records a crash of a target that had not answered requests with the fingerprints.
+func (s *suspects) recordCrash(crash quarantine.Crash, fingerprints []uint64) {
+	s.withTracker(func(tracker *quarantine.Tracker, now time.Time) { tracker.RecordCrash(now, crash, fingerprints) })
+}
+
+// recordAnswer records that a request with the fingerprints was answered.
+func (s *suspects) recordAnswer(fingerprints []uint64) {
+	s.withTracker(func(tracker *quarantine.Tracker, now time.Time) { tracker.RecordAnswer(now, fingerprints) })
+}
+
+// receive handles the crash records of a peer.
+func (s *suspects) receive(from string, records []*fleetpb.CrashRecord) {
+	s.withTracker(func(tracker *quarantine.Tracker, now time.Time) { tracker.Receive(now, from, records) })
+}
+
+// peerConnected starts to send records to a peer.
+func (s *suspects) peerConnected(peer string) {
+	s.withTracker(func(tracker *quarantine.Tracker, _ time.Time) { tracker.Connected(peer) })
+}
+
+// peerDisconnected stops to send records to a peer.
+func (s *suspects) peerDisconnected(peer string) {
+	s.withTracker(func(tracker *quarantine.Tracker, _ time.Time) { tracker.Disconnected(peer) })
+}
+
+// tick returns the messages to peers that are due.
+func (s *suspects) tick() []message.Envelope {
+	var envelopes []message.Envelope
+	s.withTracker(func(tracker *quarantine.Tracker, now time.Time) { envelopes = tracker.Tick(now) })
+	return envelopes
+}
+
+// computeFingerprints returns the fingerprints of everything in the request that could crash targets: the whole request, and each part of
+// the prompt that requests of other sessions may share.
+func (x *exchange) computeFingerprints() []uint64 {
+	shared := x.info.SharedParts()
+	fingerprints := make([]uint64, 0, 1+len(shared))
+	digest := xxhash.New()
+	for _, text := range []string{x.r.Method, x.r.RequestURI, x.customer} {
+		_, _ = digest.WriteString(text + "\x00") // A digest accepts any text.
+	}
+	_, _ = digest.Write(x.body)
+	fingerprints = append(fingerprints, digest.Sum64())
+	for _, part := range shared {
+		fingerprints = append(fingerprints, part.ID)
+	}
+	return fingerprints
+}
--- /dev/null
+++ b/internal/quarantine/tracker.go
@@ -0,0 +1,275 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+	"unicode/utf8"
+
+	"github.com/chicorydale/chicorydale/internal/fleetpb"
+	"github.com/chicorydale/chicorydale/internal/message"
+)
+
+const (
+	// maxNameBytes is the maximum length of a target's name and of a crash id in a record.
+	maxNameBytes = 256
+	// maxBatchRecords is the maximum number of records in one message.
+	maxBatchRecords = 1000
+	// pruneInterval is the time between removals of what has expired.
+	pruneInterval = time.Second
+)
+
+// Crash is a crash of a target.
+type Crash struct {
+	// ID is the same at all routers that see the crash. It differs from the ids of other crashes of the target.
+	ID string
+	// Target is the name of the target.
+	Target string
+}
+
+// Tracker holds a router's crash records and decides which requests are refused. It is not safe for concurrent use.
+type Tracker struct {
+	limits   Limits
+	random   *rand.Rand
+	suspects map[uint64]*suspect
+	// answeredAt holds the time of the last answer to a request with a fingerprint, for AnswerMemory.
+	answeredAt map[uint64]time.Time
+	// unsent holds the records to send to each linked peer, by the name of the peer.
+	unsent map[string][]*fleetpb.CrashRecord
+	// changes are the beginnings and ends of quarantines since the last call of TakeChanges.
+	changes      []Change
+	nextPruneAt  time.Time
+	droppedCount int
+}
+
+// New returns a tracker without records. The seed determines the delays of probes.
+func New(limits Limits, seed uint64) *Tracker {
+	return &Tracker{
+		limits: limits, random: rand.New(rand.NewPCG(seed, seed)), suspects: make(map[uint64]*suspect),
+		answeredAt: make(map[uint64]time.Time), unsent: make(map[string][]*fleetpb.CrashRecord),
+	}
+}
+
+// Admit returns the verdict on a request with the given fingerprints. If the verdict is Probe, the request must be sent.
+func (t *Tracker) Admit(now time.Time, fingerprints []uint64) Verdict {
+	var probed []*suspect
+	for _, fingerprint := range fingerprints {
+		found, known := t.suspects[fingerprint]
+		if !known || !t.isQuarantined(found) {
+			continue
+		}
+		if t.isProven(found) {
+			return Verdict{Refused: true, Fingerprint: fingerprint}
+		}
+		if now.Before(found.probeAt) {
+			return Verdict{Refused: true, Fingerprint: fingerprint, RetryAt: found.probeAt}
+		}
+		probed = append(probed, found)
+	}
+	if len(probed) == 0 {
+		return Verdict{}
+	}
+	for _, found := range probed {
+		t.scheduleProbe(now, found)
+	}
+	return Verdict{Probe: true, Fingerprint: probed[0].fingerprint}
+}
+
+// RecordCrash records a crash of a target that had not begun to answer requests with the given fingerprints. It may be called more
+// than once for a crash.
+func (t *Tracker) RecordCrash(now time.Time, crash Crash, fingerprints []uint64) {
+	for _, fingerprint := range fingerprints {
+		if t.wasAnswered(now, fingerprint) {
+			continue
+		}
+		crashRecord := &fleetpb.CrashRecord{
+			Fingerprint: fingerprint, Target: crash.Target, Crash: crash.ID, Expiry: now.Add(t.limits.RecordLifetime).UnixMilli(),
+		}
+		if _, merged, changed := t.add(now, crashRecord); changed {
+			merged.own = true
+			t.send(crashRecord)
+		}
+	}
+}
+
+// RecordAnswer records that a target has answered a request with the given fingerprints completely. It clears their crash records.
+func (t *Tracker) RecordAnswer(now time.Time, fingerprints []uint64) {
+	for _, fingerprint := range fingerprints {
+		t.answeredAt[fingerprint] = now
+		if found, known := t.suspects[fingerprint]; known && found.crashCount > 0 {
+			t.send(t.clear(found)...)
+		}
+	}
+}
+
+// Receive handles the crash records of a peer. If a request with the fingerprint was just answered here, the record is cleared, and
+// only the sender is told: many routers may do so at the same time, and the one that recorded the crash tells the others.
+func (t *Tracker) Receive(now time.Time, from string, received []*fleetpb.CrashRecord) {
+	latestExpiry := now.Add(t.limits.RecordLifetime).UnixMilli()
+	for _, crashRecord := range received {
+		if !isValid(crashRecord) {
+			t.droppedCount++
+			continue
+		}
+		if crashRecord.GetExpiry() <= now.UnixMilli() {
+			continue
+		}
+		crashRecord.Expiry = min(crashRecord.GetExpiry(), latestExpiry)
+		found, merged, changed := t.add(now, crashRecord)
+		if changed && merged.own {
+			t.send(crashRecord)
+		}
+		if found.crashCount > 0 && t.wasAnswered(now, found.fingerprint) {
+			t.sendTo(from, t.clear(found)...)
+		}
+	}
+}
+
+// Connected records a new link to a peer, which is sent all records.
+func (t *Tracker) Connected(peer string) {
+	t.unsent[peer] = nil
+	for _, fingerprint := range slices.Sorted(maps.Keys(t.suspects)) {
+		t.unsent[peer] = append(t.unsent[peer], t.suspects[fingerprint].toProtos()...)
+	}
+}
+
+// Disconnected records the end of a link.
+func (t *Tracker) Disconnected(peer string) { delete(t.unsent, peer) }
+
+// Tick returns the messages to send. It must be called several times a second.
+func (t *Tracker) Tick(now time.Time) []message.Envelope {
+	t.prune(now)
+	var envelopes []message.Envelope
+	for peer, records := range t.unsent {
+		for batch := range slices.Chunk(records, maxBatchRecords) {
+			body := &fleetpb.Body{Kind: &fleetpb.Body_CrashRecords{CrashRecords: &fleetpb.CrashRecords{Records: batch}}}
+			envelopes = append(envelopes, message.Envelope{To: peer, Body: body})
+		}
+		t.unsent[peer] = nil
+	}
+	return envelopes
+}
+
+// TakeChanges returns the beginnings and ends of quarantines since the last call.
+func (t *Tracker) TakeChanges() []Change {
+	changes := t.changes
+	t.changes = nil
+	return changes
+}
+
+// QuarantinedCount returns the number of quarantined fingerprints.
+func (t *Tracker) QuarantinedCount() int {
+	count := 0
+	for _, found := range t.suspects {
+		if t.isQuarantined(found) {
+			count++
+		}
+	}
+	return count
+}
+
+// DroppedCount returns how many invalid records of peers were dropped.
+func (t *Tracker) DroppedCount() int { return t.droppedCount }
+
+// isQuarantined reports whether requests with the fingerprint of a suspect are refused.
+func (t *Tracker) isQuarantined(found *suspect) bool {
+	return found.crashCount >= t.limits.CrashThreshold
+}
+
+// isProven reports whether no probes are sent for a suspect.
+func (t *Tracker) isProven(found *suspect) bool { return found.crashCount >= t.limits.ProofThreshold }
+
+// wasAnswered reports whether a request with a fingerprint was answered within AnswerMemory.
+func (t *Tracker) wasAnswered(now time.Time, fingerprint uint64) bool {
+	at, found := t.answeredAt[fingerprint]
+	return found && now.Sub(at) <= t.limits.AnswerMemory
+}
+
+// add adds a record or merges it with a known one. It returns the suspect, the record in the set, and whether that changed anything.
+func (t *Tracker) add(now time.Time, added *fleetpb.CrashRecord) (found *suspect, merged *record, changed bool) {
+	found, known := t.suspects[added.GetFingerprint()]
+	if !known {
+		if len(t.suspects) >= t.limits.MaxFingerprints {
+			t.evict()
+		}
+		found = &suspect{fingerprint: added.GetFingerprint(), byCrash: make(map[string]*record)}
+		t.suspects[found.fingerprint] = found
+	}
+	wasQuarantined, previousCount := t.isQuarantined(found), found.crashCount
+	merged, changed = found.add(added)
+	if found.crashCount > previousCount && t.isQuarantined(found) {
+		t.scheduleProbe(now, found)
+	}
+	t.noteChange(found, wasQuarantined)
+	return found, merged, changed
+}
+
+// clear clears the records of a suspect and returns those that were not cleared before.
+func (t *Tracker) clear(found *suspect) []*fleetpb.CrashRecord {
+	wasQuarantined := t.isQuarantined(found)
+	cleared := found.clear()
+	t.noteChange(found, wasQuarantined)
+	return cleared
+}
+
+// noteChange records the beginning or the end of a quarantine.
+func (t *Tracker) noteChange(found *suspect, wasQuarantined bool) {
+	if quarantined := t.isQuarantined(found); quarantined != wasQuarantined {
+		t.changes = append(t.changes, Change{Fingerprint: found.fingerprint, Quarantined: quarantined, Crashes: found.crashes()})
+	}
+}
+
+// scheduleProbe sets the earliest time of the next probe.
+func (t *Tracker) scheduleProbe(now time.Time, found *suspect) {
+	delay := t.limits.ProbeDelay << (found.crashCount - t.limits.CrashThreshold)
+	found.probeAt = now.Add(delay + time.Duration(t.random.Float64()*float64(delay)))
+}
+
+// send queues records for all peers.
+func (t *Tracker) send(records ...*fleetpb.CrashRecord) {
+	for peer := range t.unsent {
+		t.sendTo(peer, records...)
+	}
+}
+
+// sendTo queues records for a linked peer.
+func (t *Tracker) sendTo(peer string, records ...*fleetpb.CrashRecord) {
+	if queued, linked := t.unsent[peer]; linked {
+		t.unsent[peer] = append(queued, records...)
+	}
+}
+
+// prune removes expired records and answers, at most once in pruneInterval.
+func (t *Tracker) prune(now time.Time) {
+	if now.Before(t.nextPruneAt) {
+		return
+	}
+	t.nextPruneAt = now.Add(pruneInterval)
+	maps.DeleteFunc(t.answeredAt, func(_ uint64, at time.Time) bool { return now.Sub(at) > t.limits.AnswerMemory })
+	for fingerprint, found := range t.suspects {
+		wasQuarantined := t.isQuarantined(found)
+		found.removeExpired(now.UnixMilli())
+		t.noteChange(found, wasQuarantined)
+		if len(found.byCrash) == 0 {
+			delete(t.suspects, fingerprint)
+		}
+	}
+}
+
+// evict removes an eighth of the suspects, those with the fewest crashes first.
+func (t *Tracker) evict() {
+	order := slices.SortedFunc(maps.Values(t.suspects), func(a, b *suspect) int {
+		return cmp.Or(cmp.Compare(a.crashCount, b.crashCount), cmp.Compare(a.fingerprint, b.fingerprint))
+	})
+	for _, found := range order[:len(order)/8+1] {
+		delete(t.suspects, found.fingerprint)
+	}
+}
+
+// isValid reports whether a record of a peer has a crash id, and whether its strings are valid UTF-8 and not too long.
+func isValid(crashRecord *fleetpb.CrashRecord) bool {
+	return crashRecord.GetCrash() != "" && len(crashRecord.GetCrash()) <= maxNameBytes && len(crashRecord.GetTarget()) <= maxNameBytes &&
+		utf8.ValidString(crashRecord.GetCrash()) && utf8.ValidString(crashRecord.GetTarget())
+}
--- /dev/null
+++ b/internal/quarantine/tracker_test.go
@@ -0,0 +1,350 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chicorydale/chicorydale/internal/fleetpb"
+	"github.com/chicorydale/chicorydale/internal/quarantine"
+)
+
+const (
+	// badPart crashes each target that begins to answer a request with it.
+	badPart = 666
+	// sharedPart is the first part of all prompts.
+	sharedPart = 1
+	// firstSoundPart is the first of soundPartCount parts of which each sound request has one.
+	firstSoundPart = 100
+	soundPartCount = 20
+	// firstRequest is the fingerprint of the first whole request.
+	firstRequest = 1 << 20
+	// step is the time between two ticks, linkDelay the delay of messages between routers.
+	step      = 25 * time.Millisecond
+	linkDelay = 100 * time.Millisecond
+	// answerTime is the time from the sending of a request to its answer, or to the crash of its target.
+	answerTime = 200 * time.Millisecond
+	// restartTime is the time from the crash of a target to its next start.
+	restartTime = 2 * time.Second
+	// stableWindow is the time after the fifth crash from which requests with the part must not reach targets.
+	stableWindow = 4 * time.Second
+)
+
+var startTime = time.UnixMilli(1_800_000_000_000)
+
+// simRequest is a request at a target.
+type simRequest struct {
+	router       string
+	fingerprints []uint64
+	endsAt       time.Time
+}
+
+// simTarget is a target of a simulated fleet.
+type simTarget struct {
+	name     string
+	starts   int
+	downTill time.Time
+	requests []simRequest
+}
+
+// delivery is a message between routers under way.
+type delivery struct {
+	at       time.Time
+	from, to string
+	body     *fleetpb.Body
+}
+
+// simFleet is several linked routers in front of targets, in virtual time.
+type simFleet struct {
+	now        time.Time
+	random     *rand.Rand
+	trackers   map[string]*quarantine.Tracker
+	names      []string
+	targets    []*simTarget
+	deliveries []delivery
+	nextID     uint64
+	// crashes holds the times of the crashes. badSent holds the times at which requests with badPart were sent to targets, sent and
+	// refused count the sound requests.
+	crashes, badSent []time.Time
+	sent, refused    int
+}
+
+// newSimFleet returns a fleet of linked routers.
+func newSimFleet(seed uint64, routerCount, targetCount int) *simFleet {
+	f := &simFleet{now: startTime, random: rand.New(rand.NewPCG(seed, 1)), trackers: make(map[string]*quarantine.Tracker), nextID: firstRequest}
+	for i := range routerCount {
+		f.names = append(f.names, fmt.Sprint("r", i))
+	}
+	for i, name := range f.names {
+		f.restart(name, seed+uint64(i))
+	}
+	for i := range targetCount {
+		f.targets = append(f.targets, &simTarget{name: fmt.Sprint("t", i)})
+	}
+	return f
+}
+
+// restart replaces the tracker of a router by an empty one and links it with all others.
+func (f *simFleet) restart(name string, seed uint64) {
+	f.trackers[name] = quarantine.New(quarantine.DefaultLimits(), seed)
+	for _, other := range f.names {
+		if peer := f.trackers[other]; peer != nil && other != name {
+			peer.Disconnected(name)
+			peer.Connected(name)
+			f.trackers[name].Connected(other)
+		}
+	}
+}
+
+// send lets a random router send a request with a part to a random target that is up, unless it refuses the request.
+func (f *simFleet) send(part uint64) {
+	f.nextID++
+	fingerprints := []uint64{f.nextID, sharedPart, part}
+	router := f.names[f.random.IntN(len(f.names))]
+	target := f.randomTarget()
+	if target == nil {
+		return
+	}
+	refused := f.trackers[router].Admit(f.now, fingerprints).Refused
+	if part != badPart {
+		f.sent++
+	}
+	switch {
+	case refused && part != badPart:
+		f.refused++
+	case !refused:
+		if part == badPart {
+			f.badSent = append(f.badSent, f.now)
+		}
+		target.requests = append(target.requests, simRequest{router: router, fingerprints: fingerprints, endsAt: f.now.Add(answerTime)})
+	}
+}
+
+// randomTarget returns a random target that is up, or nil if all are down.
+func (f *simFleet) randomTarget() *simTarget {
+	var up []*simTarget
+	for _, target := range f.targets {
+		if !f.now.Before(target.downTill) {
+			up = append(up, target)
+		}
+	}
+	if len(up) == 0 {
+		return nil
+	}
+	return up[f.random.IntN(len(up))]
+}
+
+// run plays the traffic for a time: the given numbers of sound requests and of requests with badPart a second.
+func (f *simFleet) run(length time.Duration, soundPerSecond, badPerSecond float64) {
+	for end := f.now.Add(length); f.now.Before(end); f.now = f.now.Add(step) {
+		for range f.arrivals(soundPerSecond) {
+			f.send(firstSoundPart + f.random.Uint64N(soundPartCount))
+		}
+		for range f.arrivals(badPerSecond) {
+			f.send(badPart)
+		}
+		for _, target := range f.targets {
+			f.endRequests(target)
+		}
+		f.exchange()
+	}
+}
+
+// arrivals returns a random number of arrivals in a step.
+func (f *simFleet) arrivals(perSecond float64) int {
+	mean := perSecond * step.Seconds()
+	count := int(mean)
+	if f.random.Float64() < mean-float64(count) {
+		count++
+	}
+	return count
+}
+
+// endRequests ends the requests of a target whose time is over. One with badPart crashes the target.
+func (f *simFleet) endRequests(target *simTarget) {
+	var remaining []simRequest
+	for _, request := range target.requests {
+		switch {
+		case f.now.Before(request.endsAt):
+			remaining = append(remaining, request)
+		case slices.Contains(request.fingerprints, badPart):
+			f.crash(target)
+			return
+		default:
+			f.trackers[request.router].RecordAnswer(f.now, request.fingerprints)
+		}
+	}
+	target.requests = remaining
+}
+
+// crash ends a target. The routers record the crash for the requests that it had not answered.
+func (f *simFleet) crash(target *simTarget) {
+	f.crashes = append(f.crashes, f.now)
+	crash := quarantine.Crash{ID: fmt.Sprint(target.name, "/", target.starts), Target: target.name}
+	for _, request := range target.requests {
+		if !f.now.Before(request.endsAt) && !slices.Contains(request.fingerprints, badPart) {
+			continue
+		}
+		f.trackers[request.router].RecordCrash(f.now, crash, request.fingerprints)
+	}
+	target.starts++
+	target.downTill = f.now.Add(restartTime)
+	target.requests = nil
+}
+
+// exchange sends and delivers the messages between the routers.
+func (f *simFleet) exchange() {
+	for _, name := range slices.Sorted(maps.Keys(f.trackers)) {
+		for _, envelope := range f.trackers[name].Tick(f.now) {
+			f.deliveries = append(f.deliveries, delivery{at: f.now.Add(linkDelay), from: name, to: envelope.To, body: envelope.Body})
+		}
+	}
+	f.deliveries = slices.DeleteFunc(f.deliveries, func(d delivery) bool {
+		if f.now.Before(d.at) {
+			return false
+		}
+		f.trackers[d.to].Receive(f.now, d.from, d.body.GetCrashRecords().GetRecords())
+		return true
+	})
+}
+
+// sentAfter returns the number of requests with badPart that were sent to targets after a time.
+func (f *simFleet) sentAfter(at time.Time) int {
+	count := 0
+	for _, sentAt := range f.badSent {
+		if sentAt.After(at) {
+			count++
+		}
+	}
+	return count
+}
+
+// TestBadPartIsQuarantined guards against requests with a part that crashes targets that go on reaching them, and against sound
+// requests that are refused because they share a part or a target with those.
+func TestBadPartIsQuarantined(t *testing.T) {
+	for _, c := range []struct {
+		routers, targets int
+		sound, bad       float64
+	}{
+		{1, 4, 20, 2}, {9, 9, 200, 3}, {9, 9, 200, 20}, {9, 9, 20, 0.5}, {60, 90, 1000, 20},
+	} {
+		for seed := range uint64(5) {
+			t.Run(fmt.Sprint(c, " seed ", seed), func(t *testing.T) {
+				f := newSimFleet(seed, c.routers, c.targets)
+				f.run(60*time.Second, c.sound, c.bad)
+				qt.Assert(t, len(f.crashes) >= 3, qt.IsTrue, qt.Commentf("%d crashes", len(f.crashes)))
+				if len(f.crashes) >= 5 {
+					late := f.sentAfter(f.crashes[4].Add(stableWindow))
+					qt.Check(t, late <= 3, qt.IsTrue, qt.Commentf("%d requests after the fifth crash and the window", late))
+				}
+				qt.Check(t, f.refused <= f.sent/50, qt.IsTrue, qt.Commentf("%d of %d sound requests were refused", f.refused, f.sent))
+			})
+		}
+	}
+}
+
+// TestRestartedRouterLearnsOfQuarantine guards against a router that sends what crashes targets because it was not there when they
+// crashed.
+func TestRestartedRouterLearnsOfQuarantine(t *testing.T) {
+	f := newSimFleet(1, 3, 9)
+	f.run(40*time.Second, 50, 5)
+	f.restart("r0", 17)
+	f.run(time.Second, 50, 0)
+	verdict := f.trackers["r0"].Admit(f.now, []uint64{firstRequest, sharedPart, badPart})
+	qt.Check(t, verdict.Refused, qt.IsTrue)
+	qt.Check(t, verdict.Fingerprint, qt.Equals, uint64(badPart))
+}
+
+// TestRepeatedRequestIsQuarantined guards against a request without shared parts that crashes one target after the other.
+func TestRepeatedRequestIsQuarantined(t *testing.T) {
+	tracker := quarantine.New(quarantine.DefaultLimits(), 1)
+	repeated, now := []uint64{firstRequest}, startTime
+	for i := range 3 {
+		qt.Check(t, tracker.Admit(now, repeated).Refused, qt.IsFalse)
+		tracker.RecordCrash(now, quarantine.Crash{ID: fmt.Sprint("t", i)}, repeated)
+		tracker.RecordCrash(now, quarantine.Crash{ID: fmt.Sprint("t", i)}, repeated)
+	}
+	qt.Check(t, tracker.Admit(now, repeated).Refused, qt.IsTrue)
+	qt.Check(t, tracker.QuarantinedCount(), qt.Equals, 1)
+	qt.Check(t, tracker.TakeChanges(), qt.DeepEquals, []quarantine.Change{
+		{Fingerprint: firstRequest, Quarantined: true, Crashes: []string{"t0", "t1", "t2"}},
+	})
+}
+
+// TestProbeEndsMistakenQuarantine guards against sound requests that are refused for long because they were on targets that crashed
+// for other reasons, at a router without peers.
+func TestProbeEndsMistakenQuarantine(t *testing.T) {
+	tracker := quarantine.New(quarantine.DefaultLimits(), 1)
+	rare, now := []uint64{firstSoundPart}, startTime
+	for i := range 3 {
+		tracker.RecordCrash(now, quarantine.Crash{ID: fmt.Sprint("t", i)}, rare)
+	}
+	verdict := tracker.Admit(now, rare)
+	qt.Assert(t, verdict.Refused, qt.IsTrue)
+	qt.Assert(t, verdict.RetryAt.Sub(now) <= 4*time.Second, qt.IsTrue)
+	now = verdict.RetryAt
+	qt.Assert(t, tracker.Admit(now, rare), qt.Equals, quarantine.Verdict{Probe: true, Fingerprint: firstSoundPart})
+	qt.Check(t, tracker.Admit(now, rare).Refused, qt.IsTrue, qt.Commentf("a second request beside the probe"))
+	tracker.RecordAnswer(now, rare)
+	qt.Check(t, tracker.Admit(now, rare), qt.Equals, quarantine.Verdict{})
+}
+
+// TestAnswerClearsRecordsOfPeers guards against a quarantine at routers that have answered no request with the part themselves, and
+// against a record that comes back after it was cleared.
+func TestAnswerClearsRecordsOfPeers(t *testing.T) {
+	f := newSimFleet(1, 3, 1)
+	part := []uint64{firstSoundPart}
+	for i := range 3 {
+		f.trackers["r0"].RecordCrash(f.now, quarantine.Crash{ID: fmt.Sprint("t", i)}, part)
+	}
+	f.run(time.Second, 0, 0)
+	qt.Assert(t, f.trackers["r2"].Admit(f.now, part).Refused, qt.IsTrue)
+	f.trackers["r1"].RecordAnswer(f.now, part)
+	f.run(time.Second, 0, 0)
+	for _, name := range f.names {
+		qt.Check(t, f.trackers[name].Admit(f.now, part), qt.Equals, quarantine.Verdict{}, qt.Commentf("%s", name))
+	}
+	f.restart("r2", 5)
+	f.run(time.Second, 0, 0)
+	f.trackers["r0"].RecordCrash(f.now, quarantine.Crash{ID: "t0"}, part)
+	f.run(time.Second, 0, 0)
+	qt.Check(t, f.trackers["r2"].Admit(f.now, part), qt.Equals, quarantine.Verdict{})
+}
+
+// TestRecordsExpire guards against records that are kept, or sent back and forth, for longer than their lifetime.
+func TestRecordsExpire(t *testing.T) {
+	f := newSimFleet(1, 2, 1)
+	part := []uint64{badPart}
+	for i := range 5 {
+		f.trackers["r0"].RecordCrash(f.now, quarantine.Crash{ID: fmt.Sprint("t", i)}, part)
+	}
+	f.run(time.Second, 0, 0)
+	f.now = startTime.Add(time.Hour - time.Second)
+	f.trackers["r0"].Connected("r1")
+	f.run(500*time.Millisecond, 0, 0)
+	qt.Check(t, f.trackers["r1"].Admit(f.now, part).Refused, qt.IsTrue)
+	f.now = startTime.Add(time.Hour + time.Second)
+	f.run(2*time.Second, 0, 0)
+	for _, name := range f.names {
+		qt.Check(t, f.trackers[name].Admit(f.now, part), qt.Equals, quarantine.Verdict{})
+	}
+}
+
+// TestInvalidRecordsAreDropped guards against records of a peer that would make a message invalid or never expire.
+func TestInvalidRecordsAreDropped(t *testing.T) {
+	tracker := quarantine.New(quarantine.DefaultLimits(), 1)
+	later := startTime.Add(time.Minute).UnixMilli()
+	tracker.Receive(startTime, "r1", []*fleetpb.CrashRecord{
+		{Fingerprint: badPart, Expiry: later},
+		{Fingerprint: badPart, Crash: "\xff", Expiry: later},
+		{Fingerprint: badPart, Crash: "t", Target: string(make([]byte, 300)), Expiry: later},
+		{Fingerprint: badPart, Crash: "t", Expiry: startTime.UnixMilli()},
+	})
+	qt.Check(t, tracker.DroppedCount(), qt.Equals, 3)
+	qt.Check(t, tracker.QuarantinedCount(), qt.Equals, 0)
+}
