Log the limit of requests per second that a target names

The codec reads it, the dispatcher keeps it, and line 505 says when it changes. No decision depends on it yet. An answer without the header ends the limit only if the target has worked on the request.

TestRateLimitIsLogged and TestRateLimitHeader: before, no such line and no such field.

--- a/internal/emulator/targetserver/server.go
+++ b/internal/emulator/targetserver/server.go
@@ -66,6 +66,8 @@
 	// crashPart is the part of a prompt on which the target crashes, crash what ends the target then.
 	crashPart string
 	crash     func()
+	// rateLimit is the value of the header Server-Limit, empty for none.
+	rateLimit string
 	// abandonedStreams counts the streams that ended because the caller disconnected.
 	abandonedStreams int
 }
@@ -87,6 +89,20 @@
 	s.crashPart, s.crash = part, crash
 }
 
+// SetRateLimit sets the limit of requests per second that the target names in its answers; empty for none. It does not enforce it.
+func (s *Server) SetRateLimit(limit string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rateLimit = limit
+}
+
+// rateLimitHeader returns the value of the header Server-Limit, empty for none.
+func (s *Server) rateLimitHeader() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rateLimit
+}
+
 // crashFor returns the function that ends the target on a request, or nil if the request does not crash it.
 func (s *Server) crashFor(r *http.Request) func() {
 	s.mu.Lock()
@@ -172,6 +188,9 @@
 // respond sends the response to a run as the mode determines.
 func (s *Server) respond(w http.ResponseWriter, r *http.Request, mode Mode) {
 	w.Header().Set("X-Replica-Load", s.loadHeader())
+	if limit := s.rateLimitHeader(); limit != "" {
+		w.Header().Set("Server-Limit", limit)
+	}
 	switch mode {
 	case Unresponsive:
 		<-r.Context().Done()
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -78,6 +78,7 @@
 	TargetLeaving = Event{502, levelInfo, "target_leaving", []string{"target"}}
 	TargetGone    = Event{503, levelInfo, "target_gone", []string{"target"}}
 	TargetCrashed = Event{504, levelWarn, "target_crashed", []string{"target", "error"}}
+	TargetLimited = Event{505, levelInfo, "target_limited", []string{"target", "limit"}}
 )
 
 // Events of requests.
@@ -136,7 +137,7 @@
 		StoreDown, StoreUp, RecordInvalid,
 		LinkUp, LinkDown, PeerUp, PeerDown, PeerLeaving, RoleGained, RoleLost, Isolated, Rejoined, AnnounceFailed,
 		StoreShared, StoreUnshared,
-		TargetAdded, TargetLeaving, TargetGone, TargetCrashed,
+		TargetAdded, TargetLeaving, TargetGone, TargetCrashed, TargetLimited,
 		Refused, Retried, Resumed, Abandoned,
 		RequestAnswered, RequestRefused, AttemptFailed, CallerLeft, StreamBroken, ServiceState, RefusalsSummed, CustomerState,
 		ClaimLost, ClaimUnknown,
--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -22,6 +22,8 @@
 	Misdirected bool
 	// Signed is set if the response carries the target's signature. The signature is not verified.
 	Signed bool
+	// RateLimit is the number of requests per second that the target takes from all routers together, 0 if it names no limit.
+	RateLimit float64
 	// Load is the load that the target reported, nil if it reported none.
 	Load *dispatch.Load
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -189,6 +189,7 @@
 		return x.handleSendError(decision, err)
 	}
 	defer response.Close()
+	x.recordRateLimit(decision, response)
 	if response.Info.NotRun {
 		return x.handleRejection(decision, response)
 	}
@@ -208,6 +209,19 @@
 	return x.relayBuffered(decision, response)
 }
 
+// recordRateLimit records the limit of requests per second that a response names. A response without one shows that there is none
+// only if the target has worked on the request.
+func (x *exchange) recordRateLimit(decision dispatch.Decision, response *forward.Response) {
+	limit := response.Info.RateLimit
+	succeeded := response.Info.Signed && response.StatusCode/100 == 2
+	if response.Info.Misdirected || limit == 0 && !succeeded {
+		return
+	}
+	if x.gateway.scheduler.recordRateLimit(decision.Target.Name, limit) {
+		event.TargetLimited.Log(x.gateway.logger, decision.Target.Name, limit)
+	}
+}
+
 // newAttempt returns the request to the target of a decision.
 func (x *exchange) newAttempt(decision dispatch.Decision) forward.Attempt {
 	now := time.Now()
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -101,6 +101,13 @@
 	s.withDispatcher(func(dispatcher *dispatch.Dispatcher, now time.Time) { dispatcher.RecordFirstByte(now, id, load) })
 }
 
+// recordRateLimit records the limit that a target's answer names, 0 for none, and reports whether it has changed.
+func (s *scheduler) recordRateLimit(target string, perSecond float64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatcher.RecordRateLimit(target, perSecond)
+}
+
 // dataReceived records that a target sent further data of a response.
 func (s *scheduler) dataReceived(id uint64) {
 	s.mu.Lock()
