Show that targets get more requests than the limit that they name

A simulated fleet of 6, 12, 66 and 90 routers plays a load of 20 requests a second for each target, of which two in three name a limit of 10. The bound is the users': one and a half times the limit and 5 in 4 s, from 4 s after the first answer that names it. Seen: 98 to 103 in 4 s, 65 allowed. Two more checks guard the other side, that the limit is used and that it ends when the targets no longer name it; both hold on this code.

--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -71,6 +71,10 @@
 	// readUntil is the time at which the last prompt will have been read.
 	readUntil time.Time
 	cached    map[uint64]bool
+	// rateLimit is the number of requests per second that the target names in its answers, 0 for none.
+	rateLimit float64
+	// arrivals holds the times at which requests reached the target.
+	arrivals []time.Time
 }
 
 // simRouter is a router with its callers' requests.
@@ -239,6 +243,7 @@
 	}
 	target := f.targets[decision.Target.Name]
 	f.after(networkDelay(router.Region, target.Region), func() {
+		target.arrivals = append(target.arrivals, f.now)
 		begin := func() { f.begin(router, target, decision.ID, request) }
 		if target.running >= target.Slots {
 			target.waiting = append(target.waiting, begin)
@@ -266,7 +271,9 @@
 	back := networkDelay(router.Region, target.Region)
 	f.after(firstByteIn, func() {
 		f.record(request.Customer).started[f.second()] += tokensOf(request)
+		named := target.rateLimit
 		f.after(back, func() {
+			router.dispatcher.RecordRateLimit(target.Name, named)
 			router.dispatcher.RecordFirstByte(f.now, id, nil)
 			f.takeDecisions(router)
 		})
