Keep the limit of requests per second that a target names, over all routers

Each router now has a part of the limit, as slots that are lost when they are not used, and extra slots while the routers together leave a part unused. Routers tell each other of limits and of their ends; an unconfirmed limit is forgotten after 6 s.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -289,8 +289,13 @@
 	state.startRun(now, r)
 	state.addUnread(now, s.readSpeed, selected.prefillTokens)
 	r.assignedTokens = state.assignedTokens
+	limited := state.rateLimit.applies(now)
+	state.rateLimit.take(now)
 	for _, p := range d.peers {
 		p.unreportedTokens[state.nameHash] += uint32(selected.prefillTokens)
+		if limited {
+			p.unreportedStarts[state.nameHash]++
+		}
 	}
 	d.markChanged(state)
 	for _, part := range qr.request.Parts {
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -32,8 +32,8 @@
 type Peer struct {
 	// Name identifies the router.
 	Name string
-	// Region is the region of the router.
-	Region string
+	// Region is the region of the router, Zone its availability zone.
+	Region, Zone string
 }
 
 // queueReport is the content of a fleetpb.Line, a peer's report on one service: its waiting requests and the read speed of the
@@ -74,8 +74,12 @@
 	runs         map[uint32]uint32
 	// changedTargets are the hashes of the targets whose figures may have changed since the last message.
 	changedTargets map[uint32]struct{}
-	// unreportedTokens are the tokens assigned to each target since the last message.
+	// unreportedTokens are the tokens assigned to each target since the last message, unreportedStarts the requests assigned to each
+	// target with a rate limit.
 	unreportedTokens map[uint32]uint32
+	unreportedStarts map[uint32]uint32
+	// unreportedLimits are the rate limits of targets, by target hash, to send with the next message.
+	unreportedLimits map[uint32]float64
 	// unreportedReadings and unreportedUsage are sent with the next message. unreportedUsage is by customer key.
 	unreportedReadings []*fleetpb.Reading
 	unreportedUsage    map[uint32]usageDelta
@@ -93,7 +97,8 @@
 		Peer: remote, near: remote.Region == own.Region,
 		changedTargets: make(map[uint32]struct{}),
 		reportedRuns:   make(map[uint32]uint32), runs: make(map[uint32]uint32),
-		unreportedTokens: make(map[uint32]uint32), unreportedUsage: make(map[uint32]usageDelta),
+		unreportedTokens: make(map[uint32]uint32), unreportedStarts: make(map[uint32]uint32),
+		unreportedLimits: make(map[uint32]float64), unreportedUsage: make(map[uint32]usageDelta),
 		queueReports: make(map[uint32]queueReport), reportedWaiting: make(map[uint32]bool),
 	}
 }
@@ -119,13 +124,19 @@
 			continue
 		}
 		running, added := uint32(state.running), p.unreportedTokens[targetHash]
-		if p.reportedRuns[targetHash] == running && added == 0 {
+		limit, named := p.unreportedLimits[targetHash]
+		if p.reportedRuns[targetHash] == running && added == 0 && !named {
 			continue
 		}
 		p.reportedRuns[state.nameHash] = running
-		activity.Targets = append(activity.Targets, &fleetpb.TargetUse{
+		use := &fleetpb.TargetUse{
 			Target: state.nameHash, Running: running, Added: added, Unread: uint32(state.backlog(now, readSpeeds[state.Service])),
-		})
+			Started: p.unreportedStarts[targetHash],
+		}
+		if named {
+			use.Limit = &limit
+		}
+		activity.Targets = append(activity.Targets, use)
 	}
 	for customer, delta := range p.unreportedUsage {
 		activity.Customers = append(activity.Customers, &fleetpb.CustomerUse{
@@ -135,6 +146,8 @@
 	}
 	clear(p.unreportedUsage)
 	clear(p.unreportedTokens)
+	clear(p.unreportedStarts)
+	clear(p.unreportedLimits)
 	clear(p.changedTargets)
 	if len(activity.GetTargets())+len(activity.GetReadings())+len(activity.GetCustomers())+len(activity.GetLines()) == 0 {
 		return nil
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -10,13 +10,18 @@
 // AddPeer starts a new session with a peer and ends the previous one if there is one. A peer in the same region may just have
 // started, so it is sent the cached prompt parts of all targets.
 func (d *Dispatcher) AddPeer(now time.Time, remote Peer) {
-	d.RemovePeer(remote.Name)
+	d.RemovePeer(now, remote.Name)
 	p := newPeer(remote, d.locality)
 	d.peers[remote.Name] = p
+	d.divideRateLimits(now)
 	for targetHash, state := range d.targetsByHash {
 		if state.running > 0 {
 			p.changedTargets[targetHash] = struct{}{}
 		}
+		if state.rateLimit.applies(now) {
+			p.changedTargets[targetHash] = struct{}{}
+			p.unreportedLimits[targetHash] = state.rateLimit.perSecond
+		}
 	}
 	if remote.Region != d.locality.Region {
 		return
@@ -32,12 +37,13 @@
 
 // RemovePeer ends the session with a peer. Its runs at targets are no longer counted, because it no longer
 // reports them.
-func (d *Dispatcher) RemovePeer(name string) {
+func (d *Dispatcher) RemovePeer(now time.Time, name string) {
 	p, found := d.peers[name]
 	if !found {
 		return
 	}
 	delete(d.peers, name)
+	d.divideRateLimits(now)
 	for targetHash := range p.runs {
 		d.setPeerRuns(p, targetHash, 0)
 	}
@@ -80,6 +86,7 @@
 	if state == nil {
 		return
 	}
+	d.receiveRateLimit(now, state, use.Limit, use.GetStarted())
 	readSpeed := d.getOrCreateService(state.Service).readSpeed
 	if use.GetAdded() > 0 {
 		state.addUnread(now, readSpeed, int(use.GetAdded()))
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -178,7 +178,7 @@
 	s.eligible = s.eligible[:0]
 	healthyOnly := anyHealthy(now, candidates, request)
 	for _, state := range candidates {
-		if state.Leaving || !state.hasFreeSlot(now, extra) || !s.hasShortBacklog(now, state, extra) {
+		if state.Leaving || !state.hasFreeSlot(now, extra) || !s.hasShortBacklog(now, state, extra) || !state.rateLimit.allows(now) {
 			continue
 		}
 		if !isExcluded(request, state.Name) && (!healthyOnly || state.isHealthy(now)) {
@@ -208,7 +208,8 @@
 	count := 0
 	for i := range checked {
 		state := s.targets[(s.sampleOffset+i*step)%len(s.targets)]
-		if !state.Leaving && state.hasFreeSlot(now, noHeadroom) && s.hasShortBacklog(now, state, noHeadroom) && state.isHealthy(now) {
+		if !state.Leaving && state.hasFreeSlot(now, noHeadroom) && s.hasShortBacklog(now, state, noHeadroom) && state.isHealthy(now) &&
+			state.rateLimit.allows(now) {
 			count++
 		}
 	}
--- a/internal/dispatch/targetstate.go
+++ b/internal/dispatch/targetstate.go
@@ -79,8 +79,7 @@
 	// attempts at which it accepted no connection.
 	blockedUntil    time.Time
 	connectFailures int
-	// rateLimit is the number of requests per second that the target takes from all routers together, 0 if it named no limit.
-	rateLimit float64
+	rateLimit       rateLimit
 	// removed is set if the target is no longer listed.
 	removed bool
 }
--- a/internal/gateway/peerlinks.go
+++ b/internal/gateway/peerlinks.go
@@ -203,14 +203,14 @@
 		p.sharing.peerConnected(linkEvent.Peer, linkEvent.Zone == p.ownRecord.Zone)
 		p.suspects.peerConnected(linkEvent.Peer)
 		p.scheduler.withDispatcher(func(dispatcher *dispatch.Dispatcher, now time.Time) {
-			dispatcher.AddPeer(now, dispatch.Peer{Name: linkEvent.Peer, Region: linkEvent.Region})
+			dispatcher.AddPeer(now, dispatch.Peer{Name: linkEvent.Peer, Region: linkEvent.Region, Zone: linkEvent.Zone})
 		})
 	case linkEvent.Disconnected:
 		event.LinkDown.Log(p.logger, linkEvent.Peer)
 		delete(p.lastSent, linkEvent.Peer)
 		p.sharing.peerDisconnected(linkEvent.Peer)
 		p.suspects.peerDisconnected(linkEvent.Peer)
-		p.scheduler.withDispatcher(func(dispatcher *dispatch.Dispatcher, _ time.Time) { dispatcher.RemovePeer(linkEvent.Peer) })
+		p.scheduler.withDispatcher(func(dispatcher *dispatch.Dispatcher, now time.Time) { dispatcher.RemovePeer(now, linkEvent.Peer) })
 	case linkEvent.ConnectFailed:
 	default:
 		p.handleMessages(linkEvent.Peer, linkEvent.Bodies)
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -105,7 +105,7 @@
 func (s *scheduler) recordRateLimit(target string, perSecond float64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.dispatcher.RecordRateLimit(target, perSecond)
+	return s.dispatcher.RecordRateLimit(time.Now(), target, perSecond)
 }
 
 // dataReceived records that a target sent further data of a response.
