Keep quarantines in the store, so that they outlive the end of all routers

Cause: crash records lived in the routers' memory only.

The routers that saw one of the crashes write a quarantine to the topic keyed.quarantine; whoever ends it removes the record.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -125,6 +125,8 @@
 	Quarantined      = Event{803, levelWarn, "quarantined", []string{"fingerprint", "crashes"}}
 	QuarantineLifted = Event{804, levelInfo, "quarantine_lifted", []string{"fingerprint"}}
 	QuarantineProbed = Event{805, levelInfo, "quarantine_probed", []string{"fingerprint", "id"}}
+
+	QuarantineUnsaved = Event{806, levelWarn, "quarantine_unsaved", []string{"fingerprint", "error"}}
 )
 
 // All returns all events in ascending order of their numbers.
@@ -141,6 +143,6 @@
 		Refused, Retried, Resumed, Abandoned,
 		RequestAnswered, RequestRefused, AttemptFailed, CallerLeft, StreamBroken, ServiceState, RefusalsSummed, CustomerState,
 		ClaimLost, ClaimUnknown,
-		SuspectFound, SuspectRefused, Quarantined, QuarantineLifted, QuarantineProbed,
+		SuspectFound, SuspectRefused, Quarantined, QuarantineLifted, QuarantineProbed, QuarantineUnsaved,
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,6 +57,7 @@
 	targets         *targetDirectory
 	client          *forward.Client
 	suspects        *suspects
+	quarantines     *quarantineStore
 	crashes         *crashDetector
 	retryBudgets    *retryBudgets
 	callerConns     *callerConns
@@ -102,6 +103,7 @@
 		},
 		client:       client,
 		suspects:     suspects,
+		quarantines:  &quarantineStore{topic: adapters.QuarantineTopic, suspects: suspects, logger: logger},
 		crashes:      newCrashDetector(client, logger, suspects.recordCrash),
 		retryBudgets: newRetryBudgets(settings.RetryRatio, settings.RetryReserve),
 		callerConns:  newCallerConns(settings.MaxOpenFiles),
@@ -175,6 +177,11 @@
 	tasks.Go(func() {
 		topiclog.NewFollower(topiclog.WithReadTimeout(g.adapters.RouterTopic), g.peers, routerPollWait, routerPollInterval).Run(runCtx)
 	})
+	tasks.Go(func() {
+		topic := topiclog.WithReadTimeout(g.adapters.QuarantineTopic)
+		topiclog.NewFollower(topic, g.quarantines, routerPollWait, routerPollInterval).Run(runCtx)
+	})
+	tasks.Go(func() { g.quarantines.writeUnsaved(runCtx) })
 	tasks.Go(func() { g.peers.announce(runCtx) })
 	tasks.Go(func() { g.peers.handleEvents(runCtx) })
 	tasks.Go(func() { g.runMaintenance(runCtx) })
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -89,6 +89,23 @@
 	s.withTracker(func(tracker *quarantine.Tracker, _ time.Time) { tracker.Disconnected(peer) })
 }
 
+// receiveStored handles the crash records of a fingerprint in the store. Without any, its quarantine has ended.
+func (s *suspects) receiveStored(fingerprint uint64, records []*fleetpb.CrashRecord) {
+	s.withTracker(func(tracker *quarantine.Tracker, now time.Time) {
+		if records == nil {
+			tracker.Lift(fingerprint)
+		}
+		tracker.Receive(now, "", records)
+	})
+}
+
+// takeUnsaved returns what this router has to write to the store.
+func (s *suspects) takeUnsaved() []quarantine.Stored {
+	var unsaved []quarantine.Stored
+	s.withTracker(func(tracker *quarantine.Tracker, _ time.Time) { unsaved = tracker.TakeUnsaved() })
+	return unsaved
+}
+
 // tick returns the messages to peers that are due.
 func (s *suspects) tick() []message.Envelope {
 	var envelopes []message.Envelope
--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -26,6 +26,8 @@
 	byCrash map[string]*record
 	// crashCount is the number of records that are not cleared.
 	crashCount int
+	// stored is set if the store may hold records of the suspect that this router has to remove when the quarantine ends.
+	stored bool
 	// probeAt is the earliest time of the next probe while the fingerprint is quarantined.
 	probeAt time.Time
 }
@@ -60,10 +62,22 @@
 	return cleared
 }
 
-// removeExpired removes the records that have expired.
-func (s *suspect) removeExpired(nowUnixMilli int64) {
+// removeExpired removes the records that have expired and reports whether there were any.
+func (s *suspect) removeExpired(nowUnixMilli int64) bool {
+	before := len(s.byCrash)
 	maps.DeleteFunc(s.byCrash, func(_ string, known *record) bool { return known.expiry <= nowUnixMilli })
 	s.recount()
+	return len(s.byCrash) < before
+}
+
+// hasOwnRecord reports whether this router recorded one of the crashes.
+func (s *suspect) hasOwnRecord() bool {
+	for _, known := range s.byCrash {
+		if known.own {
+			return true
+		}
+	}
+	return false
 }
 
 // recount sets crashCount from the records.
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -38,6 +38,8 @@
 	answeredAt map[uint64]time.Time
 	// unsent holds the records to send to each linked peer, by the name of the peer.
 	unsent map[string][]*fleetpb.CrashRecord
+	// changed holds the suspects whose records have changed since the last call of TakeUnsaved.
+	changed map[uint64]*suspect
 	// changes are the beginnings and ends of quarantines since the last call of TakeChanges.
 	changes      []Change
 	nextPruneAt  time.Time
@@ -49,6 +51,7 @@
 	return &Tracker{
 		limits: limits, random: rand.New(rand.NewPCG(seed, seed)), suspects: make(map[uint64]*suspect),
 		answeredAt: make(map[uint64]time.Time), unsent: make(map[string][]*fleetpb.CrashRecord),
+		changed: make(map[uint64]*suspect),
 	}
 }
 
@@ -127,6 +130,16 @@
 	}
 }
 
+// Lift clears the records of a fingerprint whose quarantine another router has ended.
+func (t *Tracker) Lift(fingerprint uint64) {
+	found, known := t.suspects[fingerprint]
+	if !known || !t.isQuarantined(found) {
+		return
+	}
+	t.clear(found)
+	found.stored = false
+}
+
 // Connected records a new link to a peer, which is sent all records.
 func (t *Tracker) Connected(peer string) {
 	t.unsent[peer] = nil
@@ -152,6 +165,25 @@
 	return envelopes
 }
 
+// TakeUnsaved returns what this router has to write to the store since the last call: the records of quarantined fingerprints of which it
+// recorded a crash, and the fingerprints whose quarantine it has ended or had written.
+func (t *Tracker) TakeUnsaved() []Stored {
+	var unsaved []Stored
+	for _, fingerprint := range slices.Sorted(maps.Keys(t.changed)) {
+		found := t.changed[fingerprint]
+		switch {
+		case t.isQuarantined(found) && found.hasOwnRecord():
+			unsaved = append(unsaved, Stored{Fingerprint: fingerprint, Records: found.toProtos()})
+			found.stored = true
+		case !t.isQuarantined(found) && found.stored:
+			unsaved = append(unsaved, Stored{Fingerprint: fingerprint})
+			found.stored = false
+		}
+	}
+	clear(t.changed)
+	return unsaved
+}
+
 // TakeChanges returns the beginnings and ends of quarantines since the last call.
 func (t *Tracker) TakeChanges() []Change {
 	changes := t.changes
@@ -199,6 +231,9 @@
 	}
 	wasQuarantined, previousCount := t.isQuarantined(found), found.crashCount
 	merged, changed = found.add(added)
+	if changed {
+		t.changed[found.fingerprint] = found
+	}
 	if found.crashCount > previousCount && t.isQuarantined(found) {
 		t.scheduleProbe(now, found)
 	}
@@ -210,6 +245,9 @@
 func (t *Tracker) clear(found *suspect) []*fleetpb.CrashRecord {
 	wasQuarantined := t.isQuarantined(found)
 	cleared := found.clear()
+	// Whoever ends a quarantine removes it from the store, since the router that wrote it may be gone.
+	found.stored = found.stored || wasQuarantined
+	t.changed[found.fingerprint] = found
 	t.noteChange(found, wasQuarantined)
 	return cleared
 }
@@ -250,7 +288,9 @@
 	maps.DeleteFunc(t.answeredAt, func(_ uint64, at time.Time) bool { return now.Sub(at) > t.limits.AnswerMemory })
 	for fingerprint, found := range t.suspects {
 		wasQuarantined := t.isQuarantined(found)
-		found.removeExpired(now.UnixMilli())
+		if found.removeExpired(now.UnixMilli()) {
+			t.changed[fingerprint] = found
+		}
 		t.noteChange(found, wasQuarantined)
 		if len(found.byCrash) == 0 {
 			delete(t.suspects, fingerprint)
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -348,3 +348,30 @@
 	qt.Check(t, tracker.DroppedCount(), qt.Equals, 3)
 	qt.Check(t, tracker.QuarantinedCount(), qt.Equals, 0)
 }
+
+// TestQuarantineIsStored guards against a quarantine that is forgotten when all routers end, and against one that comes back from the
+// store after its end. Only routers that recorded a crash write it, so that not all do.
+func TestQuarantineIsStored(t *testing.T) {
+	f := newSimFleet(1, 3, 1)
+	part := []uint64{firstSoundPart}
+	for i := range 3 {
+		f.trackers["r0"].RecordCrash(f.now, quarantine.Crash{ID: fmt.Sprint("t", i)}, part)
+	}
+	f.run(time.Second, 0, 0)
+	qt.Check(t, f.trackers["r1"].TakeUnsaved(), qt.HasLen, 0)
+	stored := f.trackers["r0"].TakeUnsaved()
+	qt.Assert(t, stored, qt.HasLen, 1)
+	qt.Check(t, f.trackers["r0"].TakeUnsaved(), qt.HasLen, 0)
+
+	started := quarantine.New(quarantine.DefaultLimits(), 1)
+	started.Receive(f.now, "", stored[0].Records)
+	qt.Check(t, started.Admit(f.now, part).Refused, qt.IsTrue)
+
+	f.trackers["r1"].RecordAnswer(f.now, part)
+	ended := f.trackers["r1"].TakeUnsaved()
+	qt.Assert(t, ended, qt.HasLen, 1)
+	qt.Check(t, ended[0].Records, qt.HasLen, 0)
+	started.Lift(ended[0].Fingerprint)
+	qt.Check(t, started.Admit(f.now, part), qt.Equals, quarantine.Verdict{})
+	qt.Check(t, started.TakeUnsaved(), qt.HasLen, 0)
+}
