--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -42,6 +42,20 @@
 	return &acceptor{Listener: tcpListener, callerConns: g.callerConns, shedder: g.shedder, logger: g.logger}
 }
 
+// RetryBudgets exports the retry budgets of one router.
+type RetryBudgets struct{ *retryBudgets }
+
+// NewRetryBudgets returns a router's part of a fleet's retry budget.
+func NewRetryBudgets(ratio, reserve float64) RetryBudgets {
+	return RetryBudgets{newRetryBudgets(ratio, reserve)}
+}
+
+// SetRouterCount divides the reserve among a number of routers.
+func (b RetryBudgets) SetRouterCount(count int) { b.setRouterCount(count) }
+
+// TakeRetry takes one retry from a service's budget.
+func (b RetryBudgets) TakeRetry(service string) bool { return b.takeRetry(service) }
+
 // BackdateAccept moves the accept time of a caller's connection into the past.
 func BackdateAccept(conn net.Conn, by time.Duration) {
 	if accepted, ok := conn.(*callerConn); ok {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -87,6 +87,7 @@
 	client := forward.NewClient(adapters.Codec)
 	metrics := metric.New()
 	lateness := new(latenessMeter)
+	budgets := newRetryBudgets(settings.RetryRatio, settings.RetryReserve)
 	suspects := newSuspects(quarantine.New(quarantine.DefaultLimits(), settings.Seed), logger)
 	g := &Gateway{
 		settings:        settings,
@@ -105,9 +106,9 @@
 		suspects:     suspects,
 		quarantines:  &quarantineStore{topic: adapters.QuarantineTopic, suspects: suspects, logger: logger},
 		crashes:      newCrashDetector(client, logger, suspects.recordCrash),
-		retryBudgets: newRetryBudgets(settings.RetryRatio, settings.RetryReserve),
+		retryBudgets: budgets,
 		callerConns:  newCallerConns(settings.MaxOpenFiles),
-		peers:        newPeerLinks(settings, adapters.RouterTopic, logger, scheduler, suspects, metrics, lateness),
+		peers:        newPeerLinks(settings, adapters.RouterTopic, logger, scheduler, suspects, budgets, metrics, lateness),
 		lateness:     lateness,
 
 		refusalLog:    newRefusalLog(logger),
--- a/internal/gateway/peerlinks.go
+++ b/internal/gateway/peerlinks.go
@@ -49,6 +49,7 @@
 	hub         *link.Hub
 	scheduler   *scheduler
 	suspects    *suspects
+	budgets     *retryBudgets
 	routerTopic topiclog.Topic
 	lateness    *latenessMeter
 	sharing     *topicSharing
@@ -62,7 +63,7 @@
 
 // newPeerLinks returns the links of a router, none of which is open yet.
 func newPeerLinks(settings Settings, routerTopic topiclog.Topic, logger zerolog.Logger, scheduler *scheduler, suspects *suspects,
-	metrics *metric.Set, lateness *latenessMeter,
+	budgets *retryBudgets, metrics *metric.Set, lateness *latenessMeter,
 ) *peerLinks {
 	incarnation := rand.Uint64() | 1
 	hub := link.NewHub(link.Peer{Name: settings.Host, Region: settings.Locality.Region, Zone: settings.Locality.Zone}, incarnation, metrics)
@@ -75,6 +76,7 @@
 		hub:         hub,
 		scheduler:   scheduler,
 		suspects:    suspects,
+		budgets:     budgets,
 		routerTopic: routerTopic,
 		lateness:    lateness,
 		sharing: newTopicSharing(settings.Host, logger, func(to string, body *fleetpb.Body) {
@@ -111,6 +113,7 @@
 	}
 	if len(records) > 0 {
 		p.updateLinks()
+		p.budgets.setRouterCount(len(p.routers))
 	}
 }
 
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -13,6 +13,12 @@
 	return &Budget{ratio: ratio, reserve: reserve, available: reserve}
 }
 
+// SetReserve changes the reserve. Retries beyond a smaller reserve are lost; a larger one is filled by first attempts.
+func (b *Budget) SetReserve(reserve float64) {
+	b.reserve = reserve
+	b.available = min(b.available, reserve)
+}
+
 // RecordFirstAttempt records the first attempt of a request.
 func (b *Budget) RecordFirstAttempt() { b.available = min(b.available+b.ratio, b.reserve) }
 
--- a/internal/retrybudget/budget_test.go
+++ b/internal/retrybudget/budget_test.go
@@ -25,6 +25,14 @@
 	qt.Check(t, retries >= 20 && retries <= 25, qt.IsTrue, qt.Commentf("%d retries", retries))
 }
 
+// TestSmallerReserveAppliesAtOnce guards against retries that were saved up before the reserve became smaller.
+func TestSmallerReserveAppliesAtOnce(t *testing.T) {
+	b := retrybudget.New(0.2, 5)
+	b.SetReserve(1)
+	qt.Check(t, b.TryRetry(), qt.IsTrue)
+	qt.Check(t, b.TryRetry(), qt.IsFalse)
+}
+
 // TestNoRetryBelowOne guards against a retry from a budget of less than one.
 func TestNoRetryBelowOne(t *testing.T) {
 	qt.Check(t, retrybudget.New(0.2, 0.9).TryRetry(), qt.IsFalse)
