Tell a part that crashes targets from the parts that its requests share with rare sound ones

A crash does not count any more against other fingerprints of a request that has a quarantined one. A request with several quarantined fingerprints waits three times as long to be a probe, so that one which tells them apart comes first, and a fingerprint with five crashes may still be probed by a request without the other suspects of all of its crashes. Crashes are recorded for each request by itself.

At most three bad requests after the fifth crash and the window, as before.

--- a/internal/gateway/crashdetector.go
+++ b/internal/gateway/crashdetector.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -38,8 +37,8 @@
 
 // targetProbe is the probe of a target at which attempts broke.
 type targetProbe struct {
-	// fingerprints are those of the attempts that broke without an answer while the probe ran.
-	fingerprints []uint64
+	// broken holds the fingerprints of each request whose attempt broke without an answer while the probe ran.
+	broken [][]uint64
 	// crashed is set if the target accepted no connection.
 	crashed bool
 }
@@ -49,8 +48,8 @@
 type crashDetector struct {
 	client *forward.Client
 	logger zerolog.Logger
-	// recordCrash is called for each crash, perhaps several times, with fingerprints of requests that the target had not answered.
-	// It must be safe for concurrent use.
+	// recordCrash is called with the fingerprints of each request that a target had not answered when it crashed. It must be safe for
+	// concurrent use.
 	recordCrash func(crash quarantine.Crash, fingerprints []uint64)
 
 	mu sync.Mutex
@@ -74,12 +73,12 @@
 	probe, found := d.probes[start]
 	switch {
 	case !found:
-		d.probes[start] = &targetProbe{fingerprints: fingerprints}
+		d.probes[start] = &targetProbe{broken: [][]uint64{fingerprints}}
 		go d.probe(target, start)
 	case probe.crashed:
 		d.recordCrash(start.crash(), fingerprints)
 	default:
-		probe.fingerprints = append(slices.Clip(probe.fingerprints), fingerprints...)
+		probe.broken = append(probe.broken, fingerprints)
 	}
 }
 
@@ -93,7 +92,9 @@
 	if isRefusedOrSilent(err) {
 		event.TargetCrashed.Log(d.logger, target.Name, err)
 		d.probes[start].crashed = true
-		d.recordCrash(start.crash(), d.probes[start].fingerprints)
+		for _, fingerprints := range d.probes[start].broken {
+			d.recordCrash(start.crash(), fingerprints)
+		}
 	}
 	time.AfterFunc(probeRepeatTime, func() { d.forget(start) })
 }
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -64,7 +64,7 @@
 	return refusal.New(refusal.Quarantined, "the request, or a part of its prompt, crashes targets").WithRetryAt(retryAt)
 }
 
-// recordCrash records a crash of a target that had not answered requests with the fingerprints.
+// recordCrash records a crash of a target that had not answered a request with the fingerprints.
 func (s *suspects) recordCrash(crash quarantine.Crash, fingerprints []uint64) {
 	s.withTracker(func(tracker *quarantine.Tracker, now time.Time) { tracker.RecordCrash(now, crash, fingerprints) })
 }
--- a/internal/quarantine/limits.go
+++ b/internal/quarantine/limits.go
@@ -6,7 +6,7 @@
 type Limits struct {
 	// CrashThreshold is the number of crashes after which a fingerprint is quarantined.
 	CrashThreshold int
-	// ProofThreshold is the number of crashes after which no more probes are sent.
+	// ProofThreshold is the number of crashes after which no more probes are sent, unless something else may have caused all of them.
 	ProofThreshold int
 	// ProbeDelay is the minimum time from a crash to the next probe, for a fingerprint with CrashThreshold crashes. It doubles with each
 	// further crash. Each router adds a random delay of at most the same length, so that one probe is usually answered before another
--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -28,8 +28,9 @@
 	crashCount int
 	// stored is set if the store may hold records of the suspect that this router has to remove when the quarantine ends.
 	stored bool
-	// probeAt is the earliest time of the next probe while the fingerprint is quarantined.
-	probeAt time.Time
+	// probeAt is the earliest time of the next probe while the fingerprint is quarantined, ambiguousProbeAt that of a probe with more
+	// than one quarantined fingerprint.
+	probeAt, ambiguousProbeAt time.Time
 }
 
 // add adds a record, or merges it with the record of the same crash. It returns the record in the set and whether that changed
@@ -90,6 +91,19 @@
 	}
 }
 
+// hasAllCrashesOf reports whether the suspect has a record, not cleared, of each crash of another suspect.
+func (s *suspect) hasAllCrashesOf(other *suspect) bool {
+	if s.crashCount < other.crashCount {
+		return false
+	}
+	for crash, known := range other.byCrash {
+		if own, found := s.byCrash[crash]; !known.cleared && (!found || own.cleared) {
+			return false
+		}
+	}
+	return true
+}
+
 // crashes returns the ids of the crashes whose records are not cleared, sorted.
 func (s *suspect) crashes() []string {
 	ids := make([]string, 0, s.crashCount)
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -19,6 +19,8 @@
 	maxBatchRecords = 1000
 	// pruneInterval is the time between removals of what has expired.
 	pruneInterval = time.Second
+	// ambiguousDelayFactor is how much longer than others a request with more than one quarantined fingerprint waits to be a probe.
+	ambiguousDelayFactor = 3
 )
 
 // Crash is a crash of a target.
@@ -55,36 +57,65 @@
 	}
 }
 
-// Admit returns the verdict on a request with the given fingerprints. If the verdict is Probe, the request must be sent.
+// Admit returns the verdict on a request with the given fingerprints. If the verdict is Probe, the request must be sent. A request with
+// more than one quarantined fingerprint is a probe only later than others, since its crash would not tell which of them is the cause.
 func (t *Tracker) Admit(now time.Time, fingerprints []uint64) Verdict {
-	var probed []*suspect
-	for _, fingerprint := range fingerprints {
-		found, known := t.suspects[fingerprint]
-		if !known || !t.isQuarantined(found) {
-			continue
+	quarantined := t.quarantinedAmong(fingerprints)
+	for _, found := range quarantined {
+		if t.isProven(found) && !t.mayProbeProven(now, found, fingerprints) {
+			return Verdict{Refused: true, Fingerprint: found.fingerprint}
 		}
-		if t.isProven(found) {
-			return Verdict{Refused: true, Fingerprint: fingerprint}
+		probeAt := found.probeAt
+		if len(quarantined) > 1 {
+			probeAt = found.ambiguousProbeAt
 		}
-		if now.Before(found.probeAt) {
-			return Verdict{Refused: true, Fingerprint: fingerprint, RetryAt: found.probeAt}
+		if now.Before(probeAt) {
+			return Verdict{Refused: true, Fingerprint: found.fingerprint, RetryAt: probeAt}
 		}
-		probed = append(probed, found)
 	}
-	if len(probed) == 0 {
+	if len(quarantined) == 0 {
 		return Verdict{}
 	}
-	for _, found := range probed {
+	for _, found := range quarantined {
 		t.scheduleProbe(now, found)
 	}
-	return Verdict{Probe: true, Fingerprint: probed[0].fingerprint}
+	return Verdict{Probe: true, Fingerprint: quarantined[0].fingerprint}
+}
+
+// mayProbeProven reports whether a request may be a probe although one of its fingerprints has ProofThreshold crashes: another suspect,
+// which the request does not have, was in all of these crashes as well and may be the cause. Without one, the next look is put off.
+func (t *Tracker) mayProbeProven(now time.Time, found *suspect, fingerprints []uint64) bool {
+	if now.Before(found.probeAt) {
+		return false
+	}
+	for _, other := range t.suspects {
+		if other != found && other.hasAllCrashesOf(found) && !slices.Contains(fingerprints, other.fingerprint) {
+			return true
+		}
+	}
+	t.scheduleProbe(now, found)
+	return false
+}
+
+// quarantinedAmong returns the suspects among the fingerprints that are quarantined.
+func (t *Tracker) quarantinedAmong(fingerprints []uint64) []*suspect {
+	var quarantined []*suspect
+	for _, fingerprint := range fingerprints {
+		if found, known := t.suspects[fingerprint]; known && t.isQuarantined(found) {
+			quarantined = append(quarantined, found)
+		}
+	}
+	return quarantined
 }
 
-// RecordCrash records a crash of a target that had not begun to answer requests with the given fingerprints. It may be called more
-// than once for a crash.
+// RecordCrash records a crash of a target that had not begun to answer a request with the given fingerprints. It is called for each
+// such request, and may be called more than once for the same one. If some of the fingerprints are quarantined, the crash does not
+// speak against the others.
 func (t *Tracker) RecordCrash(now time.Time, crash Crash, fingerprints []uint64) {
+	explained := len(t.quarantinedAmong(fingerprints)) > 0
 	for _, fingerprint := range fingerprints {
-		if t.wasAnswered(now, fingerprint) {
+		known := t.suspects[fingerprint]
+		if t.wasAnswered(now, fingerprint) || explained && (known == nil || !t.isQuarantined(known)) {
 			continue
 		}
 		crashRecord := &fleetpb.CrashRecord{
@@ -259,10 +290,12 @@
 	}
 }
 
-// scheduleProbe sets the earliest time of the next probe.
+// scheduleProbe sets the earliest times of the next probe.
 func (t *Tracker) scheduleProbe(now time.Time, found *suspect) {
-	delay := t.limits.ProbeDelay << (found.crashCount - t.limits.CrashThreshold)
-	found.probeAt = now.Add(delay + time.Duration(t.random.Float64()*float64(delay)))
+	doublings := min(found.crashCount, t.limits.ProofThreshold) - t.limits.CrashThreshold
+	delay := t.limits.ProbeDelay << doublings
+	delay += time.Duration(t.random.Float64() * float64(delay))
+	found.probeAt, found.ambiguousProbeAt = now.Add(delay), now.Add(ambiguousDelayFactor*delay)
 }
 
 // send queues records for all peers.
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -68,10 +68,9 @@
 	targets    []*simTarget
 	deliveries []delivery
 	nextID     uint64
-	// crashes holds the times of the crashes. badSent holds the times at which requests with badPart were sent to targets, sent and
-	// refused count the sound requests.
-	crashes, badSent []time.Time
-	sent, refused    int
+	// crashes holds the times of the crashes. badSent holds the times at which requests with badPart were sent to targets, soundSent and
+	// soundRefused those of sound requests.
+	crashes, badSent, soundSent, soundRefused []time.Time
 }
 
 // newSimFleet returns a fleet of linked routers.
@@ -111,15 +110,14 @@
 		return
 	}
 	refused := f.trackers[router].Admit(f.now, fingerprints).Refused
-	if part != badPart {
-		f.sent++
-	}
 	switch {
 	case refused && part != badPart:
-		f.refused++
+		f.soundRefused = append(f.soundRefused, f.now)
 	case !refused:
 		if part == badPart {
 			f.badSent = append(f.badSent, f.now)
+		} else {
+			f.soundSent = append(f.soundSent, f.now)
 		}
 		target.requests = append(target.requests, simRequest{router: router, fingerprints: fingerprints, endsAt: f.now.Add(answerTime)})
 	}
@@ -213,11 +211,11 @@
 	})
 }
 
-// sentAfter returns the number of requests with badPart that were sent to targets after a time.
-func (f *simFleet) sentAfter(at time.Time) int {
+// countAfter returns the number of times that are after another one.
+func countAfter(times []time.Time, at time.Time) int {
 	count := 0
-	for _, sentAt := range f.badSent {
-		if sentAt.After(at) {
+	for _, t := range times {
+		if t.After(at) {
 			count++
 		}
 	}
@@ -239,10 +237,32 @@
 				f.run(60*time.Second, c.sound, c.bad)
 				qt.Assert(t, len(f.crashes) >= 3, qt.IsTrue, qt.Commentf("%d crashes", len(f.crashes)))
 				if len(f.crashes) >= 5 {
-					late := f.sentAfter(f.crashes[4].Add(stableWindow))
+					late := countAfter(f.badSent, f.crashes[4].Add(stableWindow))
+					qt.Check(t, late <= 3, qt.IsTrue, qt.Commentf("%d requests after the fifth crash and the window", late))
+				}
+				refused, sent := len(f.soundRefused), len(f.soundSent)
+				qt.Check(t, refused <= sent/50, qt.IsTrue, qt.Commentf("%d sound requests were refused, %d sent", refused, sent))
+			})
+		}
+	}
+}
+
+// TestRareSoundRequestsAreServed guards against the refusal of sound requests that are rarer than those that crash targets, with which
+// they share a part. From twice the stable window after the fifth crash on, most of them must be sent.
+func TestRareSoundRequestsAreServed(t *testing.T) {
+	for _, soundPerSecond := range []float64{0.3, 1} {
+		for seed := range uint64(20) {
+			t.Run(fmt.Sprint(soundPerSecond, " seed ", seed), func(t *testing.T) {
+				f := newSimFleet(seed, 9, 9)
+				f.run(120*time.Second, soundPerSecond, 3)
+				decisive := f.crashes[min(len(f.crashes), 5)-1]
+				from := decisive.Add(2 * stableWindow)
+				sent, refused := countAfter(f.soundSent, from), countAfter(f.soundRefused, from)
+				qt.Check(t, refused <= sent, qt.IsTrue, qt.Commentf("%d sound requests were refused, %d sent", refused, sent))
+				if len(f.crashes) >= 5 {
+					late := countAfter(f.badSent, f.crashes[4].Add(stableWindow))
 					qt.Check(t, late <= 3, qt.IsTrue, qt.Commentf("%d requests after the fifth crash and the window", late))
 				}
-				qt.Check(t, f.refused <= f.sent/50, qt.IsTrue, qt.Commentf("%d of %d sound requests were refused", f.refused, f.sent))
 			})
 		}
 	}
