Do not block a target that names a very high limit

Cause: the time between two requests of a router was rounded to nanoseconds, and an interval of zero meant no requests at all. Found in review; no target names such a limit. TestHugeRateLimitDoesNotBlock: 0 of 100 requests were sent before, all now.

--- a/internal/dispatch/ratelimit.go
+++ b/internal/dispatch/ratelimit.go
@@ -90,6 +90,7 @@
 		return sendSlots{}
 	}
 	interval := time.Duration(min(float64(time.Second)/perSecond, float64(maxSlotInterval)))
+	interval = max(interval, time.Nanosecond) // A very high rate must not look like one of zero.
 	return sendSlots{interval: interval, nextAt: now.Add(time.Duration(fraction * float64(interval)))}
 }
 
--- a/internal/dispatch/ratelimit_test.go
+++ b/internal/dispatch/ratelimit_test.go
@@ -135,6 +135,14 @@
 	qt.Check(t, startedWithin(b, now.Add(10*time.Second), time.Second) > 50, qt.IsTrue)
 }
 
+// TestHugeRateLimitDoesNotBlock guards against a limit so high that the time between two requests rounds to zero.
+func TestHugeRateLimitDoesNotBlock(t *testing.T) {
+	d := dispatch.New(routerLocality, 1)
+	d.SetTargets(startTime, newTargets(1, 32))
+	d.RecordRateLimit(startTime, "e0", 1e15)
+	qt.Check(t, startedWithin(d, startTime.Add(time.Second), time.Second), qt.Equals, 100)
+}
+
 // TestIdleRoutersDoNotSendAtOnce guards against many routers that each save up a request for a limited target and then send them at the
 // same time.
 func TestIdleRoutersDoNotSendAtOnce(t *testing.T) {
