Show operators how much is quarantined, and log invalid crash records

The gauge chicorydale_quarantined counts what is refused. No change of decisions; the tests of the package are the same but for the count of invalid records, which Receive returns.

--- a/internal/gateway/maintenance.go
+++ b/internal/gateway/maintenance.go
@@ -79,6 +79,7 @@
 	g.logCustomerStates(customers)
 	g.metrics.SetGauge(metric.RequestsWaiting, float64(waiting))
 	g.metrics.SetGauge(metric.RequestsRunning, float64(running))
+	g.metrics.SetGauge(metric.Quarantined, float64(g.suspects.quarantinedCount()))
 	g.metrics.SetGauge(metric.ConfigStaleness, g.config.age().Seconds())
 	if table := g.config.Table(); table != nil {
 		g.metrics.SetGauge(metric.ConfigVersion, float64(table.Version()))
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"sync"
 	"time"
 
@@ -76,7 +77,18 @@
 
 // receive handles the crash records of a peer.
 func (s *suspects) receive(from string, records []*fleetpb.CrashRecord) {
-	s.withTracker(func(tracker *quarantine.Tracker, now time.Time) { tracker.Receive(now, from, records) })
+	invalid := 0
+	s.withTracker(func(tracker *quarantine.Tracker, now time.Time) { invalid = tracker.Receive(now, from, records) })
+	if invalid > 0 {
+		event.RecordInvalid.Log(s.logger, "crashes", from, fmt.Sprintf("%d of %d records", invalid, len(records)))
+	}
+}
+
+// quarantinedCount returns the number of quarantined fingerprints.
+func (s *suspects) quarantinedCount() int {
+	count := 0
+	s.withTracker(func(tracker *quarantine.Tracker, _ time.Time) { count = tracker.QuarantinedCount() })
+	return count
 }
 
 // peerConnected starts to send records to a peer.
@@ -94,8 +106,11 @@
 	s.withTracker(func(tracker *quarantine.Tracker, now time.Time) {
 		if records == nil {
 			tracker.Lift(fingerprint)
+			return
+		}
+		if invalid := tracker.Receive(now, "", records); invalid > 0 {
+			event.RecordInvalid.Log(s.logger, "quarantine", fingerprint, fmt.Sprintf("%d of %d records", invalid, len(records)))
 		}
-		tracker.Receive(now, "", records)
 	})
 }
 
--- a/internal/metric/family.go
+++ b/internal/metric/family.go
@@ -20,6 +20,7 @@
 	RequestsWaiting         Family = "chicorydale_requests_waiting"
 	RequestsRunning         Family = "chicorydale_requests_running"
 	ScheduledPools          Family = "chicorydale_pools_scheduled"
+	Quarantined             Family = "chicorydale_quarantined"
 	Ready                   Family = "chicorydale_ready"
 	Isolated                Family = "chicorydale_isolated"
 	ZoneHeardRatio          Family = "chicorydale_zone_heard_ratio"
@@ -43,6 +44,7 @@
 	RequestsWaiting:         "Requests of this router's callers that wait for a slot.",
 	RequestsRunning:         "Requests of this router's callers that run on a target.",
 	ScheduledPools:          "Pools that this router schedules.",
+	Quarantined:             "Requests and parts of prompts that are refused because they crash targets.",
 	Ready:                   "1 if the router accepts new requests, else 0.",
 	Isolated:                "1 if the router has reached neither the log nor another router for 15 s, else 0.",
 	ZoneHeardRatio:          "Part of the listed routers of its availability zone that the router hears, 0 to 1.",
--- a/internal/metric/set.go
+++ b/internal/metric/set.go
@@ -61,7 +61,7 @@
 		}
 	}
 	for _, family := range []Family{
-		FairnessGap, Utilisation, RequestsWaiting, RequestsRunning, ScheduledPools, Ready, Isolated, ZoneHeardRatio,
+		FairnessGap, Utilisation, RequestsWaiting, RequestsRunning, ScheduledPools, Quarantined, Ready, Isolated, ZoneHeardRatio,
 		ConfigVersion, ConfigStaleness, LogDroppedLines, MaxLateness,
 	} {
 		set.gauges[family] = metrics.NewRegisteredGaugeFloat64(string(family), set.registry)
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -6,17 +6,11 @@
 	"math/rand/v2"
 	"slices"
 	"time"
-	"unicode/utf8"
 
 	"github.com/chicorydale/chicorydale/internal/fleetpb"
-	"github.com/chicorydale/chicorydale/internal/message"
 )
 
 const (
-	// maxNameBytes is the maximum length of a target's name and of a crash id in a record.
-	maxNameBytes = 256
-	// maxBatchRecords is the maximum number of records in one message.
-	maxBatchRecords = 1000
 	// pruneInterval is the time between removals of what has expired.
 	pruneInterval = time.Second
 	// ambiguousDelayFactor is how much longer than others a request with more than one quarantined fingerprint waits to be a probe.
@@ -43,9 +37,8 @@
 	// changed holds the suspects whose records have changed since the last call of TakeUnsaved.
 	changed map[uint64]*suspect
 	// changes are the beginnings and ends of quarantines since the last call of TakeChanges.
-	changes      []Change
-	nextPruneAt  time.Time
-	droppedCount int
+	changes     []Change
+	nextPruneAt time.Time
 }
 
 // New returns a tracker without records. The seed determines the delays of probes.
@@ -138,83 +131,6 @@
 	}
 }
 
-// Receive handles the crash records of a peer. If a request with the fingerprint was just answered here, the record is cleared, and
-// only the sender is told: many routers may do so at the same time, and the one that recorded the crash tells the others.
-func (t *Tracker) Receive(now time.Time, from string, received []*fleetpb.CrashRecord) {
-	latestExpiry := now.Add(t.limits.RecordLifetime).UnixMilli()
-	for _, crashRecord := range received {
-		if !isValid(crashRecord) {
-			t.droppedCount++
-			continue
-		}
-		if crashRecord.GetExpiry() <= now.UnixMilli() {
-			continue
-		}
-		crashRecord.Expiry = min(crashRecord.GetExpiry(), latestExpiry)
-		found, merged, changed := t.add(now, crashRecord)
-		if changed && merged.own {
-			t.send(crashRecord)
-		}
-		if found.crashCount > 0 && t.wasAnswered(now, found.fingerprint) {
-			t.sendTo(from, t.clear(found)...)
-		}
-	}
-}
-
-// Lift clears the records of a fingerprint whose quarantine another router has ended.
-func (t *Tracker) Lift(fingerprint uint64) {
-	found, known := t.suspects[fingerprint]
-	if !known || !t.isQuarantined(found) {
-		return
-	}
-	t.clear(found)
-	found.stored = false
-}
-
-// Connected records a new link to a peer, which is sent all records.
-func (t *Tracker) Connected(peer string) {
-	t.unsent[peer] = nil
-	for _, fingerprint := range slices.Sorted(maps.Keys(t.suspects)) {
-		t.unsent[peer] = append(t.unsent[peer], t.suspects[fingerprint].toProtos()...)
-	}
-}
-
-// Disconnected records the end of a link.
-func (t *Tracker) Disconnected(peer string) { delete(t.unsent, peer) }
-
-// Tick returns the messages to send. It must be called several times a second.
-func (t *Tracker) Tick(now time.Time) []message.Envelope {
-	t.prune(now)
-	var envelopes []message.Envelope
-	for peer, records := range t.unsent {
-		for batch := range slices.Chunk(records, maxBatchRecords) {
-			body := &fleetpb.Body{Kind: &fleetpb.Body_CrashRecords{CrashRecords: &fleetpb.CrashRecords{Records: batch}}}
-			envelopes = append(envelopes, message.Envelope{To: peer, Body: body})
-		}
-		t.unsent[peer] = nil
-	}
-	return envelopes
-}
-
-// TakeUnsaved returns what this router has to write to the store since the last call: the records of quarantined fingerprints of which it
-// recorded a crash, and the fingerprints whose quarantine it has ended or had written.
-func (t *Tracker) TakeUnsaved() []Stored {
-	var unsaved []Stored
-	for _, fingerprint := range slices.Sorted(maps.Keys(t.changed)) {
-		found := t.changed[fingerprint]
-		switch {
-		case t.isQuarantined(found) && found.hasOwnRecord():
-			unsaved = append(unsaved, Stored{Fingerprint: fingerprint, Records: found.toProtos()})
-			found.stored = true
-		case !t.isQuarantined(found) && found.stored:
-			unsaved = append(unsaved, Stored{Fingerprint: fingerprint})
-			found.stored = false
-		}
-	}
-	clear(t.changed)
-	return unsaved
-}
-
 // TakeChanges returns the beginnings and ends of quarantines since the last call.
 func (t *Tracker) TakeChanges() []Change {
 	changes := t.changes
@@ -233,9 +149,6 @@
 	return count
 }
 
-// DroppedCount returns how many invalid records of peers were dropped.
-func (t *Tracker) DroppedCount() int { return t.droppedCount }
-
 // isQuarantined reports whether requests with the fingerprint of a suspect are refused.
 func (t *Tracker) isQuarantined(found *suspect) bool {
 	return found.crashCount >= t.limits.CrashThreshold
@@ -298,20 +211,6 @@
 	found.probeAt, found.ambiguousProbeAt = now.Add(delay), now.Add(ambiguousDelayFactor*delay)
 }
 
-// send queues records for all peers.
-func (t *Tracker) send(records ...*fleetpb.CrashRecord) {
-	for peer := range t.unsent {
-		t.sendTo(peer, records...)
-	}
-}
-
-// sendTo queues records for a linked peer.
-func (t *Tracker) sendTo(peer string, records ...*fleetpb.CrashRecord) {
-	if queued, linked := t.unsent[peer]; linked {
-		t.unsent[peer] = append(queued, records...)
-	}
-}
-
 // prune removes expired records and answers, at most once in pruneInterval.
 func (t *Tracker) prune(now time.Time) {
 	if now.Before(t.nextPruneAt) {
@@ -340,9 +239,3 @@
 		delete(t.suspects, found.fingerprint)
 	}
 }
-
-// isValid reports whether a record of a peer has a crash id, and whether its strings are valid UTF-8 and not too long.
-func isValid(crashRecord *fleetpb.CrashRecord) bool {
-	return crashRecord.GetCrash() != "" && len(crashRecord.GetCrash()) <= maxNameBytes && len(crashRecord.GetTarget()) <= maxNameBytes &&
-		utf8.ValidString(crashRecord.GetCrash()) && utf8.ValidString(crashRecord.GetTarget())
-}
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -359,13 +359,13 @@
 func TestInvalidRecordsAreDropped(t *testing.T) {
 	tracker := quarantine.New(quarantine.DefaultLimits(), 1)
 	later := startTime.Add(time.Minute).UnixMilli()
-	tracker.Receive(startTime, "r1", []*fleetpb.CrashRecord{
+	invalid := tracker.Receive(startTime, "r1", []*fleetpb.CrashRecord{
 		{Fingerprint: badPart, Expiry: later},
 		{Fingerprint: badPart, Crash: "\xff", Expiry: later},
 		{Fingerprint: badPart, Crash: "t", Target: string(make([]byte, 300)), Expiry: later},
 		{Fingerprint: badPart, Crash: "t", Expiry: startTime.UnixMilli()},
 	})
-	qt.Check(t, tracker.DroppedCount(), qt.Equals, 3)
+	qt.Check(t, invalid, qt.Equals, 3)
 	qt.Check(t, tracker.QuarantinedCount(), qt.Equals, 0)
 }
 
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -1,10 +1,6 @@
 package quarantine
 
-import (
-	"time"
-
-	"github.com/chicorydale/chicorydale/internal/fleetpb"
-)
+import "time"
 
 // Verdict says whether a request may be sent to a target.
 type Verdict struct {
@@ -19,14 +15,6 @@
 	RetryAt time.Time
 }
 
-// Stored is what the store must hold of a fingerprint.
-type Stored struct {
-	// Fingerprint is what the records concern.
-	Fingerprint uint64
-	// Records are the crash records of a quarantined fingerprint, and nil for one that is not quarantined any more.
-	Records []*fleetpb.CrashRecord
-}
-
 // Change is the beginning or the end of a quarantine.
 type Change struct {
 	// Fingerprint is what the quarantine concerns.
