--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -108,7 +108,7 @@
 		crashes:      newCrashDetector(client, logger, suspects.recordCrash),
 		retryBudgets: budgets,
 		callerConns:  newCallerConns(settings.MaxOpenFiles),
-		peers:        newPeerLinks(settings, adapters.RouterTopic, logger, scheduler, suspects, budgets, metrics, lateness),
+		peers:        newPeerLinks(settings, adapters.RouterTopic, logger, metrics, linkUsers{scheduler, suspects, budgets, lateness}),
 		lateness:     lateness,
 
 		refusalLog:    newRefusalLog(logger),
--- a/internal/gateway/peerlinks.go
+++ b/internal/gateway/peerlinks.go
@@ -40,18 +40,24 @@
 	Incarnation uint64 `json:"start"`
 }
 
-// peerLinks manages the links to other routers. Over these links, routers exchange the messages of their dispatchers and
-// share reads of the store.
+// linkUsers are the parts of a gateway that learn from other routers, or of them.
+type linkUsers struct {
+	scheduler *scheduler
+	suspects  *suspects
+	budgets   *retryBudgets
+	lateness  *latenessMeter
+}
+
+// peerLinks manages the links to other routers. Over these links, routers exchange the messages of their dispatchers and crash
+// records, and share reads of the store.
 type peerLinks struct {
+	linkUsers
+
 	routerName  string
 	ownRecord   routerRecord
 	logger      zerolog.Logger
 	hub         *link.Hub
-	scheduler   *scheduler
-	suspects    *suspects
-	budgets     *retryBudgets
 	routerTopic topiclog.Topic
-	lateness    *latenessMeter
 	sharing     *topicSharing
 	// lastSent holds the time of the last message to each linked peer. It belongs to the goroutine of handleEvents.
 	lastSent map[string]time.Time
@@ -62,8 +68,8 @@
 }
 
 // newPeerLinks returns the links of a router, none of which is open yet.
-func newPeerLinks(settings Settings, routerTopic topiclog.Topic, logger zerolog.Logger, scheduler *scheduler, suspects *suspects,
-	budgets *retryBudgets, metrics *metric.Set, lateness *latenessMeter,
+func newPeerLinks(
+	settings Settings, routerTopic topiclog.Topic, logger zerolog.Logger, metrics *metric.Set, users linkUsers,
 ) *peerLinks {
 	incarnation := rand.Uint64() | 1
 	hub := link.NewHub(link.Peer{Name: settings.Host, Region: settings.Locality.Region, Zone: settings.Locality.Zone}, incarnation, metrics)
@@ -74,11 +80,8 @@
 		},
 		logger:      logger,
 		hub:         hub,
-		scheduler:   scheduler,
-		suspects:    suspects,
-		budgets:     budgets,
+		linkUsers:   users,
 		routerTopic: routerTopic,
-		lateness:    lateness,
 		sharing: newTopicSharing(settings.Host, logger, func(to string, body *fleetpb.Body) {
 			hub.Send(to, []*fleetpb.Body{body})
 		}),
