Log what ends an answer and whether a stream ended inside an event

The lines of the record could not tell an answer that ends with its connection and was taken as complete from one that the target framed as complete. 605 has now framing and partial, 607 framing. No decision changes.

TestEventBoundary covers the ends of lines and comments in chunks of every size.

--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -14,6 +14,8 @@
 	Header http.Header
 	// ContentLength is the length of the body in bytes, -1 if it is not known.
 	ContentLength int64
+	// Framing tells what ends the body.
+	Framing Framing
 	// Info is what the status and headers say about the request, as interpreted by the codec.
 	Info ResponseInfo
 
@@ -42,6 +44,7 @@
 		info := r.client.codec.Classify(attempt.ID, response.StatusCode, response.Header)
 		if !info.Unmatched {
 			r.StatusCode, r.Header, r.ContentLength = response.StatusCode, response.Header, response.ContentLength
+			r.Framing = framingOf(response)
 			r.Info, r.body, r.connectionClose = info, response.Body, response.Close
 			return nil
 		}
@@ -55,7 +58,8 @@
 	}
 }
 
-// Read reads from the body. It returns io.EOF only after the complete body.
+// Read reads from the body. It returns io.EOF only after the complete body, as far as its framing shows: a body that ends with its
+// connection may lack a part.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
 	if err == io.EOF {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -56,6 +56,10 @@
 	// body did. It is zero if there was none.
 	headReceived bool
 	firstDataAt  time.Time
+	// framing is what ends the response to the last attempt. It is empty if the head of none has arrived.
+	framing forward.Framing
+	// events tells whether the stream of the last attempt has ended inside an event.
+	events eventBoundary
 	// failedResponse is a server error of a target, which is relayed if no other target responds.
 	failedResponse *bufferedResponse
 	// responseStarted reports whether a part of the response has been sent to the caller.
@@ -184,11 +188,12 @@
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	response, err := x.gateway.client.Send(attemptCtx, x.newAttempt(decision))
-	x.headReceived, x.firstDataAt = err == nil, time.Time{}
+	x.headReceived, x.firstDataAt, x.framing, x.events = err == nil, time.Time{}, "", eventBoundary{}
 	if err != nil {
 		return x.handleSendError(decision, err)
 	}
 	defer response.Close()
+	x.framing = response.Framing
 	x.recordRateLimit(decision, response)
 	if response.Info.NotRun {
 		return x.handleRejection(decision, response)
@@ -352,7 +357,7 @@
 // logFailedAttempt logs a failed attempt and whether the request is retried.
 func (x *exchange) logFailedAttempt(decision dispatch.Decision, outcome dispatch.Outcome, err error, retry bool) {
 	event.AttemptFailed.Log(x.gateway.logger, x.info.ID, decision.Target.Name, string(outcome), err, x.sentAttempts, retry,
-		time.Since(x.arrivedAt).Milliseconds(), x.customer, x.headReceived, x.sharedPartNames())
+		time.Since(x.arrivedAt).Milliseconds(), x.customer, x.headReceived, x.sharedPartNames(), string(x.framing))
 }
 
 // sharedPartNames returns the hashes of the prompt parts that requests of other sessions may share, for the log.
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -32,6 +32,17 @@
 	return events, splitter.lastID
 }
 
+// EndsInsideEvent reports whether a stream that arrives in chunks of chunkSize bytes ends inside an event.
+func EndsInsideEvent(stream string, chunkSize int) bool {
+	var boundary eventBoundary
+	for len(stream) > 0 {
+		chunk := stream[:min(chunkSize, len(stream))]
+		stream = stream[len(chunk):]
+		boundary.add([]byte(chunk))
+	}
+	return boundary.inside()
+}
+
 // NewSheddingListener returns a listener whose connections go through the load shedder of a gateway. The gateway uses the
 // given table, and requests of the customer count as refused for lack of capacity.
 func NewSheddingListener(g *Gateway, table *route.Table, customer string, tcpListener net.Listener) net.Listener {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -209,6 +209,7 @@
 			} else {
 				x.gateway.scheduler.dataReceived(decision.ID)
 			}
+			x.events.add((*buffer)[:n])
 			if forwardErr := x.forwardChunk((*buffer)[:n], response, resumable); forwardErr != nil {
 				return x.handleForwardError(decision, forwardErr)
 			}
@@ -305,5 +306,5 @@
 	event.RequestAnswered.Log(x.gateway.logger, x.info.ID, x.customer, x.routeName(), x.stats.targetName, x.stats.status,
 		x.sentAttempts, x.stats.queueTime.Milliseconds(), x.stats.timeToFirstByte.Milliseconds(), duration.Milliseconds(),
 		x.stats.bodyBytes, x.info.PromptTokens, x.stats.uncachedTokens, x.stats.configVersion,
-		x.stats.expectedTargetLatency.Milliseconds(), x.stats.targetLatency.Milliseconds())
+		x.stats.expectedTargetLatency.Milliseconds(), x.stats.targetLatency.Milliseconds(), string(x.framing), x.events.inside())
 }
