Reproduce streams that end inside an event and reach callers as complete

What callers saw: an answer that its engine had broken off, framed as complete. No mode of the emulated target ended an answer with its connection; Unframed and UnframedTruncated do.

--- a/internal/emulator/targetserver/server.go
+++ b/internal/emulator/targetserver/server.go
@@ -42,6 +42,11 @@
 	UnsignedSuccess
 	// Unresponsive runs requests and sends nothing until the caller disconnects.
 	Unresponsive
+	// Unframed runs requests and sends complete, signed responses without a length or chunks, which end with their connection.
+	Unframed
+	// UnframedTruncated is like Unframed, but the connection ends inside an event of a stream, without a reset, or is reset in the middle of
+	// another response. A crash ends in the same way.
+	UnframedTruncated
 )
 
 // Run records one run of a request.
@@ -63,8 +68,10 @@
 	mu      sync.Mutex
 	runs    []Run
 	running int
-	// crashPart is the part of a prompt on which the target crashes, crash what ends the target then.
+	// crashPart is the part of a prompt on which the target crashes, crashMode the mode of its last response, crash what ends the
+	// target then.
 	crashPart string
+	crashMode Mode
 	crash     func()
 	// rateLimit is the value of the header Server-Limit, empty for none.
 	rateLimit string
@@ -81,12 +88,13 @@
 // SetMode sets the mode for the requests that arrive from now on.
 func (s *Server) SetMode(mode Mode) { s.mode.Store(int32(mode)) }
 
-// CrashOn makes the target crash on each request whose prompt has a part with the given ID. It sends the head of a response and
-// then calls crash, which must close the listener and the connections of the target.
-func (s *Server) CrashOn(part string, crash func()) {
+// CrashOn makes the target crash on each request whose prompt has a part with the given ID. It sends the head of a response, in the mode
+// UnframedTruncated also the beginning of an event, and then calls crash, which must close the listener and the connections of the target.
+// Other modes do not change how it crashes.
+func (s *Server) CrashOn(part string, mode Mode, crash func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.crashPart, s.crash = part, crash
+	s.crashPart, s.crashMode, s.crash = part, mode, crash
 }
 
 // SetRateLimit sets the limit of requests per second that the target names in its answers; empty for none. It does not enforce it.
@@ -148,14 +156,30 @@
 	}
 	defer s.endRun()
 	if crash := s.crashFor(r); crash != nil {
-		w.Header().Set("X-Replica-Seal", "seal")
-		_ = http.NewResponseController(w).Flush() // The caller may have disconnected.
-		crash()
-		panic(http.ErrAbortHandler)
+		s.sendCrashingResponse(w, crash)
+		return
 	}
 	s.respond(w, r, mode)
 }
 
+// sendCrashingResponse sends the beginning of a response, ends the target with crash and then the connection.
+func (s *Server) sendCrashingResponse(w http.ResponseWriter, crash func()) {
+	w.Header().Set("X-Replica-Seal", "seal")
+	s.mu.Lock()
+	mode := s.crashMode
+	s.mu.Unlock()
+	if mode == UnframedTruncated {
+		sendUnframed(w, func(conn net.Conn) {
+			_, _ = io.WriteString(conn, "id: 1\nda") // The caller may have disconnected.
+			crash()
+		})
+		return
+	}
+	_ = http.NewResponseController(w).Flush() // The caller may have disconnected.
+	crash()
+	panic(http.ErrAbortHandler)
+}
+
 // startRun records a run and occupies a slot. It returns false if the mode is Refusing or all slots are occupied.
 func (s *Server) startRun(r *http.Request, body string, mode Mode) bool {
 	s.mu.Lock()
@@ -213,6 +237,9 @@
 	case LargeResponse, LargeTruncated:
 		sendLargeResponse(w, mode)
 		return
+	case Unframed, UnframedTruncated:
+		s.sendUnframedResponse(w, r, mode)
+		return
 	case Normal, Refusing, Truncating, RestartingStreams:
 	}
 	w.Header().Set("X-Replica-Seal", "seal")
@@ -234,13 +261,13 @@
 // sendEvents sends the events after Last-Event-Id. In the mode Truncating it closes the connection in the middle of an event.
 func (s *Server) sendEvents(w http.ResponseWriter, r *http.Request, mode Mode) {
 	w.Header().Set("Content-Type", "text/event-stream")
-	lastEvent, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	if err != nil || mode == RestartingStreams {
+	lastEvent := lastEventNumber(r)
+	if mode == RestartingStreams {
 		lastEvent = 0
 	}
 	controller := http.NewResponseController(w)
 	for number := lastEvent + 1; number <= s.eventCount; number++ {
-		text := fmt.Sprintf("id: %d\ndata: event %d\n\n", number, number)
+		text := eventText(number)
 		if mode == Truncating && number > s.eventCount/2 {
 			_, _ = io.WriteString(w, text[:len(text)/2])
 			_ = controller.Flush()
@@ -256,6 +283,18 @@
 	}
 }
 
+// lastEventNumber returns the number of the last event that the caller already has, 0 for a new stream.
+func lastEventNumber(r *http.Request) int {
+	number, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	if err != nil {
+		return 0
+	}
+	return number
+}
+
+// eventText returns the event with a number.
+func eventText(number int) string { return fmt.Sprintf("id: %d\ndata: event %d\n\n", number, number) }
+
 // sleep waits for a duration. It returns false if the caller disconnects first.
 func sleep(r *http.Request, duration time.Duration) bool {
 	timer := time.NewTimer(duration)
