Treat a stream that ends inside an event as broken off

What callers saw: an answer that its engine had broken off, framed as complete (ORDER), in the middle of an event.

Cause: an answer with neither a length nor chunks ends with its connection, and the gateway took every end without a reset as the end of a complete answer. A crashing engine may close its connections without a reset. On routes that may be resumed, the bytes after the last whole event were even added to the answer, and nobody continued it. Such an answer also cleared the records of crashes, so that a part of prompts that crashes engines was never quarantined.

An error that is lost on the way is ruled out: where connections were reset, the lines say so and callers saw a broken connection.

Now a stream must end between two events, whatever its framing, and one that ends with its connection must have had an event.

--- a/internal/emulator/targetserver/server.go
+++ b/internal/emulator/targetserver/server.go
@@ -40,13 +40,13 @@
 	RestartingStreams
 	// UnsignedSuccess runs requests and responds with status 200 without X-Replica-Seal.
 	UnsignedSuccess
-	// Unresponsive runs requests and sends nothing until the caller disconnects.
-	Unresponsive
 	// Unframed runs requests and sends complete, signed responses without a length or chunks, which end with their connection.
 	Unframed
 	// UnframedTruncated is like Unframed, but the connection ends inside an event of a stream, without a reset, or is reset in the middle of
 	// another response. A crash ends in the same way.
 	UnframedTruncated
+	// Unresponsive runs requests and sends nothing until the caller disconnects.
+	Unresponsive
 )
 
 // Run records one run of a request.
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"net"
+
+	"github.com/chicorydale/chicorydale/internal/forward"
 )
 
 // unsignedError says that a response lacks the signature of the target.
@@ -37,6 +39,21 @@
 	return fmt.Sprintf("target continued the stream with event %s after event %s", e.got, e.after)
 }
 
+// streamEndError says that a stream ended where no complete stream does.
+type streamEndError struct {
+	framing forward.Framing
+	// insideEvent is set if the stream ended inside an event, and not before its first event.
+	insideEvent bool
+}
+
+// Error implements error.
+func (e *streamEndError) Error() string {
+	if e.insideEvent {
+		return fmt.Sprintf("stream ended inside an event (framing: %s)", e.framing)
+	}
+	return fmt.Sprintf("stream ended before its first event (framing: %s)", e.framing)
+}
+
 // isTimeout reports whether err was caused by a deadline of a connection.
 func isTimeout(err error) bool {
 	var timeout net.Error
--- a/internal/gateway/eventboundary.go
+++ b/internal/gateway/eventboundary.go
@@ -1,5 +1,7 @@
 package gateway
 
+import "github.com/chicorydale/chicorydale/internal/forward"
+
 // eventBoundary follows a stream of server-sent events and tells whether its last byte is inside an event. An empty line ends an
 // event; a line ends with CR, LF or both. Its zero value is the start of a stream. It is not safe for concurrent use.
 type eventBoundary struct {
@@ -7,6 +9,8 @@
 	eventOpen, lineOpen bool
 	// isComment is set if the last line is a comment. Comments belong to no event.
 	isComment bool
+	// eventEnded is set once an event has ended.
+	eventEnded bool
 	// afterCR is set if the last byte was a CR, so that a following LF belongs to the same end of line.
 	afterCR bool
 }
@@ -21,7 +25,7 @@
 			b.endLine()
 			b.afterCR = char == '\r'
 		default:
-			b.isComment = char == ':' && !b.lineOpen || b.isComment && b.lineOpen
+			b.isComment = b.isComment || char == ':' && !b.lineOpen
 			b.lineOpen, b.afterCR = true, false
 		}
 	}
@@ -31,12 +35,22 @@
 func (b *eventBoundary) endLine() {
 	switch {
 	case !b.lineOpen:
+		b.eventEnded = b.eventEnded || b.eventOpen
 		b.eventOpen = false
 	case !b.isComment:
 		b.eventOpen = true
 	}
-	b.lineOpen = false
+	b.lineOpen, b.isComment = false, false
 }
 
 // inside reports whether the stream so far ends inside an event or a line.
 func (b *eventBoundary) inside() bool { return b.eventOpen || b.lineOpen }
+
+// checkEnd returns a *streamEndError if a stream with the given framing was broken off, as far as its bytes show: it ended inside an
+// event, or its connection ended before the first one.
+func (b *eventBoundary) checkEnd(framing forward.Framing) error {
+	if b.inside() || framing == forward.FramedByConnection && !b.eventEnded {
+		return &streamEndError{framing: framing, insideEvent: b.inside()}
+	}
+	return nil
+}
--- a/internal/gateway/eventsplitter.go
+++ b/internal/gateway/eventsplitter.go
@@ -44,8 +44,7 @@
 	return events, nil
 }
 
-// takeRest returns and removes the bytes after the last complete event. They belong to the stream if it has ended without
-// an error.
+// takeRest returns and removes the bytes after the last complete event: empty lines and comments, if the stream is complete.
 func (s *eventSplitter) takeRest() []byte {
 	rest := s.pending
 	s.pending = nil
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -215,7 +215,9 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return x.finishStream(decision, response, first)
+			if err = x.events.checkEnd(response.Framing); err == nil {
+				return x.finishStream(decision, response, first)
+			}
 		}
 		if err != nil {
 			return x.handleBrokenAttempt(decision, err)
