Treat an answer that its target's crash ended as broken off

After an answer that ended with its connection, the gateway now opens a connection to the target, which a later request uses. A target that refuses it has crashed, and the attempt is broken. A time-out shows nothing and does not count. It delays only the end of answers without length and chunks, by a round trip, at most 100 ms. Ruled out: taking every such answer for incomplete, since a complete booking would then be reported as unknown.

--- a/internal/emulator/targetserver/server.go
+++ b/internal/emulator/targetserver/server.go
@@ -89,8 +89,8 @@
 func (s *Server) SetMode(mode Mode) { s.mode.Store(int32(mode)) }
 
 // CrashOn makes the target crash on each request whose prompt has a part with the given ID. It sends the head of a response, in the mode
-// UnframedTruncated also the beginning of an event, and then calls crash, which must close the listener and the connections of the target.
-// Other modes do not change how it crashes.
+// UnframedTruncated also the beginning of an event, and in the mode Unframed the first event or a half of another response. Then it calls
+// crash, which must close the listener and the connections of the target. Other modes do not change how it crashes.
 func (s *Server) CrashOn(part string, mode Mode, crash func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -168,11 +168,8 @@
 	s.mu.Lock()
 	mode := s.crashMode
 	s.mu.Unlock()
-	if mode == UnframedTruncated {
-		sendUnframed(w, func(conn net.Conn) {
-			_, _ = io.WriteString(conn, "id: 1\nda") // The caller may have disconnected.
-			crash()
-		})
+	if mode == Unframed || mode == UnframedTruncated {
+		sendUnframedCrash(w, s.crashingText(mode), crash)
 		return
 	}
 	_ = http.NewResponseController(w).Flush() // The caller may have disconnected.
@@ -180,6 +177,18 @@
 	panic(http.ErrAbortHandler)
 }
 
+// crashingText returns what an unframed response holds that a crash ends.
+func (s *Server) crashingText(mode Mode) string {
+	switch {
+	case s.eventCount == 0:
+		return "answ"
+	case mode == UnframedTruncated:
+		return "id: 1\nda"
+	default:
+		return eventText(1)
+	}
+}
+
 // startRun records a run and occupies a slot. It returns false if the mode is Refusing or all slots are occupied.
 func (s *Server) startRun(r *http.Request, body string, mode Mode) bool {
 	s.mu.Lock()
--- a/internal/emulator/targetserver/unframed.go
+++ b/internal/emulator/targetserver/unframed.go
@@ -27,6 +27,14 @@
 	writeBody(conn)
 }
 
+// sendUnframedCrash sends a response without a length or chunks that the crash of the target ends after the text.
+func sendUnframedCrash(w http.ResponseWriter, text string, crash func()) {
+	sendUnframed(w, func(conn net.Conn) {
+		_, _ = io.WriteString(conn, text) // The caller may have disconnected.
+		crash()
+	})
+}
+
 // sendUnframedResponse sends the response to a request without a length or chunks. In the mode UnframedTruncated it breaks it off.
 func (s *Server) sendUnframedResponse(w http.ResponseWriter, r *http.Request, mode Mode) {
 	w.Header().Set("X-Replica-Seal", "seal")
--- a/internal/gateway/crashdetector.go
+++ b/internal/gateway/crashdetector.go
@@ -22,6 +22,9 @@
 	// probeRepeatTime is the time after a probe in which further broken attempts at the same start of a target do not cause
 	// another probe.
 	probeRepeatTime = 200 * time.Millisecond
+	// maxEndCheckTime limits the time that the end of an answer is held up for the check whether the target has crashed. A round trip
+	// between regions takes about 25 ms.
+	maxEndCheckTime = 100 * time.Millisecond
 )
 
 // targetStart identifies one start of a target.
@@ -82,6 +85,17 @@
 	}
 }
 
+// checkEnd returns a *crashedEndError if the target of an answer that ended with its connection accepts no new connection: the
+// answer was broken off by the crash then. The opened connection replaces the one that has ended.
+func (d *crashDetector) checkEnd(ctx context.Context, target dispatch.Target) error {
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(maxEndCheckTime))
+	defer cancel()
+	if err := d.client.Probe(ctx, target.Name, target.Address); errors.Is(err, syscall.ECONNREFUSED) {
+		return &crashedEndError{cause: err}
+	}
+	return nil
+}
+
 // probe opens a connection to a target and records a crash if the target accepts none.
 func (d *crashDetector) probe(target dispatch.Target, start targetStart) {
 	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(probeTimeout))
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -54,6 +54,17 @@
 	return fmt.Sprintf("stream ended before its first event (framing: %s)", e.framing)
 }
 
+// crashedEndError says that an answer ended with its connection and that its target accepts no new one.
+type crashedEndError struct{ cause error }
+
+// Error implements error.
+func (e *crashedEndError) Error() string {
+	return fmt.Sprintf("answer ended as its target crashed: %v", e.cause)
+}
+
+// Unwrap returns the cause.
+func (e *crashedEndError) Unwrap() error { return e.cause }
+
 // isTimeout reports whether err was caused by a deadline of a connection.
 func isTimeout(err error) bool {
 	var timeout net.Error
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -52,6 +52,9 @@
 	x.gateway.scheduler.firstByteReceived(decision.ID, response.Info.Load)
 	x.recordFirstByte()
 	body, err := bufferBody(response)
+	if err == nil {
+		err = x.checkAnswerEnd(decision, response)
+	}
 	switch {
 	case errors.Is(err, errResponseTooLarge) && !claimsNotRun(response.StatusCode):
 		x.relayLarge(decision, response, body)
@@ -93,6 +96,9 @@
 	source := &errorRecorder{Reader: io.MultiReader(bytes.NewReader(buffered), response)}
 	written, err := io.Copy(x.w, source)
 	x.stats.bodyBytes, x.stats.status = written, response.StatusCode
+	if err == nil {
+		source.err = x.checkAnswerEnd(decision, response)
+	}
 	switch {
 	case source.err != nil:
 		x.finishAttempt(decision, dispatch.Broken)
@@ -215,7 +221,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			if err = x.events.checkEnd(response.Framing); err == nil {
+			if err = x.checkStreamEnd(decision, response); err == nil {
 				return x.finishStream(decision, response, first)
 			}
 		}
@@ -225,6 +231,23 @@
 	}
 }
 
+// checkStreamEnd returns an error if a stream that has ended was broken off.
+func (x *exchange) checkStreamEnd(decision dispatch.Decision, response *forward.Response) error {
+	if err := x.events.checkEnd(response.Framing); err != nil {
+		return err
+	}
+	return x.checkAnswerEnd(decision, response)
+}
+
+// checkAnswerEnd returns an error if an answer that has ended was broken off by a crash of its target. Only the end of a connection can
+// be due to a crash.
+func (x *exchange) checkAnswerEnd(decision dispatch.Decision, response *forward.Response) error {
+	if response.Framing != forward.FramedByConnection || response.StatusCode/100 != 2 {
+		return nil
+	}
+	return x.gateway.crashes.checkEnd(x.r.Context(), decision.Target)
+}
+
 // finishStream completes the response after the target has sent its stream completely. empty reports whether the stream
 // had no bytes. finishStream always returns false, because the request needs no other target.
 func (x *exchange) finishStream(decision dispatch.Decision, response *forward.Response, empty bool) bool {
