Reset the connection of an HTTP/1.0 caller whose response is broken off

The caller then had half an answer that looks complete. Callers with HTTP/1.1 are not concerned, as the last chunk is missing.

--- a/internal/gateway/disconnect.go
+++ b/internal/gateway/disconnect.go
@@ -34,3 +34,11 @@
 	})
 	return err != nil || disconnected
 }
+
+// resetOnClose makes the connection of a request end with a reset when it is closed, given the request's context. If this fails, it
+// ends without one.
+func resetOnClose(ctx context.Context) {
+	if conn, ok := ctx.Value(connContextKey{}).(interface{ SetLinger(seconds int) error }); ok {
+		_ = conn.SetLinger(0)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -255,6 +255,10 @@
 	if err, ok := value.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
 		event.Panicked.Log(x.gateway.logger, fmt.Sprint(value), stackTrace())
 	}
+	if !x.r.ProtoAtLeast(1, 1) {
+		// HTTP/1.0 has no chunks, so the response of a closed connection would look complete.
+		resetOnClose(x.r.Context())
+	}
 	panic(http.ErrAbortHandler)
 }
 
