Log the software version of targets and which stream a caller takes up

The lines of the record could not tell a stream that goes on at another version within one answer from one that a caller takes up, nor either from a router that knows a wrong version. 501, 605 and 607 have now build, the version of the target's software; 605 has resumes, the id that the caller names in Resumes. No decision changes.

--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -13,6 +13,8 @@
 	Address string
 	// Service is the name of the service that the target belongs to.
 	Service string
+	// Build is the version of the target's software, empty if it is not known.
+	Build string
 	// Zone is the availability zone of the target.
 	Zone string
 	// Region is the region of the availability zone.
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -74,7 +74,7 @@
 
 // Events of the targets.
 var (
-	TargetAdded   = Event{501, levelInfo, "target_added", []string{"target", "pool"}}
+	TargetAdded   = Event{501, levelInfo, "target_added", []string{"target", "pool", "build"}}
 	TargetLeaving = Event{502, levelInfo, "target_leaving", []string{"target"}}
 	TargetGone    = Event{503, levelInfo, "target_gone", []string{"target"}}
 	TargetCrashed = Event{504, levelWarn, "target_crashed", []string{"target", "error"}}
@@ -90,14 +90,15 @@
 
 	RequestAnswered = Event{605, levelInfo, "request_answered", []string{
 		"id", "customer", "route", "target", "status", "sent", "waited_ms", "first_ms", "took_ms", "bytes", "prompt",
-		"missing", "version", "expected_ms", "target_ms", "framing", "partial",
+		"missing", "version", "expected_ms", "target_ms", "framing", "partial", "build",
+		"resumes",
 	}}
 	RequestRefused = Event{606, levelInfo, "request_refused", []string{
 		"id", "customer", "route", "code", "reason", "ran", "status", "retry_ms", "waited_ms", "took_ms", "sent", "version",
 		"config_age_ms",
 	}}
 	AttemptFailed = Event{607, levelInfo, "attempt_failed", []string{
-		"id", "target", "outcome", "error", "sent", "again", "took_ms", "customer", "head", "parts", "framing",
+		"id", "target", "outcome", "error", "sent", "again", "took_ms", "customer", "head", "parts", "framing", "build",
 	}}
 	CallerLeft     = Event{608, levelInfo, "caller_left", []string{"id", "target", "took_ms"}}
 	StreamBroken   = Event{609, levelInfo, "stream_broken", []string{"id", "target", "bytes", "error"}}
--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -17,6 +17,10 @@
 	APIKey string
 	// Deadline is the time until which the caller waits for the response. It is zero if the caller did not state one.
 	Deadline time.Time
+	// LastEventID is the ID of the last event that the caller has of a stream that it takes up, and empty for a new stream.
+	LastEventID string
+	// ResumedID is the ID of the request that brought the first event of that stream, or empty if the caller did not state it.
+	ResumedID string
 	// PromptParts are the parts at the beginning of the prompt that other requests may share, in order.
 	PromptParts []dispatch.Part
 	// PromptTokens is the length of the prompt, MaxOutputTokens the maximum number of tokens to generate.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -72,6 +72,8 @@
 type exchangeStats struct {
 	configVersion uint64
 	targetName    string
+	// targetBuild is the version of that target's software.
+	targetBuild string
 	// queueTime is the total time that the request waited for decisions of the dispatcher.
 	queueTime time.Duration
 	// timeToFirstByte is the time from the arrival of the request to the first byte of a response of a target.
@@ -170,7 +172,7 @@
 // recordDecision records a decision for the log and returns it.
 func (x *exchange) recordDecision(decision dispatch.Decision) dispatch.Decision {
 	x.stats.queueTime += decision.Waited
-	x.stats.targetName = decision.Target.Name
+	x.stats.targetName, x.stats.targetBuild = decision.Target.Name, decision.Target.Build
 	x.stats.uncachedTokens = decision.PrefillTokens
 	x.stats.decidedAt = time.Now()
 	x.stats.expectedTargetLatency = decision.ExpectedFirstByte.Sub(x.stats.decidedAt)
@@ -357,7 +359,7 @@
 // logFailedAttempt logs a failed attempt and whether the request is retried.
 func (x *exchange) logFailedAttempt(decision dispatch.Decision, outcome dispatch.Outcome, err error, retry bool) {
 	event.AttemptFailed.Log(x.gateway.logger, x.info.ID, decision.Target.Name, string(outcome), err, x.sentAttempts, retry,
-		time.Since(x.arrivedAt).Milliseconds(), x.customer, x.headReceived, x.sharedPartNames(), string(x.framing))
+		time.Since(x.arrivedAt).Milliseconds(), x.customer, x.headReceived, x.sharedPartNames(), string(x.framing), decision.Target.Build)
 }
 
 // sharedPartNames returns the hashes of the prompt parts that requests of other sessions may share, for the log.
--- a/internal/gateway/targetdirectory.go
+++ b/internal/gateway/targetdirectory.go
@@ -99,7 +99,7 @@
 		changed = true
 		switch {
 		case !known:
-			event.TargetAdded.Log(d.logger, target.Name, target.Zone+"/"+target.Service)
+			event.TargetAdded.Log(d.logger, target.Name, target.Zone+"/"+target.Service, target.Build)
 		case target.Leaving && !previous.Leaving:
 			event.TargetLeaving.Log(d.logger, target.Name)
 		}
