--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -147,6 +147,7 @@
 		}
 		bound = append(bound, actual)
 	}
+	g.peers.ownRecord.Address = bound[3].String()
 	return Addresses{Caller: bound[0], Ready: bound[1], Metrics: bound[2], Link: bound[3]}, nil
 }
 
