Continue a stream within an answer only at the software version that began it

What callers saw: a stream whose first events are of one software version and the others of another, within one answer.

Cause: no code read the version in a target's record, so that a router continued a stream that its target had broken off at any other target of the service.

The dispatcher knows the build of targets now, and a request that continues a stream names the only one that may run it. In services of which decisions look at a sample, such a request looks at all targets, since the sample may hold none of the version. It does not hold up other requests of its customer that may go to any target. Where no target of the version is listed, the stream is broken off at once. Ruled out: waiting for a target of the version, since the caller may take the stream up later.

Streams that callers take up are still open.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -247,7 +247,7 @@
 	for s.queue.length > 0 {
 		decided := false
 		for _, rank := range d.customersByRank(now, s) {
-			if qr := s.queue.nextFor(now, rank.customer); d.tryAssign(now, s, qr) {
+			if d.assignNext(now, s, rank.customer) {
 				decided = true
 				break
 			}
@@ -258,6 +258,20 @@
 	}
 }
 
+// assignNext gives a waiting request of a customer a target, and reports whether a decision was made. A request that may only go to
+// targets of one build does not hold up those behind it.
+func (d *Dispatcher) assignNext(now time.Time, s *service, customer string) bool {
+	next := s.queue.nextFor(now, customer)
+	if d.tryAssign(now, s, next) {
+		return true
+	}
+	if next.request.Build == "" {
+		return false
+	}
+	other := s.queue.nextForAnyBuild(now, customer)
+	return other != nil && d.tryAssign(now, s, other)
+}
+
 // tryAssign gives a request a target if one has capacity, and reports whether a decision was made. If none has, a customer below its
 // share and a retry may use the headroom, so that they do not depend on which router learns first of a free slot. While requests
 // compete for capacity, a request whose answer would miss its objective is refused instead. This does not apply to a retry: its
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -77,16 +77,33 @@
 // nextFor returns the customer's request to serve next: the one with the earliest wait deadline that has not passed, or the
 // first in the queue if all have passed. The customer must have a waiting request.
 func (q *requestQueue) nextFor(now time.Time, customer string) *queuedRequest {
-	var urgent *queuedRequest
+	return mostUrgent(now, q.byCustomer[customer])
+}
+
+// nextForAnyBuild is like nextFor for the requests that may go to targets of any build. It returns nil if there are none.
+func (q *requestQueue) nextForAnyBuild(now time.Time, customer string) *queuedRequest {
+	var unbound []*queuedRequest
 	for _, qr := range q.byCustomer[customer] {
+		if qr.request.Build == "" {
+			unbound = append(unbound, qr)
+		}
+	}
+	return mostUrgent(now, unbound)
+}
+
+// mostUrgent returns the request with the earliest wait deadline that has not passed, the first one if all have passed, and nil if there
+// is none.
+func mostUrgent(now time.Time, requests []*queuedRequest) *queuedRequest {
+	var urgent *queuedRequest
+	for _, qr := range requests {
 		if now.Before(qr.waitDeadline) && (urgent == nil || qr.waitDeadline.Before(urgent.waitDeadline)) {
 			urgent = qr
 		}
 	}
-	if urgent != nil {
-		return urgent
+	if urgent == nil && len(requests) > 0 {
+		return requests[0]
 	}
-	return q.byCustomer[customer][0]
+	return urgent
 }
 
 // newestFor returns the newest request of a customer that is not a retry, or nil if it has none.
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Part is a section of a prompt that several requests may share.
 type Part struct {
@@ -30,6 +33,14 @@
 	Deadline time.Time
 	// ExcludedTargets are the names of the targets that the request must not be sent to, because it was sent there before.
 	ExcludedTargets []string
+	// Build is the version of the target's software that must run the request, because it continues a stream that a target of
+	// that version began. It is empty if any target may run the request.
+	Build string
+}
+
+// allows reports whether the request may go to a target.
+func (r *Request) allows(target *Target) bool {
+	return (r.Build == "" || r.Build == target.Build) && !slices.Contains(r.ExcludedTargets, target.Name)
 }
 
 // sessionPartID returns the ID of the part that belongs to the request's session, or 0 if there are no parts.
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -80,9 +80,10 @@
 // usesSampling reports whether decisions look only at a sample of the targets.
 func (s *service) usesSampling() bool { return len(s.targets) > maxScannedTargets }
 
-// candidates returns the targets to look at for a request.
+// candidates returns the targets to look at for a request. A sample may lack the targets of the only version that a request may go to,
+// so such a request, which is rare, looks at all targets.
 func (s *service) candidates(request *Request) []*targetState {
-	if s.usesSampling() {
+	if s.usesSampling() && request.Build == "" {
 		return s.sampler.selectCandidates(request)
 	}
 	return s.targets
@@ -95,11 +96,11 @@
 	}
 }
 
-// hasTargetFor reports whether the service has a target that accepts requests and is not excluded for this one, even if that
-// target is full or unhealthy.
+// hasTargetFor reports whether the service has a target that accepts requests and that this one may go to, even if that target
+// is full or unhealthy.
 func (s *service) hasTargetFor(request *Request) bool {
 	for _, state := range s.targets {
-		if !state.Leaving && !isExcluded(request, state.Name) {
+		if !state.Leaving && request.allows(&state.Target) {
 			return true
 		}
 	}
@@ -181,7 +182,7 @@
 		if state.Leaving || !state.hasFreeSlot(now, extra) || !s.hasShortBacklog(now, state, extra) || !state.rateLimit.allows(now) {
 			continue
 		}
-		if !isExcluded(request, state.Name) && (!healthyOnly || state.isHealthy(now)) {
+		if request.allows(&state.Target) && (!healthyOnly || state.isHealthy(now)) {
 			s.eligible = append(s.eligible, state)
 		}
 	}
@@ -191,7 +192,7 @@
 // anyHealthy reports whether any of the targets that a request may go to is healthy.
 func anyHealthy(now time.Time, candidates []*targetState, request *Request) bool {
 	for _, state := range candidates {
-		if !state.Leaving && !isExcluded(request, state.Name) && state.isHealthy(now) {
+		if !state.Leaving && request.allows(&state.Target) && state.isHealthy(now) {
 			return true
 		}
 	}
@@ -286,13 +287,3 @@
 	}
 	return best
 }
-
-// isExcluded reports whether a request must not go to a target.
-func isExcluded(request *Request, name string) bool {
-	for _, excluded := range request.ExcludedTargets {
-		if excluded == name {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -127,6 +127,9 @@
 			return
 		}
 		x.splitter.resume()
+		if x.responseStarted {
+			request.Build = decision.Target.Build
+		}
 		request.ExcludedTargets = append(slices.Clone(request.ExcludedTargets), decision.Target.Name)
 		pending = x.gateway.scheduler.resubmit(pending.id, request)
 	}
