Let a stream that a caller takes up go on only at the software version that began it

Cause: a stream that is taken up was a new request with the id of an event. No router kept where a stream had begun, and the one that a caller reaches is mostly another one. Ruled out: engines that start again under an id or address with another version; in the operator's log each start has a new id, which the request names.

Each router records service and build of a stream before its first event can arrive, and tells its peers (all up to 16, else three). A router that does not know a stream asks its peers. Only if nobody knows it and several builds serve, or did until recently, is it refused, with 503 and Retry-After. A request that takes up a stream has the rights of a retry in the queue, but not against its customer's share.

--- a/internal/dispatch/build_test.go
+++ b/internal/dispatch/build_test.go
@@ -72,3 +72,20 @@
 	qt.Assert(t, decision.Refusal == nil, qt.IsTrue)
 	qt.Check(t, decision.Target.Build, qt.Equals, "new")
 }
+
+// TestResumedRequestMayBeLate guards against refusing a request that takes up an answer for the objective of its first byte, which its caller
+// has had long ago, while a new request would be refused.
+func TestResumedRequestMayBeLate(t *testing.T) {
+	for _, resumed := range []bool{false, true} {
+		d := dispatch.New(routerLocality, 1)
+		const targets = 8
+		d.SetTargets(startTime, newTargets(targets, 1))
+		for i := range targets - 1 {
+			submitOne(t, d, startTime, newRequest(startTime, "c", uint64(200+i)))
+		}
+		request := newRequest(startTime, "c", 100)
+		request.Objective, request.Resumed = startTime.Add(time.Millisecond), resumed
+		decision := submitOne(t, d, startTime, request)
+		qt.Check(t, decision.Refusal == nil, qt.Equals, resumed)
+	}
+}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -17,6 +17,9 @@
 	isRetry bool
 }
 
+// mayHavePart reports whether the caller may already have a part of the answer.
+func (qr *queuedRequest) mayHavePart() bool { return qr.isRetry || qr.request.Resumed }
+
 // requestQueue holds the waiting requests of a service by customer.
 type requestQueue struct {
 	byCustomer map[string][]*queuedRequest
@@ -28,10 +31,10 @@
 	return &requestQueue{byCustomer: make(map[string][]*queuedRequest)}
 }
 
-// add appends a request to its customer's requests. A retry is put first.
+// add appends a request to its customer's requests. One whose caller may have a part of the answer is put first.
 func (q *requestQueue) add(qr *queuedRequest) {
 	customer := qr.request.Customer
-	if qr.isRetry {
+	if qr.mayHavePart() {
 		q.byCustomer[customer] = slices.Insert(q.byCustomer[customer], 0, qr)
 	} else {
 		q.byCustomer[customer] = append(q.byCustomer[customer], qr)
@@ -106,10 +109,10 @@
 	return urgent
 }
 
-// newestFor returns the newest request of a customer that is not a retry, or nil if it has none.
+// newestFor returns the newest request of a customer whose caller has no part of the answer, or nil if it has none.
 func (q *requestQueue) newestFor(customer string) *queuedRequest {
 	for _, qr := range slices.Backward(q.byCustomer[customer]) {
-		if !qr.isRetry {
+		if !qr.mayHavePart() {
 			return qr
 		}
 	}
--- a/internal/dispatch/refuse.go
+++ b/internal/dispatch/refuse.go
@@ -21,8 +21,8 @@
 )
 
 // shedExcess refuses the waiting requests beyond the queue limit, which could not be served in time. It takes the newest
-// requests of the customer that ranks last, which is the one with the highest usage among those of the lowest priority. Retries
-// stay: their callers may already have a part of the answer.
+// requests of the customer that ranks last, which is the one with the highest usage among those of the lowest priority. Those
+// whose callers may already have a part of the answer stay.
 func (d *Dispatcher) shedExcess(now time.Time, s *service) {
 	for s.queue.length > s.queueLimit(now) {
 		victim := d.requestToShed(now, s)
@@ -34,7 +34,7 @@
 	}
 }
 
-// requestToShed returns the waiting request to refuse first, or nil if only retries wait.
+// requestToShed returns the waiting request to refuse first, or nil if the callers of all may have a part of their answers.
 func (d *Dispatcher) requestToShed(now time.Time, s *service) *queuedRequest {
 	for _, rank := range slices.Backward(d.customersByRank(now, s)) {
 		if newest := s.queue.newestFor(rank.customer); newest != nil {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -36,6 +36,8 @@
 	// Build is the version of the target's software that must run the request, because it continues a stream that a target of
 	// that version began. It is empty if any target may run the request.
 	Build string
+	// Resumed is set if the caller already has a part of the answer, from an earlier request.
+	Resumed bool
 }
 
 // allows reports whether the request may go to a target.
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -25,7 +25,7 @@
 	fetchSpeedup   = 2
 	// maxQueueDelay is the time within which queued requests should get a target. It limits the length of the queue.
 	maxQueueDelay = 200 * time.Millisecond
-	// maxRetryWait limits the time for which a retry may wait.
+	// maxRetryWait limits the time for which a retry or a resumed request may wait.
 	maxRetryWait = 700 * time.Millisecond
 	// maxWaitFraction limits the time for which a request may wait, as a fraction of the time to its objective.
 	// minWaitFraction is the fraction that it may wait even if the answer is likely to be late.
@@ -109,10 +109,10 @@
 
 // waitDeadline returns the time until which a request may wait and still meet its objective. It assumes that the request's
 // shared parts are cached. The wait is at least minWaitFraction and at most maxWaitFraction of the time to the objective. A
-// retry may wait for maxRetryWait regardless of its objective, up to its deadline.
+// request whose caller may have a part of the answer may wait for maxRetryWait regardless of its objective, up to its deadline.
 func (s *service) waitDeadline(now time.Time, qr *queuedRequest) time.Time {
 	request := &qr.request
-	if qr.isRetry {
+	if qr.mayHavePart() {
 		return now.Add(min(maxRetryWait, max(request.Deadline.Sub(now), 0)))
 	}
 	uncachedTokens := request.PromptTokens
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -41,7 +41,9 @@
 	customer   string
 	priority   int
 	service    string
-	body       []byte
+	// build is the version of the targets' software at which a stream has to go on, and empty if any target may run the request.
+	build string
+	body  []byte
 	// fingerprints identify the whole request and the shared parts of its prompt.
 	fingerprints []uint64
 	// deadline is the time by which the response must be complete.
@@ -106,6 +108,10 @@
 		x.refuse(refusalErr)
 		return
 	}
+	if refusalErr := x.findOrigin(ctx); refusalErr != nil {
+		x.refuse(refusalErr)
+		return
+	}
 	request := x.dispatchRequest()
 	pending := x.gateway.scheduler.submit(request)
 	for {
@@ -144,6 +150,8 @@
 		PromptTokens:    x.info.PromptTokens,
 		MaxOutputTokens: x.info.MaxOutputTokens,
 		Priority:        x.priority,
+		Build:           x.build,
+		Resumed:         x.takesUpStream(),
 		Objective:       x.arrivedAt.Add(x.route.LatencyObjective),
 		Deadline:        x.deadline,
 	}
@@ -190,6 +198,7 @@
 		x.abortDisconnected()
 		return false
 	}
+	x.recordOrigin(decision)
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	response, err := x.gateway.client.Send(attemptCtx, x.newAttempt(decision))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,6 +57,7 @@
 	targets         *targetDirectory
 	client          *forward.Client
 	suspects        *suspects
+	origins         *streamOrigins
 	quarantines     *quarantineStore
 	crashes         *crashDetector
 	retryBudgets    *retryBudgets
@@ -88,6 +89,7 @@
 	metrics := metric.New()
 	lateness := new(latenessMeter)
 	budgets := newRetryBudgets(settings.RetryRatio, settings.RetryReserve)
+	origins := newStreamOrigins(logger)
 	suspects := newSuspects(quarantine.New(quarantine.DefaultLimits(), settings.Seed), logger)
 	g := &Gateway{
 		settings:        settings,
@@ -100,15 +102,16 @@
 		},
 		scheduler: scheduler,
 		targets: &targetDirectory{
-			decode: adapters.DecodeTarget, logger: logger, registry: registry.New(), scheduler: scheduler, client: client,
+			decode: adapters.DecodeTarget, logger: logger, registry: registry.New(), scheduler: scheduler, origins: origins, client: client,
 		},
 		client:       client,
 		suspects:     suspects,
+		origins:      origins,
 		quarantines:  &quarantineStore{topic: adapters.QuarantineTopic, suspects: suspects, logger: logger},
 		crashes:      newCrashDetector(client, logger, suspects.recordCrash),
 		retryBudgets: budgets,
 		callerConns:  newCallerConns(settings.MaxOpenFiles),
-		peers:        newPeerLinks(settings, adapters.RouterTopic, logger, metrics, linkUsers{scheduler, suspects, budgets, lateness}),
+		peers:        newPeerLinks(settings, adapters.RouterTopic, logger, metrics, linkUsers{scheduler, suspects, origins, budgets, lateness}),
 		lateness:     lateness,
 
 		refusalLog:    newRefusalLog(logger),
--- a/internal/gateway/peerlinks.go
+++ b/internal/gateway/peerlinks.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -44,12 +45,13 @@
 type linkUsers struct {
 	scheduler *scheduler
 	suspects  *suspects
+	origins   *streamOrigins
 	budgets   *retryBudgets
 	lateness  *latenessMeter
 }
 
-// peerLinks manages the links to other routers. Over these links, routers exchange the messages of their dispatchers and crash
-// records, and share reads of the store.
+// peerLinks manages the links to other routers. Over these links, routers exchange the messages of their dispatchers, crash
+// records and the origins of streams, and share reads of the store.
 type peerLinks struct {
 	linkUsers
 
@@ -200,7 +202,7 @@
 	}
 }
 
-// handleLinkEvent passes a change or the messages of a link on to the topic sharing, the suspects and the dispatcher.
+// handleLinkEvent passes a change or the messages of a link on to the topic sharing, the suspects, the origins of streams and the dispatcher.
 func (p *peerLinks) handleLinkEvent(linkEvent link.Event) {
 	switch {
 	case linkEvent.Connected:
@@ -208,6 +210,7 @@
 		p.lastSent[linkEvent.Peer] = time.Now()
 		p.sharing.peerConnected(linkEvent.Peer, linkEvent.Zone == p.ownRecord.Zone)
 		p.suspects.peerConnected(linkEvent.Peer)
+		p.origins.peerConnected(linkEvent.Peer, linkEvent.Zone)
 		p.scheduler.withDispatcher(func(dispatcher *dispatch.Dispatcher, now time.Time) {
 			dispatcher.AddPeer(now, dispatch.Peer{Name: linkEvent.Peer, Region: linkEvent.Region, Zone: linkEvent.Zone})
 		})
@@ -216,6 +219,7 @@
 		delete(p.lastSent, linkEvent.Peer)
 		p.sharing.peerDisconnected(linkEvent.Peer)
 		p.suspects.peerDisconnected(linkEvent.Peer)
+		p.origins.peerDisconnected(linkEvent.Peer)
 		p.scheduler.withDispatcher(func(dispatcher *dispatch.Dispatcher, now time.Time) { dispatcher.RemovePeer(now, linkEvent.Peer) })
 	case linkEvent.ConnectFailed:
 	default:
@@ -228,6 +232,7 @@
 	others := bodies[:0]
 	for _, body := range bodies {
 		switch {
+		case p.origins.receive(from, body):
 		case body.GetTopicRead() != nil:
 			p.sharing.handleTopicRead(time.Now(), from, body.GetTopicRead())
 		case body.GetTopicPage() != nil:
@@ -248,11 +253,11 @@
 	})
 }
 
-// sendDue answers held reads, sends crash records and the dispatcher's messages, and sends heartbeats to peers that were sent
+// sendDue answers held reads, sends crash records, origins of streams and the dispatcher's messages, and sends heartbeats to peers that were sent
 // nothing else.
 func (p *peerLinks) sendDue(now time.Time) {
 	p.sharing.answerDue(now)
-	for _, envelope := range p.suspects.tick() {
+	for _, envelope := range slices.Concat(p.suspects.tick(), p.origins.tick()) {
 		p.hub.Send(envelope.To, []*fleetpb.Body{envelope.Body})
 		p.lastSent[envelope.To] = now
 	}
--- /dev/null
+++ b/internal/gateway/streamorigins.go
@@ -0,0 +1,207 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/chicorydale/chicorydale/internal/dispatch"
+	"github.com/chicorydale/chicorydale/internal/event"
+	"github.com/chicorydale/chicorydale/internal/fleetpb"
+	"github.com/chicorydale/chicorydale/internal/message"
+	"github.com/chicorydale/chicorydale/internal/origin"
+	"github.com/chicorydale/chicorydale/internal/refusal"
+	"github.com/chicorydale/chicorydale/internal/route"
+)
+
+const (
+	// maxOriginWait limits the time that a request waits for the answers of peers. A round trip between regions takes about 25 ms, and
+	// messages wait for a tick at both ends.
+	maxOriginWait = 200 * time.Millisecond
+	// originRetention is how long after the deadline of a request a caller may still take up its stream.
+	originRetention = 15 * time.Second
+)
+
+// streamOrigins makes a directory of the origins of streams safe for concurrent use and waits for the answers of peers.
+type streamOrigins struct {
+	logger zerolog.Logger
+
+	mu        sync.Mutex
+	directory *origin.Directory
+	builds    *origin.Builds
+	// waiters holds the channels to close when the question for a stream has ended.
+	waiters map[origin.StreamID][]chan struct{}
+}
+
+// newStreamOrigins returns streamOrigins that know no stream.
+func newStreamOrigins(logger zerolog.Logger) *streamOrigins {
+	return &streamOrigins{
+		logger: logger, directory: origin.New(), builds: origin.NewBuilds(), waiters: make(map[origin.StreamID][]chan struct{}),
+	}
+}
+
+// withDirectory calls action with exclusive access to the directory and the current time, and wakes those whose questions have ended.
+func (s *streamOrigins) withDirectory(action func(directory *origin.Directory, now time.Time)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	action(s.directory, time.Now())
+	for _, stream := range s.directory.TakeAnswered() {
+		for _, waiter := range s.waiters[stream] {
+			close(waiter)
+		}
+		delete(s.waiters, stream)
+	}
+}
+
+// record records the origin of a stream that is sent to a target.
+func (s *streamOrigins) record(stream origin.StreamID, from origin.Origin, expiresAt time.Time) {
+	s.withDirectory(func(directory *origin.Directory, now time.Time) { directory.Record(now, stream, from, expiresAt) })
+}
+
+// find returns the origin of a stream, and whether it is known. It asks the peers if this router does not know it.
+func (s *streamOrigins) find(ctx context.Context, stream origin.StreamID) (origin.Origin, bool) {
+	var from origin.Origin
+	var known bool
+	var answered chan struct{}
+	s.withDirectory(func(directory *origin.Directory, now time.Time) {
+		if from, known = directory.Find(now, stream); !known && directory.Ask(stream) > 0 {
+			answered = make(chan struct{})
+			s.waiters[stream] = append(s.waiters[stream], answered)
+		}
+	})
+	if answered == nil {
+		return from, known
+	}
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(maxOriginWait))
+	defer cancel()
+	select {
+	case <-answered:
+	case <-ctx.Done():
+	}
+	s.withDirectory(func(directory *origin.Directory, now time.Time) {
+		s.removeWaiter(stream, answered)
+		from, known = directory.Find(now, stream)
+	})
+	return from, known
+}
+
+// removeWaiter removes a waiter, and ends the question when nobody waits for its answer. The caller must hold s.mu.
+func (s *streamOrigins) removeWaiter(stream origin.StreamID, waiter chan struct{}) {
+	waiting, found := s.waiters[stream]
+	if !found {
+		return
+	}
+	waiting = slices.DeleteFunc(waiting, func(other chan struct{}) bool { return other == waiter })
+	if len(waiting) == 0 {
+		delete(s.waiters, stream)
+		s.directory.EndQuestion(stream)
+		return
+	}
+	s.waiters[stream] = waiting
+}
+
+// receive handles a message of a peer and reports whether it concerns the origins of streams.
+func (s *streamOrigins) receive(from string, body *fleetpb.Body) bool {
+	received, query := body.GetStreamOrigins(), body.GetStreamOriginQuery()
+	if received == nil && query == nil {
+		return false
+	}
+	invalid := 0
+	s.withDirectory(func(directory *origin.Directory, now time.Time) {
+		invalid = directory.ReceiveOrigins(now, from, received)
+		directory.ReceiveQuery(now, from, query)
+	})
+	if invalid > 0 {
+		event.RecordInvalid.Log(s.logger, "stream origins", from, fmt.Sprintf("%d of %d records", invalid, len(received.GetOrigins())))
+	}
+	return true
+}
+
+// peerConnected starts to share origins with a peer.
+func (s *streamOrigins) peerConnected(peer, zone string) {
+	s.withDirectory(func(directory *origin.Directory, now time.Time) { directory.Connected(now, peer, zone) })
+}
+
+// peerDisconnected stops to share origins with a peer.
+func (s *streamOrigins) peerDisconnected(peer string) {
+	s.withDirectory(func(directory *origin.Directory, _ time.Time) { directory.Disconnected(peer) })
+}
+
+// tick returns the messages to peers that are due.
+func (s *streamOrigins) tick() []message.Envelope {
+	var envelopes []message.Envelope
+	s.withDirectory(func(directory *origin.Directory, now time.Time) { envelopes = directory.Tick(now) })
+	return envelopes
+}
+
+// setTargets records the builds of the listed targets.
+func (s *streamOrigins) setTargets(targets []dispatch.Target) {
+	listed := make([]origin.Origin, 0, len(targets))
+	for i := range targets {
+		listed = append(listed, origin.Origin{Service: targets[i].Service, Build: targets[i].Build})
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.builds.Set(time.Now(), listed)
+}
+
+// onlyBuild returns the build of all targets that a service has or had until recently. It is empty if they have several, or if there
+// are none.
+func (s *streamOrigins) onlyBuild(service string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if builds := s.builds.Of(time.Now(), service); len(builds) == 1 {
+		return builds[0]
+	}
+	return ""
+}
+
+// streamID returns the ID of the stream that the request begins or takes up.
+func (x *exchange) streamID() origin.StreamID {
+	if x.takesUpStream() && x.info.ResumedID != "" {
+		return origin.NewStreamID(x.info.ResumedID)
+	}
+	return origin.NewStreamID(x.info.ID)
+}
+
+// takesUpStream reports whether the caller takes up a stream of which it has a part.
+func (x *exchange) takesUpStream() bool {
+	return x.route.Kind == route.ResumableStream && x.info.LastEventID != ""
+}
+
+// findOrigin sets the service and the build at which a stream that the caller takes up has to go on. It returns a refusal if they are not known.
+func (x *exchange) findOrigin(ctx context.Context) *refusal.Error {
+	if !x.takesUpStream() {
+		return nil
+	}
+	var from origin.Origin
+	known := false
+	if x.info.ResumedID != "" {
+		from, known = x.gateway.origins.find(ctx, x.streamID())
+	}
+	if known {
+		x.build = from.Build
+		if x.route.Serves(from.Service) {
+			x.service = from.Service
+		}
+		return nil
+	}
+	if x.build = x.gateway.origins.onlyBuild(x.service); x.build != "" {
+		return nil
+	}
+	return refusal.New(refusal.NoTarget, "no router knows at which software version the stream began").
+		WithRetryAt(time.Now().Add(retryAfter))
+}
+
+// recordOrigin records that the target of a decision is about to begin the stream, or to continue it for the caller.
+func (x *exchange) recordOrigin(decision dispatch.Decision) {
+	if x.route.Kind != route.ResumableStream || x.responseStarted {
+		return
+	}
+	from := origin.Origin{Service: decision.Target.Service, Build: decision.Target.Build}
+	x.gateway.origins.record(x.streamID(), from, x.deadline.Add(originRetention))
+}
--- a/internal/gateway/targetdirectory.go
+++ b/internal/gateway/targetdirectory.go
@@ -19,6 +19,7 @@
 	logger    zerolog.Logger
 	registry  *registry.Registry
 	scheduler *scheduler
+	origins   *streamOrigins
 	client    *forward.Client
 	// known holds the targets that were passed on last, by name.
 	known map[string]dispatch.Target
@@ -77,6 +78,7 @@
 	if !d.recordTargets(targets) {
 		return
 	}
+	d.origins.setTargets(targets)
 	d.scheduler.withDispatcher(func(dispatcher *dispatch.Dispatcher, now time.Time) { dispatcher.SetTargets(now, targets) })
 	present := make(map[string]bool, len(targets))
 	for _, target := range targets {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -49,6 +50,11 @@
 	return service
 }
 
+// Serves reports whether a split with a positive weight sends requests to the service.
+func (r *Route) Serves(service string) bool {
+	return slices.ContainsFunc(r.Splits, func(split Split) bool { return split.Service == service && split.Weight > 0 })
+}
+
 // rendezvousScore returns the score of a split in weighted rendezvous hashing. Over many keys, a split has the highest score
 // in proportion to its weight.
 func rendezvousScore(split Split, affinityKey uint64) float64 {
