Fetch parts of prompts only from caches of the same software version

A target was told to fetch what another one keeps of a prompt, whatever the versions of the two, and goes on from what the other has written. Services of a single version are not concerned. TestNoCacheIsFetchedFromAnotherBuild failed before.

--- a/internal/dispatch/build_test.go
+++ b/internal/dispatch/build_test.go
@@ -89,3 +89,19 @@
 		qt.Check(t, decision.Refusal == nil, qt.Equals, resumed)
 	}
 }
+
+// TestNoCacheIsFetchedFromAnotherBuild guards against a target that goes on from the KV cache that another software version has written.
+func TestNoCacheIsFetchedFromAnotherBuild(t *testing.T) {
+	for _, build := range []string{"old", "new"} {
+		d := dispatch.New(routerLocality, 1)
+		d.SetTargets(startTime, withBuilds(newTargets(4, 4), 2))
+		first := submitOne(t, d, startTime, newBoundRequest(startTime, "old"))
+		d.RecordFirstByte(startTime.Add(50*time.Millisecond), first.ID, nil)
+		second := newBoundRequest(startTime.Add(100*time.Millisecond), build)
+		second.ExcludedTargets = []string{first.Target.Name}
+		decision := submitOne(t, d, startTime.Add(100*time.Millisecond), second)
+		qt.Assert(t, decision.Refusal == nil, qt.IsTrue)
+		qt.Check(t, decision.CacheSource != "", qt.Equals, build == "old", qt.Commentf("%s", build))
+		qt.Check(t, decision.PrefillTokens < second.PromptTokens, qt.Equals, build == "old", qt.Commentf("%s", build))
+	}
+}
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -65,6 +65,8 @@
 	sampleOffset int
 	// eligible is the result of the last call of eligibleTargets. Its memory is reused by the next call.
 	eligible []*targetState
+	// holders are the cache holders of the request that is being decided on, one for each build. Their memory is reused.
+	holders []cacheHolder
 	// activities holds what the customers' requests did since the last report, by customer.
 	activities map[string]*activity
 }
@@ -150,20 +152,22 @@
 	if len(eligible) == 0 {
 		return selection{}, false
 	}
-	home, holder, heldTokens := s.homeTarget(own, request), (*targetState)(nil), 0
-	if home != nil {
-		holder, heldTokens = bestCacheHolder(now, own, candidates, request)
-	}
+	home := s.homeTarget(own, request)
+	s.holders = s.holders[:0]
 	best := selection{cost: math.Inf(1)}
 	for _, state := range eligible {
+		var holder cacheHolder
+		if home != nil {
+			holder = s.cacheHolderFor(now, own, state.Build, candidates, request)
+		}
 		candidate := selection{target: state, prefillTokens: request.PromptTokens - state.cachedTokens(now, request.Parts)}
-		if extraTokens := heldTokens - (request.PromptTokens - candidate.prefillTokens); extraTokens >= minFetchTokens {
+		if extraTokens := holder.tokens - (request.PromptTokens - candidate.prefillTokens); extraTokens >= minFetchTokens {
 			candidate.prefillTokens -= extraTokens - extraTokens/fetchSpeedup
-			candidate.cacheSource = holder.Address
+			candidate.cacheSource = holder.target.Address
 		}
 		candidate.prefillTokens = max(candidate.prefillTokens, 0)
 		candidate.cost = s.targetCost(now, own, state, candidate.prefillTokens)
-		if heldTokens == 0 && state == home {
+		if holder.tokens == 0 && state == home {
 			candidate.cost -= homeTargetBonus
 		}
 		if candidate.cost < best.cost {
@@ -235,23 +239,6 @@
 	return state.backlog(now, s.readSpeed) <= extra.backlogLimit(maxBacklogSeconds*s.readSpeed)
 }
 
-// bestCacheHolder returns the healthy target that has most of a request's prompt in its cache, and the number of cached
-// tokens. Among equals it returns the one with the lowest network cost. The target is nil if none has any.
-func bestCacheHolder(now time.Time, own Locality, candidates []*targetState, request *Request) (*targetState, int) {
-	var best *targetState
-	heldTokens, bestCost := 0, 0.0
-	for _, state := range candidates {
-		cachedTokens := state.cachedTokens(now, request.Parts)
-		if cachedTokens == 0 || !state.isHealthy(now) {
-			continue
-		}
-		if cost := own.networkCost(&state.Target); cachedTokens > heldTokens || cachedTokens == heldTokens && cost < bestCost {
-			best, heldTokens, bestCost = state, cachedTokens, cost
-		}
-	}
-	return best, heldTokens
-}
-
 // targetCost returns the cost of a target in seconds: the predicted time to the first byte, the network cost, and penalties
 // for failures, occupied slots and a cold start.
 func (s *service) targetCost(now time.Time, own Locality, state *targetState, prefillTokens int) float64 {
