Wait for the removal of a session before a peer is dialled again

Cause: the stack of the process, taken with SIGQUIT to the computing thread, shows the dial loop of a link. It waits until the session with the peer is closed and then looks again; a session is closed before it is removed from the hub, and its removal waits while the reader of the events is slow, as after a freeze. Until then the loop went round without a pause, and where a thread is not interrupted the removal never came.

A session tells now when it was removed or replaced, and the loop waits for that. TestBlockedEventsCostNoProcessorTime failed before (502 ms of processor time in 500 ms).

--- a/internal/link/hub.go
+++ b/internal/link/hub.go
@@ -239,6 +239,7 @@
 	h.sessions[candidate.peer] = candidate
 	h.mu.Unlock()
 	if existing != nil {
+		close(existing.removed)
 		existing.close()
 		h.emit(Event{Peer: candidate.peer, Disconnected: true})
 	}
@@ -260,6 +261,7 @@
 	}
 	h.mu.Unlock()
 	if current {
+		close(s.removed)
 		h.emit(Event{Peer: s.peer, Disconnected: true, Released: released})
 	}
 }
@@ -344,7 +346,7 @@
 			}
 		} else {
 			select {
-			case <-current.closed:
+			case <-current.removed:
 			case <-ctx.Done():
 			}
 			continue
--- a/internal/link/hub_test.go
+++ b/internal/link/hub_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sys/unix"
 
 	"github.com/chicorydale/chicorydale/internal/fleetpb"
 	"github.com/chicorydale/chicorydale/internal/link"
@@ -181,3 +182,42 @@
 	awaitEvent(t, a, func(e link.Event) bool { return e.ConnectFailed })
 	qt.Assert(t, b.DroppedCount() > 0, qt.IsTrue)
 }
+
+// processorTime returns the processor time that this process has used.
+func processorTime(t *testing.T) time.Duration {
+	t.Helper()
+	var usage unix.Rusage
+	qt.Assert(t, unix.Getrusage(unix.RUSAGE_SELF, &usage), qt.IsNil)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// TestBlockedEventsCostNoProcessorTime guards against a dial loop that never stops computing while a session has ended and its end cannot
+// be reported, because the reader of the events is slow.
+func TestBlockedEventsCostNoProcessorTime(t *testing.T) {
+	const (
+		messages = 3000
+		observed = 500 * time.Millisecond
+	)
+	dialling, diallingPeer := startHub(t, "a", 1, "r")
+	slow, slowPeer := startHub(t, "b", 2, "r")
+	dialling.SetPeers([]string{"b"}, []link.Peer{slowPeer})
+	nextEvent(t, dialling)
+	nextEvent(t, slow)
+	slow.SetPeers([]string{"a"}, []link.Peer{diallingPeer})
+	for i := range messages {
+		dialling.Send("b", []*fleetpb.Body{heartbeat(uint64(i))})
+	}
+	// Nobody reads the events of the slow hub, so they fill up. Then the peer ends, and sending to it fails.
+	for len(slow.Events()) < cap(slow.Events()) {
+		time.Sleep(time.Millisecond)
+	}
+	dialling.Close()
+	for range 100 {
+		slow.Send("a", []*fleetpb.Body{heartbeat(0)})
+		time.Sleep(time.Millisecond)
+	}
+	before := processorTime(t)
+	time.Sleep(observed)
+	used := processorTime(t) - before
+	qt.Check(t, used < observed/5, qt.IsTrue, qt.Commentf("%v of processor time in %v", used, observed))
+}
--- a/internal/link/session.go
+++ b/internal/link/session.go
@@ -37,7 +37,10 @@
 	cancel    context.CancelFunc
 	closeOnce sync.Once
 	// closed is closed when the session ends.
-	closed      chan struct{}
+	closed chan struct{}
+	// removed is closed when the hub has removed or replaced the session. That is later than closed while the end of the session
+	// cannot be reported.
+	removed     chan struct{}
 	releaseOnce sync.Once
 	// released is closed when this router no longer needs the session.
 	released chan struct{}
@@ -55,6 +58,7 @@
 		outgoing:    make(chan *fleetpb.Packet, maxQueuedPackets),
 		cancel:      cancel,
 		closed:      make(chan struct{}),
+		removed:     make(chan struct{}),
 		released:    make(chan struct{}),
 	}
 }
