Limit what a target may send before the body of its response

The client read a status line, headers, informational responses and late responses to other requests without a limit, so that memory grew until the deadline of the request.

--- a/internal/forward/client_test.go
+++ b/internal/forward/client_test.go
@@ -277,3 +277,47 @@
 	qt.Check(t, errors.As(err, &timeout) && timeout.Timeout(), qt.IsTrue)
 	qt.Check(t, time.Since(startedAt) < 2*time.Second, qt.IsTrue)
 }
+
+// writeEndless writes a text again and again until the client closes the connection, at most limit bytes, and returns how many it has
+// written.
+func writeEndless(conn net.Conn, text string, limit int) int {
+	written := 0
+	for written < limit {
+		n, err := io.WriteString(conn, text)
+		written += n
+		if err != nil {
+			break
+		}
+	}
+	return written
+}
+
+// TestEndlessHead guards against a target whose response has no end before its body begins: memory that grows with all that it sends, and
+// processor time until the deadline of the request.
+func TestEndlessHead(t *testing.T) {
+	const (
+		sendLimit  = 64 << 20
+		acceptable = 4 << 20 // The client reads 256 KiB; the rest is in socket buffers.
+	)
+	line := strings.Repeat("x", 1000)
+	for name, text := range map[string]string{
+		"status line":   line,
+		"header":        "X-" + line + ": y\r\n",
+		"informational": "HTTP/1.1 103 Early Hints\r\nX: " + line + "\r\n\r\n",
+		"late response": "late " + line,
+	} {
+		prefix := map[string]string{
+			"status line": "HTTP/1.1 200 ", "header": "HTTP/1.1 200 OK\r\nId: r1\r\n", "late response": "HTTP/1.1 200 OK\r\nId: r0\r\nContent-Length: 999999999\r\n\r\n",
+		}[name]
+		sent := make(chan int, 1)
+		target := newTestTarget(t, func(conn net.Conn, _ int, _ string) bool {
+			writeRaw(conn, prefix)
+			sent <- writeEndless(conn, text, sendLimit)
+			return false
+		})
+		_, err := sendAndRead(t, forward.NewClient(codec{}), newAttempt(target, "r1"))
+		qt.Check(t, err, qt.Not(qt.IsNil), qt.Commentf("%s", name))
+		bytes := <-sent
+		qt.Check(t, bytes <= acceptable, qt.IsTrue, qt.Commentf("%s: the target sent %d bytes", name, bytes))
+	}
+}
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -19,6 +19,8 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// budget limits the bytes that are read before the body of the response.
+	budget *readBudget
 	// reused is set if the connection has carried a request before.
 	reused bool
 	// idleDeadline is when the idle connection must no longer be reused, because the target may close it. It is zero until the
@@ -32,7 +34,8 @@
 
 // newConn wraps an open network connection.
 func newConn(netConn net.Conn) *conn {
-	return &conn{Conn: netConn, reader: bufio.NewReaderSize(netConn, readBufferSize)}
+	budget := &readBudget{reader: netConn}
+	return &conn{Conn: netConn, reader: bufio.NewReaderSize(budget, readBufferSize), budget: budget}
 }
 
 // checkReusable returns an error if an idle connection cannot carry another request. It peeks into the socket without blocking:
--- a/internal/forward/errors.go
+++ b/internal/forward/errors.go
@@ -34,6 +34,17 @@
 // Unwrap returns the cause.
 func (e *OutcomeUnknownError) Unwrap() error { return e.Cause }
 
+// HeadTooLongError reports a target that sent too much before the body of its response.
+type HeadTooLongError struct {
+	// Limit is the number of bytes that it may send.
+	Limit int
+}
+
+// Error returns the limit.
+func (e *HeadTooLongError) Error() string {
+	return fmt.Sprintf("no response body began within %d bytes", e.Limit)
+}
+
 // UnmatchedResponsesError reports that a connection carried only responses to other requests.
 type UnmatchedResponsesError struct {
 	// Count is the number of these responses.
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -30,8 +30,10 @@
 }
 
 // readHead reads the head of the response to an attempt. It skips informational responses, and up to maxSkippedResponses
-// responses to earlier requests, which a target may send late.
+// responses to earlier requests, which a target may send late. All of it must have maxHeadBytes at most.
 func (r *Response) readHead(attempt *Attempt) error {
+	r.conn.budget.limit(maxHeadBytes)
+	defer r.conn.budget.unlimit()
 	request := &http.Request{Method: attempt.Method}
 	for skipped := 0; ; {
 		response, err := http.ReadResponse(r.conn.reader, request) //nolint:bodyclose // Response.Close keeps or closes the connection.
