Break off a stream with an event without end

An event without end was collected in memory on routes that may be resumed, and passed on until the deadline on others; its callers got no event at all. Bodies that are no streams are passed through without being held, as before.

--- a/internal/emulator/targetserver/server.go
+++ b/internal/emulator/targetserver/server.go
@@ -47,6 +47,9 @@
 	UnframedTruncated
 	// Unresponsive runs requests and sends nothing until the caller disconnects.
 	Unresponsive
+	// EndlessEvent runs requests and sends streams whose first event has no end, until the caller closes the connection. It is not for
+	// other responses.
+	EndlessEvent
 )
 
 // Run records one run of a request.
@@ -75,6 +78,8 @@
 	crash     func()
 	// rateLimit is the value of the header Server-Limit, empty for none.
 	rateLimit string
+	// endlessBytes is the number of bytes that were sent in the mode EndlessEvent.
+	endlessBytes int
 	// abandonedStreams counts the streams that ended because the caller disconnected.
 	abandonedStreams int
 }
@@ -249,6 +254,9 @@
 	case Unframed, UnframedTruncated:
 		s.sendUnframedResponse(w, r, mode)
 		return
+	case EndlessEvent:
+		s.sendEndlessEvent(w)
+		return
 	case Normal, Refusing, Truncating, RestartingStreams:
 	}
 	w.Header().Set("X-Replica-Seal", "seal")
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -54,6 +54,14 @@
 	return fmt.Sprintf("stream ended before its first event (framing: %s)", e.framing)
 }
 
+// eventTooLongError says that an event of a stream is larger than maxEventBytes.
+type eventTooLongError struct{}
+
+// Error implements error.
+func (*eventTooLongError) Error() string {
+	return fmt.Sprintf("stream has an event of more than %d bytes", maxEventBytes)
+}
+
 // crashedEndError says that an answer ended with its connection and that its target accepts no new one.
 type crashedEndError struct{ cause error }
 
--- a/internal/gateway/eventboundary.go
+++ b/internal/gateway/eventboundary.go
@@ -2,11 +2,16 @@
 
 import "github.com/chicorydale/chicorydale/internal/forward"
 
+// maxEventBytes is the maximum size of an event. A stream with a larger one is broken off.
+const maxEventBytes = 256 << 10
+
 // eventBoundary follows a stream of server-sent events and tells whether its last byte is inside an event. An empty line ends an
 // event; a line ends with CR, LF or both. Its zero value is the start of a stream. It is not safe for concurrent use.
 type eventBoundary struct {
 	// eventOpen is set after the first line of an event until its end, lineOpen inside a line.
 	eventOpen, lineOpen bool
+	// eventBytes is the number of bytes since the last event ended.
+	eventBytes int
 	// isComment is set if the last line is a comment. Comments belong to no event.
 	isComment bool
 	// eventEnded is set once an event has ended.
@@ -15,9 +20,10 @@
 	afterCR bool
 }
 
-// add takes the next bytes of the stream.
-func (b *eventBoundary) add(data []byte) {
+// add takes the next bytes of the stream. It returns an *eventTooLongError if an event is too long.
+func (b *eventBoundary) add(data []byte) error {
 	for _, char := range data {
+		b.eventBytes++
 		switch {
 		case char == '\n' && b.afterCR:
 			b.afterCR = false
@@ -29,6 +35,10 @@
 			b.lineOpen, b.afterCR = true, false
 		}
 	}
+	if b.eventBytes > maxEventBytes {
+		return &eventTooLongError{}
+	}
+	return nil
 }
 
 // endLine handles the end of a line.
@@ -36,7 +46,7 @@
 	switch {
 	case !b.lineOpen:
 		b.eventEnded = b.eventEnded || b.eventOpen
-		b.eventOpen = false
+		b.eventOpen, b.eventBytes = false, 0
 	case !b.isComment:
 		b.eventOpen = true
 	}
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -38,7 +38,7 @@
 	for len(stream) > 0 {
 		chunk := stream[:min(chunkSize, len(stream))]
 		stream = stream[len(chunk):]
-		boundary.add([]byte(chunk))
+		_ = boundary.add([]byte(chunk)) // The tests' events are short.
 	}
 	return boundary.inside()
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -207,15 +207,11 @@
 		}
 		n, err := response.Read(*buffer)
 		if n > 0 {
-			if first {
-				x.firstDataAt = time.Now()
-				x.gateway.scheduler.firstByteReceived(decision.ID, load)
-				x.recordFirstByte()
-				first = false
-			} else {
-				x.gateway.scheduler.dataReceived(decision.ID)
+			x.recordStreamData(decision, load, first)
+			first = false
+			if eventErr := x.events.add((*buffer)[:n]); eventErr != nil {
+				return x.handleBrokenAttempt(decision, eventErr)
 			}
-			x.events.add((*buffer)[:n])
 			if forwardErr := x.forwardChunk((*buffer)[:n], response, resumable); forwardErr != nil {
 				return x.handleForwardError(decision, forwardErr)
 			}
@@ -231,6 +227,17 @@
 	}
 }
 
+// recordStreamData records that data of a stream has arrived.
+func (x *exchange) recordStreamData(decision dispatch.Decision, load *dispatch.Load, first bool) {
+	if !first {
+		x.gateway.scheduler.dataReceived(decision.ID)
+		return
+	}
+	x.firstDataAt = time.Now()
+	x.gateway.scheduler.firstByteReceived(decision.ID, load)
+	x.recordFirstByte()
+}
+
 // checkStreamEnd returns an error if a stream that has ended was broken off.
 func (x *exchange) checkStreamEnd(decision dispatch.Decision, response *forward.Response) error {
 	if err := x.events.checkEnd(response.Framing); err != nil {
