--- a/internal/emulator/targetserver/server.go
+++ b/internal/emulator/targetserver/server.go
@@ -76,6 +76,8 @@
 	crashPart string
 	crashMode Mode
 	crash     func()
+	// eventSuffix is the end of the text of each event.
+	eventSuffix string
 	// rateLimit is the value of the header Server-Limit, empty for none.
 	rateLimit string
 	// endlessBytes is the number of bytes that were sent in the mode EndlessEvent.
@@ -90,6 +92,13 @@
 	return &Server{name: name, slots: slots, eventCount: eventCount, eventInterval: eventInterval}
 }
 
+// NameBuild makes the target name a version of its software in each event.
+func (s *Server) NameBuild(build string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.eventSuffix = " of " + build
+}
+
 // SetMode sets the mode for the requests that arrive from now on.
 func (s *Server) SetMode(mode Mode) { s.mode.Store(int32(mode)) }
 
@@ -190,7 +199,7 @@
 	case mode == UnframedTruncated:
 		return "id: 1\nda"
 	default:
-		return eventText(1)
+		return s.eventText(1)
 	}
 }
 
@@ -284,7 +293,7 @@
 	}
 	controller := http.NewResponseController(w)
 	for number := lastEvent + 1; number <= s.eventCount; number++ {
-		text := eventText(number)
+		text := s.eventText(number)
 		if mode == Truncating && number > s.eventCount/2 {
 			_, _ = io.WriteString(w, text[:len(text)/2])
 			_ = controller.Flush()
@@ -310,7 +319,9 @@
 }
 
 // eventText returns the event with a number.
-func eventText(number int) string { return fmt.Sprintf("id: %d\ndata: event %d\n\n", number, number) }
+func (s *Server) eventText(number int) string {
+	return fmt.Sprintf("id: %d\ndata: event %d%s\n\n", number, number, s.eventSuffix)
+}
 
 // sleep waits for a duration. It returns false if the caller disconnects first.
 func sleep(r *http.Request, duration time.Duration) bool {
--- a/internal/emulator/targetserver/unframed.go
+++ b/internal/emulator/targetserver/unframed.go
@@ -56,7 +56,7 @@
 // writeUnframedEvents writes the events after lastEvent, in the mode UnframedTruncated only a part of them.
 func (s *Server) writeUnframedEvents(conn net.Conn, lastEvent int, mode Mode) {
 	for number := lastEvent + 1; number <= s.eventCount; number++ {
-		text := eventText(number)
+		text := s.eventText(number)
 		if mode == UnframedTruncated && number > s.eventCount/2 {
 			_, _ = io.WriteString(conn, text[:len(text)/2])
 			return
