Split the membership tracker and the hub of links by their jobs

Heartbeats and the computation of the view leave tracker.go, dialling and the run of a session leave hub.go. Only declarations moved, with the constants that belong to them; no logic is changed. Linter and the tests of both packages with the race detector pass.

--- a/internal/link/hub.go
+++ b/internal/link/hub.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"sync"
 	"time"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/chicorydale/chicorydale/internal/fleetpb"
 )
@@ -17,14 +15,9 @@
 // ProtocolVersion is the version in each packet. Packets of other versions are counted and dropped.
 const ProtocolVersion = 1
 
-// Timeouts and intervals of sessions.
-const (
-	// ReceiveTimeout is the time without a received packet after which a session is ended; heartbeats come every 500 ms. It also
-	// bounds the time to open a session.
-	ReceiveTimeout = 2 * time.Second
-	// redialDelay is the pause between two attempts to open a session with a peer.
-	redialDelay = 500 * time.Millisecond
-)
+// ReceiveTimeout is the time without a received packet after which a session is ended; heartbeats come every 500 ms. It also
+// bounds the time to open a session.
+const ReceiveTimeout = 2 * time.Second
 
 // maxPacketBytes is the maximum size of a packet. It is several times that of a configuration of 5,800 customers.
 const maxPacketBytes = 16 << 20
@@ -273,147 +266,3 @@
 	case <-h.ctx.Done():
 	}
 }
-
-// runSession sends and receives packets until the session ends, and then unregisters it.
-func (h *Hub) runSession(ctx context.Context, s *session, stream packetStream) {
-	var receiveErr error
-	defer func() { h.unregister(s, errors.Is(receiveErr, io.EOF) || s.wasReleased()) }()
-	go s.sendLoop(stream, h.recorder)
-	packets := make(chan *fleetpb.Packet)
-	receiveErrs := make(chan error, 1)
-	go receiveLoop(ctx, stream, packets, receiveErrs)
-	receiveTimer := time.NewTimer(ReceiveTimeout)
-	defer receiveTimer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-receiveTimer.C:
-			return
-		case receiveErr = <-receiveErrs:
-			return
-		case packet := <-packets:
-			receiveTimer.Reset(ReceiveTimeout)
-			h.deliver(s, packet)
-		}
-	}
-}
-
-// receiveLoop receives packets until the stream ends, and then sends the error. The channel of packets must be unbuffered, so
-// that the error is read after the last packet.
-func receiveLoop(ctx context.Context, stream packetStream, packets chan<- *fleetpb.Packet, receiveErrs chan<- error) {
-	for {
-		packet, err := stream.Recv()
-		if err != nil {
-			receiveErrs <- err
-			return
-		}
-		select {
-		case packets <- packet:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// deliver emits the messages of a packet. It drops those of a replaced session, so that no message of a former incarnation comes
-// after the Connected event of the next one.
-func (h *Hub) deliver(s *session, packet *fleetpb.Packet) {
-	if packet.GetVersion() != ProtocolVersion {
-		h.countDropped()
-		return
-	}
-	h.eventMu.Lock()
-	defer h.eventMu.Unlock()
-	h.mu.Lock()
-	current := h.sessions[s.peer] == s
-	h.mu.Unlock()
-	if current && len(packet.GetBodies()) > 0 {
-		h.emit(Event{Peer: s.peer, Bodies: packet.GetBodies()})
-	}
-}
-
-// dialLoop opens a session with a peer whenever there is none. It ends when the peer is no longer wanted or ctx is cancelled.
-func (h *Hub) dialLoop(ctx context.Context, name string) {
-	for ctx.Err() == nil {
-		h.mu.Lock()
-		peer := h.peers[name]
-		current := h.sessions[name]
-		h.mu.Unlock()
-		if current == nil {
-			if err := h.dial(ctx, peer); err != nil && ctx.Err() == nil {
-				h.emit(Event{Peer: name, ConnectFailed: true})
-			}
-		} else {
-			select {
-			case <-current.removed:
-			case <-ctx.Done():
-			}
-			continue
-		}
-		if !h.isWanted(name) {
-			return
-		}
-		select {
-		case <-time.After(redialDelay):
-		case <-ctx.Done():
-		}
-	}
-}
-
-// isWanted reports whether this router keeps a session with a peer open.
-func (h *Hub) isWanted(name string) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	_, dialling := h.cancelDial[name]
-	return dialling
-}
-
-// dial opens one session and runs it until it ends. It returns an error if it could not open one, but nil if another session
-// with the peer takes precedence.
-func (h *Hub) dial(ctx context.Context, peer Peer) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	conn, err := grpc.NewClient("passthrough:///"+peer.Address,
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithInitialWindowSize(windowBytes), grpc.WithInitialConnWindowSize(windowBytes),
-		grpc.WithReadBufferSize(connBufferBytes), grpc.WithWriteBufferSize(connBufferBytes),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxPacketBytes), grpc.MaxCallSendMsgSize(maxPacketBytes)))
-	if err != nil {
-		return err
-	}
-	defer conn.Close() //nolint:errcheck // Nothing can be done about a failed close.
-	openTimer := time.AfterFunc(ReceiveTimeout, cancel)
-	stream, err := fleetpb.NewFleetClient(conn).Link(ctx)
-	if err != nil {
-		return err
-	}
-	if err := stream.Send(h.helloPacket(peer.Name)); err != nil {
-		return err
-	}
-	firstPacket, err := stream.Recv()
-	if err != nil {
-		if h.hasSession(peer.Name) {
-			return nil
-		}
-		return err
-	}
-	openTimer.Stop()
-	if firstPacket.GetHello().GetHost() != peer.Name {
-		h.countDropped()
-		return errors.New("hello at the peer's address comes from another host")
-	}
-	opened := newSession(firstPacket.GetHello(), true, peer.Region != h.self.Region, cancel)
-	if !h.register(opened) {
-		return nil
-	}
-	h.runSession(ctx, opened, stream)
-	return nil
-}
-
-// hasSession reports whether there is a session with a peer.
-func (h *Hub) hasSession(name string) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.sessions[name] != nil
-}
--- a/internal/membership/tracker.go
+++ b/internal/membership/tracker.go
@@ -13,17 +13,12 @@
 )
 
 const (
-	// heartbeatInterval is the time between heartbeats to a peer that gets no other messages.
-	heartbeatInterval = 500 * time.Millisecond
 	// silenceTimeout is the time without a message from a peer after which the peer is down.
 	silenceTimeout = 2 * time.Second
 	// hostListFetchDelay is the time for which the host list may be older than a peer's before it is fetched from the peer. A
 	// list of 6,100 hosts takes hundreds of kilobytes, routers usually get it from the platform within seconds, and leaving
 	// marks do not depend on it.
 	hostListFetchDelay = 3 * time.Second
-	// busyHeartbeatInterval is the time between heartbeats to a peer that gets other messages. It is shorter than
-	// silenceTimeout, so that the versions and times in heartbeats are never older than that.
-	busyHeartbeatInterval = 1500 * time.Millisecond
 	// hostListFetchInterval is the least time between two requests for the host list.
 	hostListFetchInterval = time.Second
 	// unlistedMarkRetention is the time for which marks of hosts that are not in the host list are kept.
@@ -274,47 +269,12 @@
 	}
 }
 
-// heartbeatMessage returns a heartbeat with the current status.
-func (t *Tracker) heartbeatMessage() *fleetpb.Body {
-	return &fleetpb.Body{Kind: &fleetpb.Body_Heartbeat{Heartbeat: &fleetpb.Heartbeat{
-		Leaving:       t.leaving,
-		ConfigVersion: t.configStatus.ConfigVersion,
-		ConfigOffset:  t.configStatus.ConfigOffset,
-		HostsVersion:  t.hostList.Version,
-		ReadAt:        t.configStatus.ReadAt,
-	}}}
-}
-
 // heartbeatStatus holds the contents of heartbeats that peers must learn without delay if they change.
 type heartbeatStatus struct {
 	leaving                        bool
 	configVersion, hostListVersion uint64
 }
 
-// takeStatusChange reports whether the status has changed since the last heartbeats, and records the current one as sent.
-func (t *Tracker) takeStatusChange() bool {
-	status := heartbeatStatus{
-		leaving: t.leaving, configVersion: t.configStatus.ConfigVersion, hostListVersion: t.hostList.Version,
-	}
-	changed := status != t.lastStatus
-	t.lastStatus = status
-	return changed
-}
-
-// Sent records that messages were sent to a peer. Within heartbeatInterval they replace a heartbeat.
-func (t *Tracker) Sent(now time.Time, name string) {
-	if peer := t.peers[name]; peer != nil {
-		peer.lastSent = now
-	}
-}
-
-// Received records that a message from a peer with a session arrived, of whatever kind.
-func (t *Tracker) Received(now time.Time, name string) {
-	if peer := t.peers[name]; peer != nil && peer.connected {
-		peer.lastReceived = now
-	}
-}
-
 // enqueue adds a message to the outbox.
 func (t *Tracker) enqueue(to string, body *fleetpb.Body) {
 	t.outbox = append(t.outbox, message.Envelope{To: to, Body: body})
@@ -353,72 +313,5 @@
 	return choice[t.random.IntN(len(choice))], true
 }
 
-// View returns the current view. It is computed again only after a change.
-func (t *Tracker) View() View {
-	if t.viewOutdated {
-		t.view, t.viewOutdated = t.computeView(), false
-		t.viewGeneration++
-	}
-	return t.view
-}
-
-// ViewGeneration returns the number of views computed so far. It changes if and only if View returns a new view.
-func (t *Tracker) ViewGeneration() uint64 {
-	t.View()
-	return t.viewGeneration
-}
-
-// computeView combines the host list with the states of its hosts.
-func (t *Tracker) computeView() View {
-	routers := make([]Router, 0, len(t.hostList.Hosts)+1)
-	targets := make([]Target, 0, len(t.hostList.Hosts))
-	selfListed := false
-	for _, entry := range t.hostList.Hosts {
-		leaving := entry.Leaving || t.hostState(entry.Name).leaving
-		if entry.Role != external.RoleRouter {
-			targets = append(targets, Target{
-				Name: entry.Name, IsService: entry.Role == external.RoleService, Region: entry.Region, Zone: entry.Zone,
-				Address: entry.Address, Model: entry.Model, Slots: entry.Slots, Leaving: leaving, Fenced: entry.Fenced,
-			})
-			continue
-		}
-		router := Router{
-			Name: entry.Name, Region: entry.Region, Zone: entry.Zone, LinkAddress: entry.LinkAddress, State: t.routerState(entry.Name),
-		}
-		if leaving || entry.Name == t.self.Name && t.leaving {
-			router.State = Leaving
-		}
-		selfListed = selfListed || entry.Name == t.self.Name
-		routers = append(routers, router)
-	}
-	if !selfListed {
-		routers = append(routers, t.unlistedSelf(len(routers) == 0))
-	}
-	return NewView(t.self.Name, routers, targets)
-}
-
 // formatIncarnation formats a router's incarnation as a decimal string, the form of incarnations in load reports and marks.
 func formatIncarnation(incarnation uint64) string { return strconv.FormatUint(incarnation, 10) }
-
-// unlistedSelf returns this router for a host list that does not contain it. Its state is Down, so that it holds no roles,
-// because no other router would send it requests for them. If the list holds no routers at all, its state is Up.
-func (t *Tracker) unlistedSelf(onlyRouter bool) Router {
-	self := t.self
-	switch {
-	case t.leaving:
-		self.State = Leaving
-	case onlyRouter:
-		self.State = Up
-	default:
-		self.State = Down
-	}
-	return self
-}
-
-// routerState returns the state of a listed router as of the last tick, without leaving marks. This router itself is Up.
-func (t *Tracker) routerState(name string) State {
-	if state, known := t.lastStates[name]; known && name != t.self.Name {
-		return state
-	}
-	return Up
-}
