Do not take an own delay for the silence of a target

Cause: the timeout of a dial passed while the process had no processor time.

TestDelayedProcessIsNoSilentTarget fails without the check; TestOwnDelayDoesNotBlockTarget fails if the outcome blocks the target as before.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -265,6 +265,19 @@
 	qt.Check(t, decisions[0].Target.Name, qt.Equals, busy.Target.Name)
 }
 
+// TestOwnDelayDoesNotBlockTarget guards against a target that gets no requests because the router had no processor time to connect to it.
+func TestOwnDelayDoesNotBlockTarget(t *testing.T) {
+	d := dispatch.New(routerLocality, 1)
+	d.SetTargets(startTime, newTargets(2, 1))
+	delayed := submitOne(t, d, startTime, newRequest(startTime, "c", 9))
+	d.Finish(startTime, delayed.ID, dispatch.Delayed)
+	now := startTime.Add(10 * time.Millisecond)
+	first := submitOne(t, d, now, newRequest(now, "c", 9))
+	d.RecordFirstByte(now, first.ID, nil)
+	second := submitOne(t, d, now, newRequest(now, "c", 9))
+	qt.Check(t, second.Target.Name, qt.Not(qt.Equals), first.Target.Name)
+}
+
 // TestTargetBehindScheduleGetsNoMorePrompts guards against more prompts for a target that reads slower than predicted. They
 // would wait there behind unread prompts and could not be moved. It also guards against a target that still counts as behind
 // after it has answered.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -228,7 +228,7 @@
 	case Unreachable:
 		r.target.recordOutcome(now, 1)
 		r.target.blockUnreachable(now)
-	case Cancelled:
+	case Cancelled, Delayed:
 	}
 	d.assignWaiting(now, s)
 }
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -2,23 +2,14 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 const (
-	// dialTimeout limits the time to open a connection. A round trip between regions takes about 25 ms.
-	dialTimeout = 400 * time.Millisecond
-	// ackTimeout limits how long sent bytes may remain unacknowledged before the kernel closes the connection.
-	ackTimeout = 2 * time.Second
 	// idleMargin is how long before the target's idle timeout a connection is no longer reused.
 	idleMargin = 500 * time.Millisecond
 	// defaultIdleTimeout is how long a connection is kept idle if the target does not announce a timeout.
@@ -37,7 +28,7 @@
 // Client sends requests to targets over HTTP/1.1 and keeps idle connections for reuse. It is safe for concurrent use.
 type Client struct {
 	codec   Codec
-	dialer  net.Dialer
+	dialer  *targetDialer
 	buffers sync.Pool
 
 	mu   sync.Mutex
@@ -48,22 +39,12 @@
 func NewClient(codec Codec) *Client {
 	return &Client{
 		codec:   codec,
-		dialer:  net.Dialer{Timeout: dialTimeout, Control: setUserTimeout},
+		dialer:  newTargetDialer(),
 		buffers: sync.Pool{New: func() any { return new([]byte) }},
 		idle:    make(map[endpoint][]*conn),
 	}
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT to ackTimeout, so that a connection to an unreachable peer fails. It is a
-// net.Dialer.Control function.
-func setUserTimeout(_, _ string, rawConn syscall.RawConn) error {
-	var sockErr error
-	err := rawConn.Control(func(fd uintptr) {
-		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
-	})
-	return errors.Join(err, sockErr)
-}
-
 // Send sends a request and returns the response once its head has arrived. The caller must read and close the response. The error
 // is an *UnsentError if the target received nothing, and an *OutcomeUnknownError if it may have received the request. When ctx is
 // done, the connection is closed, so that the target can stop working on the request.
@@ -99,9 +80,10 @@
 	return response, nil
 }
 
-// Probe opens a connection to a target and keeps it for reuse. It returns the error if the target accepts no connection.
+// Probe opens a connection to a target and keeps it for reuse. It returns the error if the target accepts no connection,
+// a *LateDialError if that is not known.
 func (c *Client) Probe(ctx context.Context, target, address string) error {
-	socket, err := c.dialer.DialContext(ctx, "tcp", address)
+	socket, err := c.dialer.dial(ctx, address)
 	if err != nil {
 		return err
 	}
@@ -132,7 +114,7 @@
 		}
 		_ = idle.Close()
 	}
-	socket, err := c.dialer.DialContext(ctx, "tcp", dest.address)
+	socket, err := c.dialer.dial(ctx, dest.address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/forward/client_test.go
+++ b/internal/forward/client_test.go
@@ -193,6 +193,19 @@
 	qt.Check(t, errors.As(err, &unsent), qt.IsTrue)
 }
 
+// TestDelayedProcessIsNoSilentTarget guards against a target that counts as unreachable because this process got no processor time while
+// it opened a connection.
+func TestDelayedProcessIsNoSilentTarget(t *testing.T) {
+	target := newTestTarget(t, func(net.Conn, int, string) bool { return false })
+	client := forward.NewClient(codec{})
+	client.DelayDials(forward.DialTimeout + 200*time.Millisecond)
+	_, err := sendAndRead(t, client, newAttempt(target, "r1"))
+	var late *forward.LateDialError
+	qt.Check(t, errors.As(err, &late), qt.IsTrue, qt.Commentf("%v", err))
+	late = nil
+	qt.Check(t, errors.As(client.Probe(t.Context(), "t", target.Addr().String()), &late), qt.IsTrue)
+}
+
 // TestIdleConnectionClosedByTarget guards against sending a request on an idle connection that the target has closed. The request
 // would fail without telling whether it ran.
 func TestIdleConnectionClosedByTarget(t *testing.T) {
--- a/internal/forward/errors.go
+++ b/internal/forward/errors.go
@@ -1,6 +1,9 @@
 package forward
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // UnsentError reports an attempt that failed before the target received any part of the request.
 type UnsentError struct {
@@ -18,6 +21,23 @@
 // Unwrap returns the cause.
 func (e *UnsentError) Unwrap() error { return e.Cause }
 
+// LateDialError reports that a connection to a target was not opened in time because this process got too little processor time. It says
+// nothing about the target.
+type LateDialError struct {
+	// Delay is the time from the timeout of the dial to the moment at which the process learned of it.
+	Delay time.Duration
+	// Cause is the underlying error.
+	Cause error
+}
+
+// Error returns the delay and the cause.
+func (e *LateDialError) Error() string {
+	return fmt.Sprintf("the process was %v late to see an answer: %v", e.Delay, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *LateDialError) Unwrap() error { return e.Cause }
+
 // OutcomeUnknownError reports an attempt that failed after the target may have received and run the request.
 type OutcomeUnknownError struct {
 	// Target is the name of the target.
--- a/internal/gateway/crashdetector.go
+++ b/internal/gateway/crashdetector.go
@@ -121,7 +121,7 @@
 }
 
 // isRefusedOrSilent reports whether the error of an attempt to connect shows that there is no process at the address. Other errors,
-// such as a lack of file descriptors, say nothing about the target.
+// such as a lack of file descriptors or of processor time, say nothing about the target.
 func isRefusedOrSilent(err error) bool {
-	return errors.Is(err, syscall.ECONNREFUSED) || isTimeout(err)
+	return errors.Is(err, syscall.ECONNREFUSED) || isTimeout(err) && !isOwnDelay(err)
 }
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -78,3 +78,9 @@
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
+
+// isOwnDelay reports whether an attempt to connect failed because this process got too little processor time.
+func isOwnDelay(err error) bool {
+	var late *forward.LateDialError
+	return errors.As(err, &late)
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -278,9 +278,13 @@
 		x.abortDisconnected()
 		return false
 	}
-	x.finishAttempt(decision, dispatch.Unreachable)
+	outcome := dispatch.Unreachable
+	if isOwnDelay(err) {
+		outcome = dispatch.Delayed
+	}
+	x.finishAttempt(decision, outcome)
 	retry = x.unsentAttempts < maxUnsentAttempts && x.beforeDeadline()
-	x.logFailedAttempt(decision, dispatch.Unreachable, err, retry)
+	x.logFailedAttempt(decision, outcome, err, retry)
 	if retry {
 		x.gateway.metrics.CountRetry(metric.RetryUnreachable)
 		return true
