Notice that the store came back from an older copy

In the users' drill the store comes back from a copy that is some seconds old, gives offsets out again and counts that in the header Store-Era. Nothing read the header. A router that reads through its zone's reader asked for records from an offset that the restored store had not reached, was told 'known, nothing new, complete as of now', and did not learn of new configuration and targets until the topic had grown past it. Where the topic had already grown past the old end, the records between were skipped.

Pages carry the era now, also those that routers pass on. A page of a newer era makes a follower read the newest records again, one of an older era is not used.

--- a/internal/gateway/topicsharing.go
+++ b/internal/gateway/topicsharing.go
@@ -159,7 +159,7 @@
 	defer s.mu.Unlock()
 	s.lastNumber++
 	// The message is copied, because an earlier one that was sent with the same read may not be encoded yet.
-	numbered := &fleetpb.TopicRead{Number: s.lastNumber, Topic: read.GetTopic(), Newest: read.GetNewest(), From: read.GetFrom()}
+	numbered := &fleetpb.TopicRead{Number: s.lastNumber, Topic: read.GetTopic(), Newest: read.GetNewest(), From: read.GetFrom(), Era: read.GetEra()}
 	pending := pendingRead{peer: peer, reply: make(chan *fleetpb.TopicPage, 1)}
 	s.pending[numbered.Number] = pending
 	s.send(peer, &fleetpb.Body{Kind: &fleetpb.Body_TopicRead{TopicRead: numbered}})
@@ -231,14 +231,15 @@
 	cache := held.topic.cache
 	stale := boottime.Now().Sub(cache.CompleteAsOf()) > maxRelayedAge
 	newest := held.read.GetNewest()
-	if !newest && !stale && cache.NextOffset() <= held.read.GetFrom() && now.Before(held.holdUntil) {
+	sameEra := held.read.GetEra() == cache.Era()
+	if !newest && !stale && sameEra && cache.NextOffset() <= held.read.GetFrom() && now.Before(held.holdUntil) {
 		return false
 	}
 	page, known := cache.ChangesSince(held.read.GetFrom())
 	if newest {
 		page, known = cache.Newest()
 	}
-	reply := &fleetpb.TopicPage{Number: held.read.GetNumber(), Unknown: !known}
+	reply := &fleetpb.TopicPage{Number: held.read.GetNumber(), Unknown: !known, Era: page.Era}
 	if known {
 		reply.Next = page.NextOffset
 		reply.Known = cache.CompleteAsOf().Sub(held.receivedAt).Microseconds()
@@ -287,7 +288,7 @@
 // Read returns the records from an offset on.
 func (t *sharedTopic) Read(ctx context.Context, from uint64, deadline time.Time) (topiclog.Page, error) {
 	askedAt := boottime.Now()
-	page, err := t.readShared(ctx, &fleetpb.TopicRead{Topic: t.name, From: from}, func() (topiclog.Page, error) {
+	page, err := t.readShared(ctx, &fleetpb.TopicRead{Topic: t.name, From: from, Era: t.era()}, func() (topiclog.Page, error) {
 		return t.Topic.Read(ctx, from, deadline)
 	})
 	if err == nil {
@@ -329,6 +330,13 @@
 	t.sharing.answerHeld(time.Now())
 }
 
+// era returns the newest era of the store that this router has seen.
+func (t *sharedTopic) era() uint64 {
+	t.sharing.mu.Lock()
+	defer t.sharing.mu.Unlock()
+	return t.cache.Era()
+}
+
 // readFromPeer reads through a peer. It reports whether there is a usable reply. If not, the peer is avoided for
 // avoidTime. With an empty peer it returns false.
 func (t *sharedTopic) readFromPeer(
@@ -345,7 +353,7 @@
 	reply, err := t.awaitReply(ctx, peer, read)
 	if err == nil {
 		known := time.Duration(reply.GetKnown()) * time.Microsecond
-		if boottime.Now().Sub(askedAt.Add(known)) <= maxRelayedAge {
+		if reply.GetEra() >= t.era() && boottime.Now().Sub(askedAt.Add(known)) <= maxRelayedAge {
 			return pageFromReply(reply, known), true
 		}
 		err = errRecordsStale
@@ -381,7 +389,7 @@
 // pageFromReply returns the page in a reply. known is the reply's Known, the time from the call until the instant as of
 // which the page is complete.
 func pageFromReply(reply *fleetpb.TopicPage, known time.Duration) topiclog.Page {
-	page := topiclog.Page{NextOffset: reply.GetNext(), AsOf: known, FromPeer: true}
+	page := topiclog.Page{NextOffset: reply.GetNext(), AsOf: known, Era: reply.GetEra(), FromPeer: true}
 	for _, record := range reply.GetRecords() {
 		decoded := topiclog.Record{Key: record.GetKey(), Offset: record.GetOffset()}
 		if !record.GetRemoved() {
--- a/internal/gateway/topicsharing_test.go
+++ b/internal/gateway/topicsharing_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -22,20 +24,37 @@
 type memoryStore struct {
 	mu      sync.Mutex
 	records []topiclog.Record
+	// restores counts how often the store came back from an older copy.
+	restores uint64
 }
 
 // appendRecord appends a record with the key "a".
-func (s *memoryStore) appendRecord(value string) {
+func (s *memoryStore) appendRecord(value string) { s.appendKeyed("a", []byte(value)) }
+
+// appendKeyed appends a record. A nil value removes the key.
+func (s *memoryStore) appendKeyed(key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.records = append(s.records, topiclog.Record{Key: "a", Value: []byte(value), Offset: uint64(len(s.records))})
+	s.records = append(s.records, topiclog.Record{Key: key, Value: value, Offset: uint64(len(s.records))})
+}
+
+// restore makes the store come back from a copy that lacks the newest records.
+func (s *memoryStore) restore(lost int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records = s.records[:len(s.records)-lost]
+	s.restores++
 }
 
 // pageFrom returns the records from an offset on.
-func (s *memoryStore) pageFrom(offset uint64) topiclog.Page {
+func (s *memoryStore) pageFrom(offset uint64) (topiclog.Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return topiclog.Page{Records: append([]topiclog.Record(nil), s.records[offset:]...), NextOffset: uint64(len(s.records))}
+	end := uint64(len(s.records))
+	if offset > end {
+		return topiclog.Page{}, &topiclog.ExpiredError{RequestedOffset: offset}
+	}
+	return topiclog.Page{Records: append([]topiclog.Record(nil), s.records[offset:]...), NextOffset: end, Era: 1 + s.restores}, nil
 }
 
 // storeClient is the access of one router to the store. It counts the calls and can be disconnected.
@@ -50,10 +69,19 @@
 	if c.disconnected.Load() {
 		return topiclog.Page{}, errors.New("the store cannot be reached")
 	}
-	return c.pageFrom(offset), nil
+	return c.pageFrom(offset)
 }
 
-func (c *storeClient) ReadNewest(context.Context) (topiclog.Page, error) { return c.read(0) }
+func (c *storeClient) ReadNewest(context.Context) (topiclog.Page, error) {
+	page, err := c.read(0)
+	newest := make(map[string]topiclog.Record)
+	for _, record := range page.Records {
+		newest[record.Key] = record
+	}
+	maps.DeleteFunc(newest, func(_ string, record topiclog.Record) bool { return record.Value == nil })
+	page.Records = slices.Collect(maps.Values(newest))
+	return page, err
+}
 
 func (c *storeClient) Read(_ context.Context, offset uint64, _ time.Time) (topiclog.Page, error) {
 	return c.read(offset)
@@ -83,6 +111,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, record := range records {
+		if record.Value == nil {
+			delete(r.values, record.Key)
+			continue
+		}
 		r.values[record.Key] = string(record.Value)
 	}
 }
@@ -246,3 +278,34 @@
 		router.mu.Unlock()
 	}
 }
+
+// TestRestoredStoreReachesAllRouters guards against routers that miss records after the store came back from an older copy, in which
+// offsets are given out again.
+func TestRestoredStoreReachesAllRouters(t *testing.T) {
+	for name, rewritten := range map[string]int{"fewer records than before": 1, "more records than before": 5} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, stop := context.WithCancel(t.Context())
+				z := newTestZone(ctx, 5)
+				z.store.appendKeyed("removed", []byte("x"))
+				for i := range 3 {
+					z.store.appendRecord(fmt.Sprint(i))
+				}
+				time.Sleep(5 * time.Second)
+				z.store.restore(2)
+				z.store.appendKeyed("removed", nil)
+				for i := range rewritten {
+					z.store.appendRecord(fmt.Sprint("again ", i))
+				}
+				time.Sleep(2500 * time.Millisecond)
+				synctest.Wait()
+				for peer, router := range z.routers {
+					qt.Check(t, router.value("a"), qt.Equals, fmt.Sprint("again ", rewritten-1), qt.Commentf("%s", peer))
+					qt.Check(t, router.value("removed"), qt.Equals, "", qt.Commentf("%s", peer))
+				}
+				stop()
+				time.Sleep(2 * time.Second)
+			})
+		})
+	}
+}
--- a/internal/topiclog/cache.go
+++ b/internal/topiclog/cache.go
@@ -18,8 +18,10 @@
 	tombstones int
 	// tombstonesFrom is the offset from which the cache knows all removals. nextOffset is the offset after the newest record.
 	tombstonesFrom, nextOffset uint64
-	loaded                     bool
-	completeAsOf               boottime.Instant
+	// era is the era of the store in which the records were read.
+	era          uint64
+	loaded       bool
+	completeAsOf boottime.Instant
 }
 
 // NewCache returns an empty cache, which is not loaded until Reset is called.
@@ -29,6 +31,7 @@
 func (c *Cache) Reset(page Page, asOf boottime.Instant) {
 	clear(c.records)
 	c.tombstones, c.tombstonesFrom, c.nextOffset, c.loaded = 0, page.NextOffset, page.NextOffset, true
+	c.era = max(c.era, page.Era)
 	c.completeAsOf = asOf
 	for _, record := range page.Records {
 		if record.Value != nil {
@@ -37,8 +40,15 @@
 	}
 }
 
-// Apply adds records that were written later, complete as of an instant. Records that are older than the cached one are ignored.
+// Apply adds records that were written later, complete as of an instant. Records that are older than the cached one are ignored. A page of
+// another era of the store is ignored too; if the era is newer, the cache is not loaded until Reset is called.
 func (c *Cache) Apply(page Page, asOf boottime.Instant) {
+	sameEra := checkEra(c.era, page) == nil
+	c.loaded = c.loaded && (sameEra || page.Era < c.era)
+	c.era = max(c.era, page.Era)
+	if !sameEra {
+		return
+	}
 	for _, record := range page.Records {
 		previous, known := c.records[record.Key]
 		if known && record.Offset < previous.Offset {
@@ -75,10 +85,13 @@
 // NextOffset returns the offset after the newest record of the topic.
 func (c *Cache) NextOffset() uint64 { return c.nextOffset }
 
+// Era returns the era of the store in which the records were read, zero if it is not known.
+func (c *Cache) Era() uint64 { return c.era }
+
 // Newest returns the newest record of every key in the order of offsets, without tombstones. It reports whether the cache is
 // loaded.
 func (c *Cache) Newest() (Page, bool) {
-	page := Page{NextOffset: c.nextOffset}
+	page := Page{NextOffset: c.nextOffset, Era: c.era}
 	for _, record := range c.records {
 		if record.Value != nil {
 			page.Records = append(page.Records, record)
@@ -91,7 +104,7 @@
 // ChangesSince returns, in the order of offsets, the newest record or tombstone of each key that changed at or after an offset.
 // It reports whether all these changes are known; if not, the page holds no records.
 func (c *Cache) ChangesSince(from uint64) (Page, bool) {
-	page := Page{NextOffset: max(c.nextOffset, from)}
+	page := Page{NextOffset: max(c.nextOffset, from), Era: c.era}
 	if !c.loaded || from < c.tombstonesFrom {
 		return page, false
 	}
--- a/internal/topiclog/follower.go
+++ b/internal/topiclog/follower.go
@@ -25,8 +25,8 @@
 	Apply(now time.Time, records []Record)
 	// CaughtUp is called after each Reset and Apply: all records that were written before asOf have been received.
 	CaughtUp(asOf boottime.Instant)
-	// Failed is called after each read that failed, unless the follower is being stopped. After an *ExpiredError, Reset follows
-	// the next successful read.
+	// Failed is called after each read that failed, unless the follower is being stopped. After an *ExpiredError, and after an *EraError of a
+	// restored store, Reset follows the next successful read.
 	Failed(now time.Time, err error)
 }
 
@@ -46,13 +46,12 @@
 
 // Run follows the topic and calls the handler. It returns only when ctx is done.
 func (f *Follower) Run(ctx context.Context) {
-	nextOffset, loaded := uint64(0), false
+	var position position
 	for ctx.Err() == nil {
-		page, err := f.poll(ctx, loaded, nextOffset)
-		var expired *ExpiredError
+		page, err := f.poll(ctx, position)
 		switch {
-		case errors.As(err, &expired):
-			loaded = false
+		case mustReadAnew(err):
+			position.loaded = false
 			f.handler.Failed(time.Now(), err)
 			continue
 		case err != nil:
@@ -62,26 +61,50 @@
 			sleep(ctx, minRetryDelay+rand.N(maxRetryDelay-minRetryDelay))
 			continue
 		}
-		nextOffset, loaded = page.NextOffset, true
+		position = position.after(page)
 		if !page.FromPeer { // A peer paces its own reads of the store and responds when it has read something.
 			sleep(ctx, f.pollInterval)
 		}
 	}
 }
 
+// position is how far a follower has read.
+type position struct {
+	nextOffset, era uint64
+	loaded          bool
+}
+
+// after returns the position after a page.
+func (p position) after(page Page) position {
+	return position{nextOffset: page.NextOffset, era: max(p.era, page.Era), loaded: true}
+}
+
+// mustReadAnew reports whether the error of a read means that the newest record of each key has to be read again.
+func mustReadAnew(err error) bool {
+	var expired *ExpiredError
+	var otherEra *EraError
+	return errors.As(err, &expired) || errors.As(err, &otherEra) && otherEra.Restored()
+}
+
 // poll reads once and passes the result to the handler: the newest record of each key if nothing is loaded yet, otherwise the
-// records from the offset on.
-func (f *Follower) poll(ctx context.Context, loaded bool, from uint64) (Page, error) {
+// records that follow the position.
+func (f *Follower) poll(ctx context.Context, from position) (Page, error) {
 	calledAt := boottime.Now()
-	if !loaded {
+	if !from.loaded {
 		page, err := f.topic.ReadNewest(ctx)
+		if err == nil && page.Era > 0 && page.Era < from.era {
+			err = &EraError{Known: from.era, Received: page.Era}
+		}
 		if err == nil {
 			f.handler.Reset(time.Now(), page.Records)
 			f.handler.CaughtUp(calledAt.Add(page.AsOf))
 		}
 		return page, err
 	}
-	page, err := f.topic.Read(ctx, from, time.Now().Add(f.pollWait))
+	page, err := f.topic.Read(ctx, from.nextOffset, time.Now().Add(f.pollWait))
+	if err == nil {
+		err = checkEra(from.era, page)
+	}
 	if err == nil {
 		f.handler.Apply(time.Now(), page.Records)
 		f.handler.CaughtUp(calledAt.Add(page.AsOf))
--- a/internal/topiclog/follower_test.go
+++ b/internal/topiclog/follower_test.go
@@ -99,6 +99,35 @@
 	})
 }
 
+// TestFollowerNoticesRestoredStore guards against a follower that goes on from an offset of the time before the store came back from an older
+// copy, and against one that takes a page from that time afterwards.
+func TestFollowerNoticesRestoredStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		records := []topiclog.Record{{Key: "a", Value: []byte("x")}}
+		topic := &scriptedTopic{exhausted: make(chan struct{}), responses: []response{
+			{page: topiclog.Page{Records: records, NextOffset: 5, Era: 1}},
+			{page: topiclog.Page{Records: records, NextOffset: 6, Era: 2}},
+			{page: topiclog.Page{Records: records, NextOffset: 3, Era: 2}},
+			{page: topiclog.Page{Records: records, NextOffset: 7, Era: 1}},
+			{page: topiclog.Page{Records: records, NextOffset: 4, Era: 2}},
+		}}
+		handler := &recordingHandler{}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			topiclog.NewFollower(topic, handler, time.Second, 0).Run(ctx)
+		}()
+		<-topic.exhausted
+		cancel()
+		<-done
+		qt.Check(t, topic.calls, qt.DeepEquals, []string{"newest", "read 5", "newest", "read 3", "read 3", "read 4"})
+		qt.Check(t, handler.events, qt.DeepEquals, []string{
+			"reset 1", "caught up", "failed", "reset 1", "caught up", "failed", "apply 1", "caught up",
+		})
+	})
+}
+
 // TestRetryDelay guards against a follower that retries a failing store without a delay.
 func TestRetryDelay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/topiclog/topic.go
+++ b/internal/topiclog/topic.go
@@ -25,6 +25,9 @@
 	// AsOf is the instant as of which the page is complete, as the time since the start of the call. It is negative if a peer
 	// read the records before the call, and zero if the page comes from the store itself.
 	AsOf time.Duration
+	// Era counts how often the store came back from an older copy. Offsets of different eras cannot be compared. It is zero if the store
+	// does not name it.
+	Era uint64
 	// FromPeer is set if the page comes from another router instead of the store.
 	FromPeer bool
 }
@@ -53,3 +56,26 @@
 func (e *ExpiredError) Error() string {
 	return fmt.Sprintf("records from offset %d have expired, the oldest offset is %d", e.RequestedOffset, e.OldestOffset)
 }
+
+// EraError reports a page from another era of the store than the records that were read before.
+type EraError struct {
+	// Known is the era of the earlier records, Received that of the page.
+	Known, Received uint64
+}
+
+// Error returns both eras.
+func (e *EraError) Error() string {
+	return fmt.Sprintf("the store is in era %d, the known records are from era %d", e.Received, e.Known)
+}
+
+// Restored reports whether the store came back from an older copy: records that were read before may be gone, and offsets have another
+// meaning. Otherwise the page is older than the known records.
+func (e *EraError) Restored() bool { return e.Received > e.Known }
+
+// checkEra returns an *EraError if a page comes from another era than the records that were read before. Zero is an unknown era.
+func checkEra(known uint64, page Page) error {
+	if known == 0 || page.Era == 0 || known == page.Era {
+		return nil
+	}
+	return &EraError{Known: known, Received: page.Era}
+}
