Write the record of a router again when the store has lost it

A router wrote its address once, at its start. If the store came back from an older copy, or executed the removal by the previous start of the router late, the record was gone for good: peers dropped the link, and with it usage, crash records, origins of streams and the number of routers by which limits are divided.

A router whose record is missing among the newest ones, or is removed while it serves, writes it again.

--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/chicorydale/chicorydale/internal/fleetpb"
+	"github.com/chicorydale/chicorydale/internal/metric"
 	"github.com/chicorydale/chicorydale/internal/refusal"
 	"github.com/chicorydale/chicorydale/internal/route"
 	"github.com/chicorydale/chicorydale/internal/topiclog"
@@ -143,3 +144,15 @@
 	}
 	return meter.takeWorst()
 }
+
+// PeerLinks is peerLinks for tests.
+type PeerLinks struct{ *peerLinks }
+
+// NewPeerLinks returns the links of a router that publishes its address in the topic.
+func NewPeerLinks(routerName string, topic topiclog.Topic) PeerLinks {
+	settings := Settings{Host: routerName}
+	return PeerLinks{newPeerLinks(settings, topic, zerolog.Nop(), metric.New(), linkUsers{budgets: newRetryBudgets(0, 0)})}
+}
+
+// Announce writes the router's record, and again whenever the store has lost it, until ctx ends.
+func (p PeerLinks) Announce(ctx context.Context) { p.announce(ctx) }
--- a/internal/gateway/peerlinks.go
+++ b/internal/gateway/peerlinks.go
@@ -64,7 +64,12 @@
 	// lastSent holds the time of the last message to each linked peer. It belongs to the goroutine of handleEvents.
 	lastSent map[string]time.Time
 
+	// announceAgain holds a value while the store lacks this router's record although it was written.
+	announceAgain chan struct{}
+
 	mu sync.Mutex
+	// announced is set while the store should hold this router's record.
+	announced bool
 	// routers holds the records of all routers by name, this router's included.
 	routers map[string]routerRecord
 }
@@ -87,17 +92,35 @@
 		sharing: newTopicSharing(settings.Host, logger, func(to string, body *fleetpb.Body) {
 			hub.Send(to, []*fleetpb.Body{body})
 		}),
-		routers:  make(map[string]routerRecord),
-		lastSent: make(map[string]time.Time),
+		announceAgain: make(chan struct{}, 1),
+		routers:       make(map[string]routerRecord),
+		lastSent:      make(map[string]time.Time),
 	}
 }
 
-// Reset takes the newest record of every router.
+// Reset takes the newest record of every router. If this router's own is missing, for example because the store came back from an older
+// copy, it is written again.
 func (p *peerLinks) Reset(now time.Time, records []topiclog.Record) {
 	p.mu.Lock()
 	clear(p.routers)
 	p.mu.Unlock()
 	p.Apply(now, records)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, found := p.routers[p.routerName]; !found {
+		p.requestAnnouncement()
+	}
+}
+
+// requestAnnouncement makes this router's record be written again if the store should hold it. The caller must hold p.mu.
+func (p *peerLinks) requestAnnouncement() {
+	if !p.announced {
+		return
+	}
+	select {
+	case p.announceAgain <- struct{}{}:
+	default: // It is requested already.
+	}
 }
 
 // Apply takes newer records and updates the links.
@@ -107,6 +130,9 @@
 	for _, record := range records {
 		if record.Value == nil {
 			delete(p.routers, record.Key)
+			if record.Key == p.routerName { // The removal by an earlier start of this router was executed late.
+				p.requestAnnouncement()
+			}
 			continue
 		}
 		var router routerRecord
@@ -156,8 +182,26 @@
 	p.hub.SetPeers(wanted, peers)
 }
 
-// announce writes this router's record, and retries until the store has accepted it or ctx ends.
+// announce writes this router's record, and again whenever the store has lost it, until ctx ends.
 func (p *peerLinks) announce(ctx context.Context) {
+	for ctx.Err() == nil {
+		p.writeRecord(ctx)
+		select {
+		case <-p.announceAgain:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// setAnnounced sets whether the store should hold this router's record.
+func (p *peerLinks) setAnnounced(announced bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.announced = announced
+}
+
+// writeRecord writes this router's record, and retries until the store has accepted it or ctx ends.
+func (p *peerLinks) writeRecord(ctx context.Context) {
 	value, err := json.Marshal(p.ownRecord)
 	for ctx.Err() == nil {
 		if err == nil {
@@ -166,6 +210,7 @@
 			cancel()
 		}
 		if err == nil {
+			p.setAnnounced(true)
 			return
 		}
 		event.AnnounceFailed.Log(p.logger, err)
@@ -177,6 +222,7 @@
 // withdraw removes this router's record. If this fails, the only effect is that the other routers try
 // for longer to connect to this one.
 func (p *peerLinks) withdraw(ctx context.Context) {
+	p.setAnnounced(false)
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(announceTimeout))
 	defer cancel()
 	if err := p.routerTopic.Put(ctx, p.routerName, nil); err != nil {
