Divide the limit of a target among all routers, linked or not

A router divided a limit among the routers that it was linked with.

The number of routers comes from their records in the store now, links can only make it larger. What unlinked routers use is unknown and no longer counts as unused.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -31,6 +31,8 @@
 	queued   map[uint64]*queuedRequest
 	accounts *customerAccounts
 	peers    map[string]*peer
+	// routersByZone holds the number of routers in each availability zone, by the records in the store.
+	routersByZone map[string]int
 	// targetsByHash holds the targets by the hash that identifies them in messages to peers.
 	targetsByHash map[uint32]*targetState
 	// announcedAt is the time at which each prompt part at a target was last announced to the peers.
--- a/internal/dispatch/ratelimit.go
+++ b/internal/dispatch/ratelimit.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -34,7 +35,9 @@
 	// own are the times at which this router may send a request as its part of the limit, extra those at which it may send one more if
 	// the routers together leave a part of the limit unused.
 	own, extra sendSlots
-	// unused is the number of requests that the routers together have left unused. It is negative if they sent too many.
+	// heardFraction is the fraction of the limit that belongs to this router and to those that report their requests to it.
+	heardFraction float64
+	// unused is the number of requests that these routers together have left unused. It is negative if they sent too many.
 	unused   float64
 	unusedAt time.Time
 }
@@ -69,7 +72,7 @@
 
 // unusedAtTime returns the number of requests that are left unused at a time.
 func (l *rateLimit) unusedAtTime(now time.Time) float64 {
-	return min(l.unused+l.perSecond*max(now.Sub(l.unusedAt), 0).Seconds(), l.unusedCapacity())
+	return min(l.unused+l.perSecond*l.heardFraction*max(now.Sub(l.unusedAt), 0).Seconds(), l.unusedCapacity())
 }
 
 // unusedCapacity returns the number of unused requests that are saved up at most.
@@ -147,7 +150,14 @@
 	}
 }
 
-// divideRateLimits divides the limits of all targets anew, because the linked routers have changed.
+// SetRouters sets how many routers there are in each availability zone, this one included, by the records in the store. Limits are divided
+// among them whether or not this router is linked with them.
+func (d *Dispatcher) SetRouters(now time.Time, byZone map[string]int) {
+	d.routersByZone = byZone
+	d.divideRateLimits(now)
+}
+
+// divideRateLimits divides the limits of all targets anew, because the known routers have changed.
 func (d *Dispatcher) divideRateLimits(now time.Time) {
 	for _, state := range d.targets {
 		if state.rateLimit.perSecond > 0 {
@@ -159,28 +169,62 @@
 // divideRateLimit sets this router's part of a target's limit. Most of it goes to the routers of the target's availability zone, in
 // equal parts.
 func (d *Dispatcher) divideRateLimit(now time.Time, state *targetState) {
-	routers, local := 1, 0
-	isLocal := d.locality.Zone == state.Zone
-	if isLocal {
-		local++
+	linked := d.linkedRouters()
+	parts := newLimitParts(state.Zone, d.knownRouters(linked))
+	limit := &state.rateLimit
+	limit.heardFraction = 0
+	for zone, count := range linked {
+		limit.heardFraction += float64(count) * parts.of(zone)
 	}
-	for _, p := range d.peers {
-		routers++
-		if p.Zone == state.Zone {
-			local++
-		}
+	limit.own = newSendSlots(now, limit.perSecond*parts.of(d.locality.Zone), d.random.Float64())
+	limit.extra = newSendSlots(now, limit.perSecond/float64(parts.routers), d.random.Float64())
+}
+
+// limitParts says how the limit of a target is divided among the routers.
+type limitParts struct {
+	// targetZone is the availability zone of the target.
+	targetZone string
+	// routers is the number of all routers, local that of those in targetZone.
+	routers, local int
+}
+
+// newLimitParts returns how the limit of a target in an availability zone is divided among routers.
+func newLimitParts(targetZone string, byZone map[string]int) limitParts {
+	parts := limitParts{targetZone: targetZone, local: byZone[targetZone]}
+	for _, count := range byZone {
+		parts.routers += count
 	}
-	fraction := 1 / float64(routers)
+	return parts
+}
+
+// of returns the part of each router in an availability zone as a fraction of the limit.
+func (p limitParts) of(zone string) float64 {
 	switch {
-	case local == 0 || local == routers:
-	case isLocal:
-		fraction = localFraction / float64(local)
+	case p.local == 0 || p.local == p.routers:
+		return 1 / float64(p.routers)
+	case zone == p.targetZone:
+		return localFraction / float64(p.local)
 	default:
-		fraction = (1 - localFraction) / float64(routers-local)
+		return (1 - localFraction) / float64(p.routers-p.local)
 	}
-	limit := &state.rateLimit
-	limit.own = newSendSlots(now, limit.perSecond*fraction, d.random.Float64())
-	limit.extra = newSendSlots(now, limit.perSecond/float64(routers), d.random.Float64())
+}
+
+// linkedRouters returns the number of routers in each availability zone that this router is linked with, itself included.
+func (d *Dispatcher) linkedRouters() map[string]int {
+	byZone := map[string]int{d.locality.Zone: 1}
+	for _, p := range d.peers {
+		byZone[p.Zone]++
+	}
+	return byZone
+}
+
+// knownRouters returns the number of routers in each availability zone: those in the store, or the linked ones if these are more.
+func (d *Dispatcher) knownRouters(linked map[string]int) map[string]int {
+	known := maps.Clone(linked)
+	for zone, count := range d.routersByZone {
+		known[zone] = max(known[zone], count)
+	}
+	return known
 }
 
 // receiveRateLimit takes a peer's report on the limit of a target and on its requests there.
--- a/internal/dispatch/ratelimit_test.go
+++ b/internal/dispatch/ratelimit_test.go
@@ -171,3 +171,22 @@
 	allowed := 0.5*targetRateLimit*limitWindow.Seconds() + 5
 	qt.Check(t, started >= 1 && float64(started) <= allowed, qt.IsTrue, qt.Commentf("%d requests at once, %.0f allowed", started, allowed))
 }
+
+// TestRoutersWithoutLinksShareLimit guards against routers that each take the whole limit of a target because their links are down.
+func TestRoutersWithoutLinksShareLimit(t *testing.T) {
+	const routerCount, localCount = 67, 12
+	started := 0
+	for i := range routerCount {
+		locality := routerLocality
+		if i >= localCount {
+			locality.Zone = "b"
+		}
+		router := dispatch.New(locality, uint64(i))
+		router.SetTargets(startTime, newTargets(1, 64))
+		router.SetRouters(startTime, map[string]int{"a": localCount, "b": routerCount - localCount})
+		router.RecordRateLimit(startTime, "e0", targetRateLimit)
+		started += startedWithin(router, startTime, limitWindow)
+	}
+	allowed := 1.5*targetRateLimit*limitWindow.Seconds() + 5
+	qt.Check(t, started >= 1 && float64(started) <= allowed, qt.IsTrue, qt.Commentf("%d requests, %.0f allowed", started, allowed))
+}
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/chicorydale/chicorydale/internal/dispatch"
 	"github.com/chicorydale/chicorydale/internal/fleetpb"
 	"github.com/chicorydale/chicorydale/internal/metric"
 	"github.com/chicorydale/chicorydale/internal/refusal"
@@ -151,7 +152,8 @@
 // NewPeerLinks returns the links of a router that publishes its address in the topic.
 func NewPeerLinks(routerName string, topic topiclog.Topic) PeerLinks {
 	settings := Settings{Host: routerName}
-	return PeerLinks{newPeerLinks(settings, topic, zerolog.Nop(), metric.New(), linkUsers{budgets: newRetryBudgets(0, 0)})}
+	users := linkUsers{budgets: newRetryBudgets(0, 0), scheduler: newScheduler(dispatch.New(settings.Locality, 1))}
+	return PeerLinks{newPeerLinks(settings, topic, zerolog.Nop(), metric.New(), users)}
 }
 
 // Announce writes the router's record, and again whenever the store has lost it, until ctx ends.
--- a/internal/gateway/peerlinks.go
+++ b/internal/gateway/peerlinks.go
@@ -145,7 +145,19 @@
 	if len(records) > 0 {
 		p.updateLinks()
 		p.budgets.setRouterCount(len(p.routers))
+		p.scheduler.withDispatcher(func(dispatcher *dispatch.Dispatcher, now time.Time) {
+			dispatcher.SetRouters(now, p.routersByZone())
+		})
+	}
+}
+
+// routersByZone returns the number of known routers in each availability zone. The caller must hold p.mu.
+func (p *peerLinks) routersByZone() map[string]int {
+	byZone := make(map[string]int)
+	for _, router := range p.routers {
+		byZone[router.Zone]++
 	}
+	return byZone
 }
 
 // CaughtUp does nothing, because the links themselves show whether a router is reachable.
