Start a router with a single retry instead of a full reserve

A budget begins with one retry and is filled by the router's own requests, some 70 of them for a full part. Ruled out: to read the number of routers first, since what was used before the start is known to nobody.

TestRestartedRoutersDoNotDoubleReserve: 1340 retries where 174 are allowed before, 134 now. The tests of the gateway and of platform pass with the race detector.

--- a/internal/gateway/retrybudgets_test.go
+++ b/internal/gateway/retrybudgets_test.go
@@ -29,3 +29,19 @@
 		})
 	}
 }
+
+// TestRestartedRoutersDoNotDoubleReserve guards against routers that each have a full reserve of retries after the loss of all of them,
+// although the reserve was used just before, and although none of them knows yet among how many it is divided.
+func TestRestartedRoutersDoNotDoubleReserve(t *testing.T) {
+	const routers, fleetReserve = 67, 174
+	retries := 0
+	for range 2 {
+		for range routers {
+			budgets := gateway.NewRetryBudgets(0.2, fleetReserve)
+			for budgets.TakeRetry("service") {
+				retries++
+			}
+		}
+	}
+	qt.Check(t, retries <= fleetReserve, qt.IsTrue, qt.Commentf("%d retries, the reserve is %d", retries, fleetReserve))
+}
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -8,9 +8,13 @@
 	available float64
 }
 
-// New returns a full budget. Each first attempt adds ratio retries, up to a total of reserve.
+// initialRetries is the number of retries of a new budget. It is small because the process may have used a full reserve just before it was
+// started again, as may all others.
+const initialRetries = 1
+
+// New returns a budget of at most one retry. Each first attempt adds ratio retries, up to a total of reserve.
 func New(ratio, reserve float64) *Budget {
-	return &Budget{ratio: ratio, reserve: reserve, available: reserve}
+	return &Budget{ratio: ratio, reserve: reserve, available: min(reserve, initialRetries)}
 }
 
 // SetReserve changes the reserve. Retries beyond a smaller reserve are lost; a larger one is filled by first attempts.
