--- a/internal/gateway/topicsharing_test.go
+++ b/internal/gateway/topicsharing_test.go
@@ -24,7 +24,7 @@
 type memoryStore struct {
 	mu      sync.Mutex
 	records []topiclog.Record
-	// restores counts how often the store came back from an older copy.
+	// restores counts how often the store came back from an older copy. The first era is 1, as in package platform.
 	restores uint64
 }
 
--- a/internal/topiclog/topic.go
+++ b/internal/topiclog/topic.go
@@ -25,8 +25,8 @@
 	// AsOf is the instant as of which the page is complete, as the time since the start of the call. It is negative if a peer
 	// read the records before the call, and zero if the page comes from the store itself.
 	AsOf time.Duration
-	// Era counts how often the store came back from an older copy. Offsets of different eras cannot be compared. It is zero if the store
-	// does not name it.
+	// Era is higher each time that the store came back from an older copy. Offsets of different eras cannot be compared. It is zero if the
+	// store does not name it.
 	Era uint64
 	// FromPeer is set if the page comes from another router instead of the store.
 	FromPeer bool
