Fill the budgets before the test of the divided reserve counts retries

Since a budget begins with a single retry, TestRetryReserveIsDivided passed without the division that it guards (found by review).

--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -66,6 +66,9 @@
 // SetRouterCount divides the reserve among a number of routers.
 func (b RetryBudgets) SetRouterCount(count int) { b.setRouterCount(count) }
 
+// RecordRequest counts a request for a service.
+func (b RetryBudgets) RecordRequest(service string) { b.recordRequest(service) }
+
 // TakeRetry takes one retry from a service's budget.
 func (b RetryBudgets) TakeRetry(service string) bool { return b.takeRetry(service) }
 
--- a/internal/gateway/retrybudgets_test.go
+++ b/internal/gateway/retrybudgets_test.go
@@ -21,6 +21,9 @@
 			for range c.routers {
 				budgets := gateway.NewRetryBudgets(0.2, c.reserve)
 				budgets.SetRouterCount(c.routers)
+				for range 1000 { // Enough first attempts to fill any part of the reserve.
+					budgets.RecordRequest("service")
+				}
 				for budgets.TakeRetry("service") {
 					retries++
 				}
