Ask again before a request is sent whether its target still takes requests

Cause: the class of docs/incidents/COMMON-CAUSE.md: a decision outlives what it rests on, because the router takes itself to be on time.

The target is looked up once more right before the request is sent; if it does not take requests any more, another one is chosen, and nothing was sent. TestDecisionDoesNotOutliveItsTarget covers the look-up; that the gateway asks is shown by reading only. The tests of platform, gateway and dispatch pass with the race detector.

--- a/internal/dispatch/decision.go
+++ b/internal/dispatch/decision.go
@@ -47,7 +47,8 @@
 	Rejected Outcome = "rejected"
 	// Unreachable means that the target accepted no connection.
 	Unreachable Outcome = "unreachable"
-	// Delayed means that the router had too little processor time to open a connection in time. It says nothing about the target.
+	// Delayed means that the router had too little processor time to open a connection in time, or that the target began to leave before
+	// the router used the decision. It says nothing about the target.
 	Delayed Outcome = "delayed"
 	// Stalled means that the answer did not arrive in time.
 	Stalled Outcome = "stalled"
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -278,6 +278,25 @@
 	qt.Check(t, second.Target.Name, qt.Not(qt.Equals), first.Target.Name)
 }
 
+// TestDecisionDoesNotOutliveItsTarget guards against a request that a late router sends to a target which began to leave, was removed or
+// started again since it was chosen.
+func TestDecisionDoesNotOutliveItsTarget(t *testing.T) {
+	d := dispatch.New(routerLocality, 1)
+	d.SetTargets(startTime, newTargets(1, 1))
+	chosen := submitOne(t, d, startTime, newRequest(startTime, "c", 9)).Target
+	qt.Check(t, d.Accepts(chosen), qt.IsTrue)
+	leaving := newTargets(1, 1)
+	leaving[0].Leaving = true
+	d.SetTargets(startTime, leaving)
+	qt.Check(t, d.Accepts(chosen), qt.IsFalse)
+	restarted := newTargets(1, 1)
+	restarted[0].StartUnixMilli = chosen.StartUnixMilli + 1
+	d.SetTargets(startTime, restarted)
+	qt.Check(t, d.Accepts(chosen), qt.IsFalse)
+	d.SetTargets(startTime, nil)
+	qt.Check(t, d.Accepts(chosen), qt.IsFalse)
+}
+
 // TestTargetBehindScheduleGetsNoMorePrompts guards against more prompts for a target that reads slower than predicted. They
 // would wait there behind unread prompts and could not be moved. It also guards against a target that still counts as behind
 // after it has answered.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -235,6 +235,12 @@
 	d.assignWaiting(now, s)
 }
 
+// Accepts reports whether a target of an earlier decision still takes new requests: it is listed, has not started again, and is not leaving.
+func (d *Dispatcher) Accepts(chosen Target) bool {
+	state, listed := d.targets[chosen.Name]
+	return listed && !state.Leaving && state.StartUnixMilli == chosen.StartUnixMilli
+}
+
 // TargetNames returns the names of all listed targets, in no particular order.
 func (d *Dispatcher) TargetNames() []string { return slices.Collect(maps.Keys(d.targets)) }
 
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -16,6 +16,12 @@
 	return fmt.Sprintf("response with status %d is not signed by the target", e.status)
 }
 
+// targetLeftError says that a target began to leave after it was chosen.
+type targetLeftError struct{}
+
+// Error implements error.
+func (e *targetLeftError) Error() string { return "the target has begun to leave" }
+
 // serverError says that a target responded with a failure of its own.
 type serverError struct{ status int }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -198,6 +198,9 @@
 		x.abortDisconnected()
 		return false
 	}
+	if !x.gateway.scheduler.accepts(decision.Target) {
+		return x.handleUnsent(decision, dispatch.Delayed, &targetLeftError{})
+	}
 	x.recordOrigin(decision)
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -272,7 +275,6 @@
 		x.sentAttempts++
 		return x.handleBrokenAttempt(decision, err)
 	}
-	x.unsentAttempts++
 	if x.r.Context().Err() != nil {
 		x.finishAttempt(decision, dispatch.Cancelled)
 		x.abortDisconnected()
@@ -282,6 +284,12 @@
 	if isOwnDelay(err) {
 		outcome = dispatch.Delayed
 	}
+	return x.handleUnsent(decision, outcome, err)
+}
+
+// handleUnsent handles an attempt of which the target got nothing.
+func (x *exchange) handleUnsent(decision dispatch.Decision, outcome dispatch.Outcome, err error) (retry bool) {
+	x.unsentAttempts++
 	x.finishAttempt(decision, outcome)
 	retry = x.unsentAttempts < maxUnsentAttempts && x.beforeDeadline()
 	x.logFailedAttempt(decision, outcome, err, retry)
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -96,6 +96,13 @@
 	s.withDispatcher(func(dispatcher *dispatch.Dispatcher, now time.Time) { dispatcher.Expire(now, pending.id) })
 }
 
+// accepts reports whether the target of a decision still takes new requests.
+func (s *scheduler) accepts(target dispatch.Target) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatcher.Accepts(target)
+}
+
 // firstByteReceived records the first byte of a response. load is the load that the target reported, or nil.
 func (s *scheduler) firstByteReceived(id uint64, load *dispatch.Load) {
 	s.withDispatcher(func(dispatcher *dispatch.Dispatcher, now time.Time) { dispatcher.RecordFirstByte(now, id, load) })
