Do no work for peers that there is nothing to tell

A profile of 41 gateways without requests in one process showed 44% of it in the loop that looks 40 times a second for messages to send: it built a message for each peer to find it empty, and averaged the read speeds of all peers for each message with one.

Ruled out: fewer messages between near routers.

A peer without news is skipped before its message is built, crash records and origins of streams are looked through only if something is queued, read speeds are averaged four times a second at most, and near peers are counted when links change. The loop took 1.03 s of 5 s of 41 gateways before and 0.49 s after; a gateway without requests used 12.6 ms a second before, 10.0 after. BenchmarkTickWithoutNews: 6788 ns before, 2492 after.

--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -63,3 +63,18 @@
 		d.TakeDecisions()
 	}
 }
+
+// BenchmarkTickWithoutNews measures the work of a router with 66 peers that has nothing to tell them, 40 times a second.
+func BenchmarkTickWithoutNews(b *testing.B) {
+	d := dispatch.New(routerLocality, 1)
+	d.SetTargets(startTime, newTargets(60, 24))
+	for i := range 66 {
+		d.AddPeer(startTime, dispatch.Peer{Name: fmt.Sprint("peer-", i), Region: fmt.Sprint("r", i%3), Zone: "a"})
+	}
+	now := startTime
+	d.Tick(now)
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		d.Tick(now)
+	}
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -31,6 +31,12 @@
 	queued   map[uint64]*queuedRequest
 	accounts *customerAccounts
 	peers    map[string]*peer
+	// nearPeers is the number of peers in this router's region.
+	nearPeers int
+	// readSpeedsOutdated is set if peers have reported read speeds since they were averaged. averageSpeedsAt is the earliest time of the
+	// next average.
+	readSpeedsOutdated bool
+	averageSpeedsAt    time.Time
 	// routersByZone holds the number of routers in each availability zone, by the records in the store.
 	routersByZone map[string]int
 	// targetsByHash holds the targets by the hash that identifies them in messages to peers.
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,6 +23,8 @@
 	reannounceInterval = 4 * time.Second
 	// speedReportPeriod is the time between reports of the read speed while no request waits.
 	speedReportPeriod = time.Second
+	// averageSpeedsPeriod is the minimum time between averages of the read speeds that peers report.
+	averageSpeedsPeriod = 250 * time.Millisecond
 	// announcementPruneLimit is the number of recorded announcements from which expired ones are removed.
 	announcementPruneLimit = 4096
 	// queueReportSlack is how much longer than two periods of messages a peer's report on its waiting requests counts.
@@ -106,12 +109,28 @@
 // hashName returns the hash by which messages to peers identify a name.
 func hashName(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
 
+// hasNews reports whether anything may have changed since the last message.
+func (p *peer) hasNews(now time.Time, lines []*fleetpb.Line) bool {
+	if len(p.changedTargets)+len(p.unreportedReadings)+len(p.unreportedUsage) > 0 {
+		return true
+	}
+	return slices.ContainsFunc(lines, func(line *fleetpb.Line) bool { return p.isDue(now, line) })
+}
+
+// isDue reports whether a line must be part of the next message.
+func (p *peer) isDue(now time.Time, line *fleetpb.Line) bool {
+	return line.GetWaiting() > 0 || p.reportedWaiting[line.GetService()] || !now.Before(p.lastLinesAt.Add(speedReportPeriod))
+}
+
 // takeMessage returns what has changed since the last message and marks it as sent. It returns nil if nothing has changed.
 func (p *peer) takeMessage(now time.Time, targets map[uint32]*targetState, readSpeeds map[string]float64, lines []*fleetpb.Line,
 ) *fleetpb.Activity {
+	if !p.hasNews(now, lines) {
+		return nil
+	}
 	activity := &fleetpb.Activity{Readings: p.unreportedReadings}
 	for _, line := range lines {
-		if line.GetWaiting() > 0 || p.reportedWaiting[line.GetService()] || !now.Before(p.lastLinesAt.Add(speedReportPeriod)) {
+		if p.isDue(now, line) {
 			activity.Lines = append(activity.Lines, line)
 			p.reportedWaiting[line.GetService()] = line.GetWaiting() > 0
 			p.lastLinesAt = now
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -13,6 +13,9 @@
 	d.RemovePeer(now, remote.Name)
 	p := newPeer(remote, d.locality)
 	d.peers[remote.Name] = p
+	if p.near {
+		d.nearPeers++
+	}
 	d.divideRateLimits(now)
 	for targetHash, state := range d.targetsByHash {
 		if state.running > 0 {
@@ -43,6 +46,9 @@
 		return
 	}
 	delete(d.peers, name)
+	if p.near {
+		d.nearPeers--
+	}
 	d.divideRateLimits(now)
 	for targetHash := range p.runs {
 		d.setPeerRuns(p, targetHash, 0)
@@ -67,9 +73,7 @@
 			waiting: int(line.GetWaiting()), readSpeed: float64(line.GetSpeed()), receivedAt: now,
 		}
 	}
-	if len(activity.GetLines()) > 0 {
-		d.averageReadSpeeds()
-	}
+	d.readSpeedsOutdated = d.readSpeedsOutdated || len(activity.GetLines()) > 0
 	for _, use := range activity.GetCustomers() {
 		usage := float64(use.GetUsage()) - float64(use.GetRefunded())
 		d.accounts.add(now, use.GetService(), use.GetCustomer(), usage, float64(use.GetDemand()))
@@ -109,8 +113,12 @@
 	}
 }
 
-// averageReadSpeeds sets the read speed of each service to the mean of the estimates of this router and its peers.
-func (d *Dispatcher) averageReadSpeeds() {
+// averageReadSpeeds sets the read speed of each service to the mean of the estimates of this router and its peers, if there are new ones.
+func (d *Dispatcher) averageReadSpeeds(now time.Time) {
+	if !d.readSpeedsOutdated || now.Before(d.averageSpeedsAt) {
+		return
+	}
+	d.readSpeedsOutdated, d.averageSpeedsAt = false, now.Add(averageSpeedsPeriod)
 	for _, s := range d.services {
 		sum, count := s.latency.TokensPerSecond(), 1.0
 		for _, p := range d.peers {
@@ -206,13 +214,8 @@
 
 // messagePeriods returns the time between messages to a peer in the same region and in another one.
 func (d *Dispatcher) messagePeriods() (near, far time.Duration) {
-	nearPeers := 0
-	for _, p := range d.peers {
-		if p.near {
-			nearPeers++
-		}
-	}
-	excessNear, excessFar := max(nearPeers-nearPeersAtFullRate, 0), max(len(d.peers)-nearPeers-farPeersAtFullRate, 0)
+	excessNear := max(d.nearPeers-nearPeersAtFullRate, 0)
+	excessFar := max(len(d.peers)-d.nearPeers-farPeersAtFullRate, 0)
 	return nearPeriod + time.Duration(excessNear)*nearPeriodStep, farPeriod + time.Duration(excessFar)*farPeriodStep
 }
 
@@ -222,6 +225,7 @@
 	for _, s := range d.services {
 		d.assignWaiting(now, s)
 	}
+	d.averageReadSpeeds(now)
 	var envelopes []message.Envelope
 	lines := d.queueLines()
 	readSpeeds := make(map[string]float64, len(d.services))
--- a/internal/origin/directory.go
+++ b/internal/origin/directory.go
@@ -37,6 +37,8 @@
 	// answered holds the streams whose questions have ended since the last call of TakeAnswered.
 	answered []StreamID
 	prunedAt time.Time
+	// hasUnsent is set if there may be messages to send to peers.
+	hasUnsent bool
 }
 
 // New returns an empty directory without peers.
@@ -55,6 +57,7 @@
 	if !d.put(stream, entry{origin: origin, expiresAt: expiresAt, isOwn: true}) {
 		return
 	}
+	d.hasUnsent = true
 	record := toProto(now, stream, d.entries[stream])
 	for _, holder := range d.holders(stream) {
 		holder.origins = append(holder.origins, record)
@@ -78,6 +81,7 @@
 	if len(d.peers) == 0 {
 		return 0
 	}
+	d.hasUnsent = true
 	awaited := make(map[string]bool, len(d.peers))
 	for name, asked := range d.peers {
 		awaited[name] = true
@@ -127,6 +131,7 @@
 	if !linked {
 		return
 	}
+	d.hasUnsent = true
 	for _, id := range query.GetStreams() {
 		if _, known := d.Find(now, StreamID(id)); known {
 			asking.origins = append(asking.origins, toProto(now, StreamID(id), d.entries[StreamID(id)]))
@@ -139,6 +144,10 @@
 // Tick returns the messages to send. It must be called several times a second.
 func (d *Directory) Tick(now time.Time) []message.Envelope {
 	d.prune(now)
+	if !d.hasUnsent {
+		return nil
+	}
+	d.hasUnsent = false
 	var envelopes []message.Envelope
 	for name, receiver := range d.peers {
 		for _, body := range receiver.takeBodies() {
--- a/internal/origin/peer.go
+++ b/internal/origin/peer.go
@@ -36,6 +36,7 @@
 func (d *Directory) Connected(now time.Time, name, zone string) {
 	added := &peer{hash: xxhash.Sum64String(name), zone: zone}
 	d.peers[name] = added
+	d.hasUnsent = true
 	if len(d.peers) > maxPeersWithAll {
 		return
 	}
--- a/internal/quarantine/sharing.go
+++ b/internal/quarantine/sharing.go
@@ -45,6 +45,7 @@
 // Connected records a new link to a peer, which is sent all records.
 func (t *Tracker) Connected(peer string) {
 	t.unsent[peer] = nil
+	t.hasUnsent = true
 	for _, fingerprint := range slices.Sorted(maps.Keys(t.suspects)) {
 		t.unsent[peer] = append(t.unsent[peer], t.suspects[fingerprint].toProtos()...)
 	}
@@ -56,6 +57,10 @@
 // Tick returns the messages to send. It must be called several times a second.
 func (t *Tracker) Tick(now time.Time) []message.Envelope {
 	t.prune(now)
+	if !t.hasUnsent {
+		return nil
+	}
+	t.hasUnsent = false
 	var envelopes []message.Envelope
 	for peer, records := range t.unsent {
 		for batch := range slices.Chunk(records, maxBatchRecords) {
@@ -78,6 +83,7 @@
 func (t *Tracker) sendTo(peer string, records ...*fleetpb.CrashRecord) {
 	if queued, linked := t.unsent[peer]; linked {
 		t.unsent[peer] = append(queued, records...)
+		t.hasUnsent = true
 	}
 }
 
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -34,6 +34,8 @@
 	answeredAt map[uint64]time.Time
 	// unsent holds the records to send to each linked peer, by the name of the peer.
 	unsent map[string][]*fleetpb.CrashRecord
+	// hasUnsent is set if unsent may hold records.
+	hasUnsent bool
 	// changed holds the suspects whose records have changed since the last call of TakeUnsaved.
 	changed map[uint64]*suspect
 	// changes are the beginnings and ends of quarantines since the last call of TakeChanges.
