Append to a topic of the store on a condition

What must happen once in the whole fleet needs a place that decides who does it. The store accepts an append with the offset at which the topic must end, and rejects it with 412 otherwise. Topics offer this as Append, with a ConflictError; the emulated store does the same.

--- a/internal/emulator/storeserver/server.go
+++ b/internal/emulator/storeserver/server.go
@@ -123,7 +123,7 @@
 }
 
 // handleAppend serves POST /chicorydale/log-append. The body holds records, each after its big-endian length of four
-// bytes.
+// bytes. With an offset at, it responds with status 412 unless the topic ends there.
 func (s *Server) handleAppend(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -134,6 +134,10 @@
 	defer s.mu.Unlock()
 	t := s.getOrCreateTopic(r.FormValue("topic"))
 	offset := t.endOffset()
+	if at := r.FormValue("at"); at != "" && at != strconv.FormatUint(offset, 10) {
+		jsonhttp.WriteJSON(w, http.StatusPreconditionFailed, map[string]uint64{"end_offset": offset})
+		return
+	}
 	for len(body) >= 4 {
 		length := int(binary.BigEndian.Uint32(body))
 		if length == 0 || length > len(body)-4 {
--- a/internal/topiclog/topic.go
+++ b/internal/topiclog/topic.go
@@ -45,6 +45,25 @@
 	Put(ctx context.Context, key string, value []byte) error
 }
 
+// ConditionalTopic is a topic to which records can be appended on the condition that nothing else was.
+type ConditionalTopic interface {
+	Topic
+	// Append writes all records or none, if the topic ends at the offset. Otherwise the error is a *ConflictError. After any other error, the
+	// records may have been written, or may still be written later.
+	Append(ctx context.Context, at uint64, records []Record) error
+}
+
+// ConflictError reports that the topic did not end at the offset of a conditional append, so that nothing was written.
+type ConflictError struct {
+	// Offset is the offset of the append.
+	Offset uint64
+}
+
+// Error returns the offset.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("the topic does not end at offset %d any more", e.Offset)
+}
+
 // ExpiredError reports that the store dropped records before they were read.
 type ExpiredError struct {
 	// RequestedOffset is the offset of the read. OldestOffset is the offset of the oldest record that the store still has, zero if
