Claim each probe of what crashes targets in the store, for the whole fleet

In the users' record, a whole request under which three targets had crashed was sent 6 and 8 times more (BUDGET allows three). Each router decided alone on probes: it drew the time of its next one itself and counted only the crashes that it had heard of. While all targets are down, these times pass at all routers, and several probe at once when targets return. With a second request in the same crashes, each router also probed after five crashes.

A router now claims a probe before it sends it. It reads the claims in the topic keyed.probes, decides, and appends its own on the condition that no other router has written since. A fingerprint gets two probes alone and one together with other quarantined ones, until its quarantine ends, and they are two seconds apart. Without an answer of the store there is no probe. So the number of crashes no longer has to prove anything, and ProofThreshold and the exception to it are gone: five targets lost at once condemned a part of sound requests for an hour.

The claim is made right before the attempt, when the target is known, so that requests that get none use up nothing. There a request is also refused that was quarantined while it waited for a target: it was asked about only before that wait.

What the store lost with an older copy is written again: claims are merged with the router's own, and quarantines are compared after each reset. One write that fails no longer holds up the others. A claim is removed on the same condition, so that a late removal cannot forgive later probes.

The check that five crashes are refused an hour later asked for a refusal without any probe left; it asks now whether the router still has the quarantine, which is what it guards.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -128,6 +128,7 @@
 	QuarantineProbed = Event{805, levelInfo, "quarantine_probed", []string{"fingerprint", "id"}}
 
 	QuarantineUnsaved = Event{806, levelWarn, "quarantine_unsaved", []string{"fingerprint", "error"}}
+	ProbeUnclaimed    = Event{807, levelWarn, "probe_unclaimed", []string{"fingerprint", "error"}}
 )
 
 // All returns all events in ascending order of their numbers.
@@ -144,6 +145,6 @@
 		Refused, Retried, Resumed, Abandoned,
 		RequestAnswered, RequestRefused, AttemptFailed, CallerLeft, StreamBroken, ServiceState, RefusalsSummed, CustomerState,
 		ClaimLost, ClaimUnknown,
-		SuspectFound, SuspectRefused, Quarantined, QuarantineLifted, QuarantineProbed, QuarantineUnsaved,
+		SuspectFound, SuspectRefused, Quarantined, QuarantineLifted, QuarantineProbed, QuarantineUnsaved, ProbeUnclaimed,
 	}
 }
--- a/internal/gateway/adapters.go
+++ b/internal/gateway/adapters.go
@@ -13,6 +13,8 @@
 	// ConfigTopic holds the configuration, TargetTopic the records of the targets, RouterTopic the records by which routers find
 	// each other, and QuarantineTopic what is quarantined.
 	ConfigTopic, TargetTopic, RouterTopic, QuarantineTopic topiclog.Topic
+	// ProbeTopic holds the claims of probes of what is quarantined.
+	ProbeTopic topiclog.ConditionalTopic
 	// DecodeTable decodes a record of ConfigTopic. It returns nil without an error for records that hold no routing table.
 	DecodeTable func(record topiclog.Record) (*route.Table, error)
 	// DecodeTarget decodes a record of TargetTopic that was read at the time now.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -46,6 +46,9 @@
 	body  []byte
 	// fingerprints identify the whole request and the shared parts of its prompt.
 	fingerprints []uint64
+	// probe is set if the next attempt may be a probe, and probeUntil is the time until which the claimed probe may be sent.
+	probe      bool
+	probeUntil time.Time
 	// deadline is the time by which the response must be complete.
 	deadline time.Time
 
@@ -104,7 +107,7 @@
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	x.fingerprints = x.computeFingerprints()
-	if refusalErr := x.gateway.suspects.admit(x.info.ID, x.fingerprints); refusalErr != nil {
+	if refusalErr := x.admitSuspect(); refusalErr != nil {
 		x.refuse(refusalErr)
 		return
 	}
@@ -128,7 +131,7 @@
 		if !x.attempt(ctx, decision) {
 			return
 		}
-		if refusalErr := x.gateway.suspects.admit(x.info.ID, x.fingerprints); refusalErr != nil {
+		if refusalErr := x.admitSuspect(); refusalErr != nil {
 			x.failRequest(refusalErr)
 			return
 		}
@@ -141,6 +144,40 @@
 	}
 }
 
+// admitSuspect returns a refusal if the request, or a part of its prompt, is quarantined and the next attempt cannot be a probe.
+func (x *exchange) admitSuspect() *refusal.Error {
+	if !x.probeUntil.IsZero() {
+		return nil // The last attempt reached no target, so the probe has not been sent yet.
+	}
+	var refusalErr *refusal.Error
+	x.probe, refusalErr = x.gateway.suspects.admit(x.fingerprints)
+	return refusalErr
+}
+
+// authorizeSend is called right before an attempt. It claims the probe if the attempt is one, and returns a refusal if the request must not be
+// sent: it may have been quarantined while it waited for a target.
+func (x *exchange) authorizeSend(ctx context.Context) *refusal.Error {
+	quarantined := x.gateway.suspects.quarantined(x.fingerprints)
+	now := time.Now()
+	switch {
+	case len(quarantined) == 0 || now.Before(x.probeUntil):
+		return nil
+	case !x.probe || !x.probeUntil.IsZero():
+		return refuseQuarantined(now, now.Add(retryAfter))
+	}
+	granted, retryAt := x.gateway.claims.claim(ctx, quarantined)
+	now = time.Now()
+	if !granted {
+		return refuseQuarantined(now, retryAt)
+	}
+	event.QuarantineProbed.Log(x.gateway.logger, quarantined[0], x.info.ID)
+	x.probeUntil = now.Add(claimLifetime)
+	return nil
+}
+
+// endProbe records that the claimed probe has been sent, so that the next attempt needs another one.
+func (x *exchange) endProbe() { x.probe, x.probeUntil = false, time.Time{} }
+
 // dispatchRequest returns the request as the dispatcher needs it.
 func (x *exchange) dispatchRequest() dispatch.Request {
 	return dispatch.Request{
@@ -198,6 +235,11 @@
 		x.abortDisconnected()
 		return false
 	}
+	if refusalErr := x.authorizeSend(ctx); refusalErr != nil {
+		x.finishAttempt(decision, dispatch.Cancelled)
+		x.failRequest(refusalErr)
+		return false
+	}
 	if !x.gateway.scheduler.accepts(decision.Target) {
 		return x.handleUnsent(decision, dispatch.Delayed, &targetLeftError{})
 	}
@@ -210,6 +252,7 @@
 		return x.handleSendError(decision, err)
 	}
 	defer response.Close()
+	x.endProbe()
 	x.framing = response.Framing
 	x.recordRateLimit(decision, response)
 	if response.Info.NotRun {
@@ -272,6 +315,7 @@
 func (x *exchange) handleSendError(decision dispatch.Decision, err error) (retry bool) {
 	var unsent *forward.UnsentError
 	if !errors.As(err, &unsent) {
+		x.endProbe()
 		x.sentAttempts++
 		return x.handleBrokenAttempt(decision, err)
 	}
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/chicorydale/chicorydale/internal/dispatch"
 	"github.com/chicorydale/chicorydale/internal/fleetpb"
 	"github.com/chicorydale/chicorydale/internal/metric"
+	"github.com/chicorydale/chicorydale/internal/quarantine"
 	"github.com/chicorydale/chicorydale/internal/refusal"
 	"github.com/chicorydale/chicorydale/internal/route"
 	"github.com/chicorydale/chicorydale/internal/topiclog"
@@ -161,3 +163,27 @@
 
 // Announce writes the router's record, and again whenever the store has lost it, until ctx ends.
 func (p PeerLinks) Announce(ctx context.Context) { p.announce(ctx) }
+
+// SendGate is what decides at one router whether a request with a quarantined fingerprint is sent.
+type SendGate struct{ x *exchange }
+
+// NewSendGate returns the gate of a router that claims probes in the topic.
+func NewSendGate(topic topiclog.ConditionalTopic, fingerprint uint64) SendGate {
+	suspects := newSuspects(quarantine.New(quarantine.DefaultLimits(), rand.Uint64()), zerolog.Nop())
+	g := &Gateway{suspects: suspects, claims: &probeClaims{topic: topic, suspects: suspects, logger: zerolog.Nop()}, logger: zerolog.Nop()}
+	return SendGate{&exchange{gateway: g, fingerprints: []uint64{fingerprint}}}
+}
+
+// Admit reports whether the request may wait for a target.
+func (s SendGate) Admit() bool { return s.x.admitSuspect() == nil }
+
+// Authorize reports whether the request may be sent to the target that it got.
+func (s SendGate) Authorize(ctx context.Context) bool { return s.x.authorizeSend(ctx) == nil }
+
+// Sent records that the request was sent.
+func (s SendGate) Sent() { s.x.endProbe() }
+
+// RecordCrash records a crash of a target with the request.
+func (s SendGate) RecordCrash(crash quarantine.Crash) {
+	s.x.gateway.suspects.recordCrash(crash, s.x.fingerprints)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,6 +57,7 @@
 	targets         *targetDirectory
 	client          *forward.Client
 	suspects        *suspects
+	claims          *probeClaims
 	origins         *streamOrigins
 	quarantines     *quarantineStore
 	crashes         *crashDetector
@@ -91,6 +92,7 @@
 	budgets := newRetryBudgets(settings.RetryRatio, settings.RetryReserve)
 	origins := newStreamOrigins(logger)
 	suspects := newSuspects(quarantine.New(quarantine.DefaultLimits(), settings.Seed), logger)
+	claims := &probeClaims{topic: adapters.ProbeTopic, suspects: suspects, logger: logger}
 	g := &Gateway{
 		settings:        settings,
 		adapters:        adapters,
@@ -107,7 +109,8 @@
 		client:       client,
 		suspects:     suspects,
 		origins:      origins,
-		quarantines:  &quarantineStore{topic: adapters.QuarantineTopic, suspects: suspects, logger: logger},
+		claims:       claims,
+		quarantines:  &quarantineStore{topic: adapters.QuarantineTopic, claims: claims, suspects: suspects, logger: logger},
 		crashes:      newCrashDetector(client, logger, suspects.recordCrash),
 		retryBudgets: budgets,
 		callerConns:  newCallerConns(settings.MaxOpenFiles),
--- /dev/null
+++ b/internal/gateway/probeclaims_test.go
@@ -0,0 +1,107 @@
+package gateway_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chicorydale/chicorydale/internal/gateway"
+	"github.com/chicorydale/chicorydale/internal/quarantine"
+	"github.com/chicorydale/chicorydale/internal/topiclog"
+)
+
+// claimTopic is a topic in memory with conditional appends.
+type claimTopic struct {
+	topiclog.Topic
+
+	mu   sync.Mutex
+	end  uint64
+	keys map[string][]byte
+	down bool
+}
+
+func (c *claimTopic) ReadNewest(context.Context) (topiclog.Page, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.down {
+		return topiclog.Page{}, errors.New("the store cannot be reached")
+	}
+	page := topiclog.Page{NextOffset: c.end}
+	for key, value := range c.keys {
+		page.Records = append(page.Records, topiclog.Record{Key: key, Value: value})
+	}
+	return page, nil
+}
+
+func (c *claimTopic) Append(_ context.Context, at uint64, records []topiclog.Record) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at != c.end {
+		return &topiclog.ConflictError{Offset: at}
+	}
+	for _, record := range records {
+		c.keys[record.Key] = record.Value
+		c.end++
+	}
+	return nil
+}
+
+// crashThrice records three crashes at routers.
+func crashThrice(gates ...gateway.SendGate) {
+	for _, gate := range gates {
+		for i := range 3 {
+			gate.RecordCrash(quarantine.Crash{ID: fmt.Sprint("t/", i)})
+		}
+	}
+}
+
+// TestWaitingRequestIsRefusedOnceQuarantined guards against a request that was admitted before its quarantine, waited for a target, and is
+// sent to it after that.
+func TestWaitingRequestIsRefusedOnceQuarantined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := gateway.NewSendGate(&claimTopic{keys: make(map[string][]byte)}, 1)
+		qt.Assert(t, gate.Admit(), qt.IsTrue)
+		crashThrice(gate)
+		qt.Check(t, gate.Authorize(t.Context()), qt.IsFalse)
+	})
+}
+
+// TestRoutersShareProbes guards against routers that each send probes of what crashes targets, beside each other or one after the other,
+// and against a router that sends one while it cannot ask the store.
+func TestRoutersShareProbes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		topic := &claimTopic{keys: make(map[string][]byte)}
+		gates := make([]gateway.SendGate, 9)
+		for i := range gates {
+			gates[i] = gateway.NewSendGate(topic, 1)
+		}
+		crashThrice(gates...)
+		sendAll := func() (sent int) {
+			for _, gate := range gates {
+				if gate.Admit() && gate.Authorize(t.Context()) {
+					gate.Sent()
+					sent++
+				}
+			}
+			return sent
+		}
+		topic.down = true
+		time.Sleep(5 * time.Second)
+		qt.Check(t, sendAll(), qt.Equals, 0)
+		topic.down = false
+		total := 0
+		for range 600 {
+			time.Sleep(time.Second)
+			sent := sendAll()
+			qt.Check(t, sent <= 1, qt.IsTrue, qt.Commentf("%d at once", sent))
+			total += sent
+		}
+		qt.Check(t, total, qt.Equals, quarantine.DefaultLimits().MaxProbesAlone)
+	})
+}
--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"strconv"
 	"time"
 
@@ -29,12 +30,22 @@
 // not linked. Its methods as a topiclog.Handler belong to one goroutine.
 type quarantineStore struct {
 	topic    topiclog.Topic
+	claims   *probeClaims
 	suspects *suspects
 	logger   zerolog.Logger
 }
 
-// Reset takes the newest record of every quarantine.
-func (q *quarantineStore) Reset(now time.Time, records []topiclog.Record) { q.Apply(now, records) }
+// Reset takes the newest record of every quarantine. Those that this router has written and the store has lost are written again.
+func (q *quarantineStore) Reset(now time.Time, records []topiclog.Record) {
+	present := make(map[uint64]bool)
+	for _, record := range records {
+		if fingerprint, err := strconv.ParseUint(record.Key, fingerprintBase, 64); err == nil {
+			present[fingerprint] = true
+		}
+	}
+	q.suspects.reloaded(present)
+	q.Apply(now, records)
+}
 
 // Apply takes newer records. A removed record ends its quarantine.
 func (q *quarantineStore) Apply(_ time.Time, records []topiclog.Record) {
@@ -58,39 +69,47 @@
 // Failed does nothing: the handlers of the other topics log failures of the store.
 func (q *quarantineStore) Failed(time.Time, error) {}
 
-// writeUnsaved writes the beginnings and ends of quarantines to the store until ctx ends.
+// writeUnsaved writes the beginnings and ends of quarantines to the store until ctx ends. What could not be written is tried again, and does
+// not hold up the others.
 func (q *quarantineStore) writeUnsaved(ctx context.Context) {
 	ticker := time.NewTicker(saveInterval)
 	defer ticker.Stop()
+	unsaved := make(map[uint64]quarantine.Stored)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 			for _, stored := range q.suspects.takeUnsaved() {
-				q.write(ctx, stored)
+				unsaved[stored.Fingerprint] = stored
+			}
+			maps.DeleteFunc(unsaved, func(_ uint64, stored quarantine.Stored) bool { return q.write(ctx, stored) })
+			if len(unsaved) > 0 {
+				sleepUntil(ctx, time.Now().Add(saveRetryPause))
 			}
 		}
 	}
 }
 
-// write writes one quarantine, and retries until the store has accepted it or ctx ends.
-func (q *quarantineStore) write(ctx context.Context, stored quarantine.Stored) {
+// write writes one quarantine and reports whether the store has accepted it. The claims of one that has ended are removed.
+func (q *quarantineStore) write(ctx context.Context, stored quarantine.Stored) bool {
 	value, err := encodeStored(stored)
 	if err != nil {
 		event.Panicked.Log(q.logger, err, "")
-		return
+		return true
 	}
-	for ctx.Err() == nil {
-		putCtx, cancel := context.WithDeadline(ctx, time.Now().Add(saveTimeout))
-		err := q.topic.Put(putCtx, strconv.FormatUint(stored.Fingerprint, fingerprintBase), value)
-		cancel()
-		if err == nil {
-			return
-		}
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(saveTimeout))
+	defer cancel()
+	if stored.Records == nil {
+		err = q.claims.remove(ctx, stored.Fingerprint)
+	}
+	if err == nil {
+		err = q.topic.Put(ctx, strconv.FormatUint(stored.Fingerprint, fingerprintBase), value)
+	}
+	if err != nil && ctx.Err() != context.Canceled {
 		event.QuarantineUnsaved.Log(q.logger, stored.Fingerprint, err)
-		sleepUntil(ctx, time.Now().Add(saveRetryPause))
 	}
+	return err == nil
 }
 
 // encodeStored returns the value of a record: the crash records of a quarantine, and nil for one that has ended.
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -15,8 +15,8 @@
 	"github.com/chicorydale/chicorydale/internal/refusal"
 )
 
-// provenRetryDelay is the time after which callers should retry a request with a fingerprint that is refused for long.
-const provenRetryDelay = time.Minute
+// maxQuarantineRetry is the time after which callers should retry a request with a fingerprint that is refused for long.
+const maxQuarantineRetry = time.Minute
 
 // suspects makes a quarantine tracker safe for concurrent use and logs its changes.
 type suspects struct {
@@ -45,26 +45,56 @@
 	}
 }
 
-// admit returns a refusal if a request with the fingerprints must not be sent to a target, and nil otherwise.
-func (s *suspects) admit(id string, fingerprints []uint64) *refusal.Error {
+// admit returns a refusal if a request with the fingerprints must not be sent to a target. If probe is set, it may be sent once the claims
+// of its probe are in the store.
+func (s *suspects) admit(fingerprints []uint64) (probe bool, refusalErr *refusal.Error) {
 	var verdict quarantine.Verdict
 	var now time.Time
 	s.withTracker(func(tracker *quarantine.Tracker, at time.Time) {
 		verdict, now = tracker.Admit(at, fingerprints), at
 	})
-	if verdict.Probe {
-		event.QuarantineProbed.Log(s.logger, verdict.Fingerprint, id)
-	}
 	if !verdict.Refused {
-		return nil
+		return verdict.Probe, nil
 	}
-	retryAt := verdict.RetryAt
-	if retryAt.IsZero() {
-		retryAt = now.Add(provenRetryDelay)
+	return false, refuseQuarantined(now, verdict.RetryAt)
+}
+
+// refuseQuarantined returns the refusal of a request with a quarantined fingerprint. Callers are told to retry after maxQuarantineRetry at
+// the latest, since a quarantine may end at any time.
+func refuseQuarantined(now, retryAt time.Time) *refusal.Error {
+	latest := now.Add(maxQuarantineRetry)
+	if retryAt.IsZero() || retryAt.After(latest) {
+		retryAt = latest
 	}
 	return refusal.New(refusal.Quarantined, "the request, or a part of its prompt, crashes targets").WithRetryAt(retryAt)
 }
 
+// quarantined returns those of the fingerprints that are quarantined.
+func (s *suspects) quarantined(fingerprints []uint64) []uint64 {
+	var quarantined []uint64
+	s.withTracker(func(tracker *quarantine.Tracker, _ time.Time) { quarantined = tracker.Quarantined(fingerprints) })
+	return quarantined
+}
+
+// decideProbe decides on a probe from the claims in the store.
+func (s *suspects) decideProbe(quarantined []uint64, known []quarantine.Claim) quarantine.ProbeDecision {
+	var decision quarantine.ProbeDecision
+	s.withTracker(func(tracker *quarantine.Tracker, now time.Time) {
+		decision = tracker.DecideProbe(now, quarantined, known)
+	})
+	return decision
+}
+
+// probeClaimed records claims that this router has written, or may have written.
+func (s *suspects) probeClaimed(claims []quarantine.Claim) {
+	s.withTracker(func(tracker *quarantine.Tracker, _ time.Time) { tracker.ProbeClaimed(claims) })
+}
+
+// reloaded has quarantines written again that the store has lost.
+func (s *suspects) reloaded(present map[uint64]bool) {
+	s.withTracker(func(tracker *quarantine.Tracker, _ time.Time) { tracker.Reloaded(present) })
+}
+
 // recordCrash records a crash of a target that had not answered a request with the fingerprints.
 func (s *suspects) recordCrash(crash quarantine.Crash, fingerprints []uint64) {
 	s.withTracker(func(tracker *quarantine.Tracker, now time.Time) { tracker.RecordCrash(now, crash, fingerprints) })
--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -7,7 +7,8 @@
 //
 // Sound requests that were on the same targets get records as well. A request that is answered completely clears the records of all
 // its fingerprints, at all routers. So parts that many requests share are never quarantined for long, and what crashes every target on
-// which it runs is never cleared. While the evidence is weak, single requests are let through as probes.
+// which it runs is never cleared. While the evidence is weak, single requests are let through as probes. Each probe is claimed in the store
+// before, so that all routers together send few of them.
 //
 // The records form a set in which a cleared record stays cleared, so the order in which they arrive does not matter. Nothing in this
 // package is safe for concurrent use, and nothing reads the clock: the caller passes the current time.
--- a/internal/quarantine/limits.go
+++ b/internal/quarantine/limits.go
@@ -6,12 +6,14 @@
 type Limits struct {
 	// CrashThreshold is the number of crashes after which a fingerprint is quarantined.
 	CrashThreshold int
-	// ProofThreshold is the number of crashes after which no more probes are sent, unless something else may have caused all of them.
-	ProofThreshold int
-	// ProbeDelay is the minimum time from a crash to the next probe, for a fingerprint with CrashThreshold crashes. It doubles with each
-	// further crash. Each router adds a random delay of at most the same length, so that one probe is usually answered before another
-	// router sends one.
+	// ProbeDelay is the minimum time from a crash, or from the last look at the claims, to the next one. Each router adds a random delay of at
+	// most the same length, so that they do not all claim the same probe.
 	ProbeDelay time.Duration
+	// ProbeInterval is the minimum time between two probes of a fingerprint, at whatever routers.
+	ProbeInterval time.Duration
+	// MaxProbesAlone is the maximum number of probes of a fingerprint at all routers, until its quarantine ends, in which no other fingerprint is
+	// quarantined. MaxProbesTogether is that of probes with another one: they use up nothing that a sound part needs to be told apart.
+	MaxProbesAlone, MaxProbesTogether int
 	// AnswerMemory is the time for which an answer prevents crash records: what was answered so recently does not crash targets.
 	AnswerMemory time.Duration
 	// RecordLifetime is the time from a crash to the expiry of its records.
@@ -23,11 +25,13 @@
 // DefaultLimits returns the limits that apply unless the deployment sets others.
 func DefaultLimits() Limits {
 	return Limits{
-		CrashThreshold:  3,
-		ProofThreshold:  5,
-		ProbeDelay:      2 * time.Second,
-		AnswerMemory:    time.Second,
-		RecordLifetime:  time.Hour,
-		MaxFingerprints: 10_000,
+		CrashThreshold:    3,
+		ProbeDelay:        2 * time.Second,
+		ProbeInterval:     2 * time.Second,
+		MaxProbesAlone:    2,
+		MaxProbesTogether: 1,
+		AnswerMemory:      time.Second,
+		RecordLifetime:    time.Hour,
+		MaxFingerprints:   10_000,
 	}
 }
--- a/internal/quarantine/repeats_test.go
+++ b/internal/quarantine/repeats_test.go
@@ -27,6 +27,9 @@
 	slowHop = 300 * time.Millisecond
 	// maxUntilSeen is the maximum time until a router sends requests to a target that has started.
 	maxUntilSeen = 800 * time.Millisecond
+	// maxClaimAttempts is how often a router tries to write a claim, lostAnswers the part of the writes whose answers are lost.
+	maxClaimAttempts = 2
+	lostAnswers      = 0.05
 	// allowedLate is how often a whole request may be sent to targets later than stableWindow after it has crashed the third.
 	allowedLate = 3
 )
@@ -108,6 +111,42 @@
 	number   int
 	trackers []*quarantine.Tracker
 	targets  []*repeatTarget
+	store    claimStore
+}
+
+// claimStore holds the claims of probes, as the store does.
+type claimStore struct {
+	claims map[uint64]quarantine.Claim
+	// version rises with each write.
+	version int
+}
+
+// all returns all claims.
+func (s *claimStore) all() []quarantine.Claim { return slices.Collect(maps.Values(s.claims)) }
+
+// write writes claims, unless something was written since the version.
+func (s *claimStore) write(claims []quarantine.Claim, version int) bool {
+	if version != s.version {
+		return false
+	}
+	if s.claims == nil {
+		s.claims = make(map[uint64]quarantine.Claim)
+	}
+	for _, claim := range claims {
+		s.claims[claim.Fingerprint] = claim
+	}
+	s.version++
+	return true
+}
+
+// removeEnded removes the claims of quarantines that have ended.
+func (s *claimStore) removeEnded(unsaved []quarantine.Stored) {
+	for _, stored := range unsaved {
+		if stored.Records == nil {
+			delete(s.claims, stored.Fingerprint)
+			s.version++
+		}
+	}
 }
 
 // newRepeatFleet returns a fleet of linked routers that see all targets.
@@ -187,12 +226,42 @@
 	if len(seen) == 0 {
 		return
 	}
-	if f.trackers[router].Admit(f.now, []uint64{request.fingerprint}).Refused {
+	target := seen[f.random.IntN(len(seen))]
+	verdict := f.trackers[router].Admit(f.now, []uint64{request.fingerprint})
+	switch run := (&repeatRun{router, attempt, request}); {
+	case verdict.Refused:
 		request.refusals++
-		return
+	case verdict.Probe:
+		f.claim(run, maxClaimAttempts, func() { f.send(target, run) })
+	default:
+		f.send(target, run)
 	}
-	target, sentAt := seen[f.random.IntN(len(seen))], f.now
-	f.after(f.upTo(maxHop), func() { f.reach(target, &repeatRun{router, attempt, request}, sentAt) })
+}
+
+// claim writes the claim of a probe to the store and then calls granted. The answer of the store may be lost.
+func (f *repeatFleet) claim(run *repeatRun, attempts int, granted func()) {
+	tracker, fingerprints := f.trackers[run.router], []uint64{run.request.fingerprint}
+	f.after(f.hop(run.router), func() {
+		decision, version := tracker.DecideProbe(f.now, fingerprints, f.store.all()), f.store.version
+		f.after(f.hop(run.router), func() {
+			switch {
+			case len(decision.Granted) == 0:
+			case f.store.write(decision.Granted, version):
+				tracker.ProbeClaimed(decision.Granted)
+				if f.random.Float64() >= lostAnswers {
+					granted()
+				}
+			case attempts > 1:
+				f.claim(run, attempts-1, granted)
+			}
+		})
+	})
+}
+
+// send sends a request to a target.
+func (f *repeatFleet) send(target *repeatTarget, run *repeatRun) {
+	sentAt := f.now
+	f.after(f.upTo(maxHop), func() { f.reach(target, run, sentAt) })
 }
 
 // reach lets a request begin at a target. If the target is down, the router learns it.
@@ -220,11 +289,17 @@
 		default:
 			delete(target.running, id)
 			run.request.served++
-			f.after(f.hop(run.router), func() { f.trackers[run.router].RecordAnswer(f.now, []uint64{run.request.fingerprint}) })
+			f.after(f.hop(run.router), func() { f.recordAnswer(run) })
 		}
 	})
 }
 
+// recordAnswer records an answer and removes the claims of a quarantine that it has ended.
+func (f *repeatFleet) recordAnswer(run *repeatRun) {
+	f.trackers[run.router].RecordAnswer(f.now, []uint64{run.request.fingerprint})
+	f.store.removeEnded(f.trackers[run.router].TakeUnsaved())
+}
+
 // crash ends a target. Each router with a request there hears of it, records the crash and tries again.
 func (f *repeatFleet) crash(target *repeatTarget) {
 	crash := quarantine.Crash{ID: fmt.Sprint(target.name, "/", target.start), Target: target.name}
--- a/internal/quarantine/stored.go
+++ b/internal/quarantine/stored.go
@@ -43,3 +43,12 @@
 	t.clear(found)
 	found.stored = false
 }
+
+// Reloaded compares the quarantines in the store with those that this router has written: what the store has lost is written again.
+func (t *Tracker) Reloaded(present map[uint64]bool) {
+	for fingerprint, found := range t.suspects {
+		if t.isQuarantined(found) && found.stored && !present[fingerprint] {
+			t.changed[fingerprint] = found
+		}
+	}
+}
--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -31,6 +31,8 @@
 	// probeAt is the earliest time of the next probe while the fingerprint is quarantined, ambiguousProbeAt that of a probe with more
 	// than one quarantined fingerprint.
 	probeAt, ambiguousProbeAt time.Time
+	// claim is the claim of the last probe that this router has written since the fingerprint was quarantined.
+	claim Claim
 }
 
 // add adds a record, or merges it with the record of the same crash. It returns the record in the set and whether that changed
@@ -91,19 +93,6 @@
 	}
 }
 
-// hasAllCrashesOf reports whether the suspect has a record, not cleared, of each crash of another suspect.
-func (s *suspect) hasAllCrashesOf(other *suspect) bool {
-	if s.crashCount < other.crashCount {
-		return false
-	}
-	for crash, known := range other.byCrash {
-		if own, found := s.byCrash[crash]; !known.cleared && (!found || own.cleared) {
-			return false
-		}
-	}
-	return true
-}
-
 // crashes returns the ids of the crashes whose records are not cleared, sorted.
 func (s *suspect) crashes() []string {
 	ids := make([]string, 0, s.crashCount)
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -50,14 +50,12 @@
 	}
 }
 
-// Admit returns the verdict on a request with the given fingerprints. If the verdict is Probe, the request must be sent. A request with
-// more than one quarantined fingerprint is a probe only later than others, since its crash would not tell which of them is the cause.
+// Admit returns the verdict on a request with the given fingerprints. If the verdict is Probe, the request may be sent once the claims of
+// its probe are in the store. A request with more than one quarantined fingerprint is a probe only later than others, since its crash
+// would not tell which of them is the cause.
 func (t *Tracker) Admit(now time.Time, fingerprints []uint64) Verdict {
 	quarantined := t.quarantinedAmong(fingerprints)
 	for _, found := range quarantined {
-		if t.isProven(found) && !t.mayProbeProven(now, found, fingerprints) {
-			return Verdict{Refused: true, Fingerprint: found.fingerprint}
-		}
 		probeAt := found.probeAt
 		if len(quarantined) > 1 {
 			probeAt = found.ambiguousProbeAt
@@ -75,19 +73,14 @@
 	return Verdict{Probe: true, Fingerprint: quarantined[0].fingerprint}
 }
 
-// mayProbeProven reports whether a request may be a probe although one of its fingerprints has ProofThreshold crashes: another suspect,
-// which the request does not have, was in all of these crashes as well and may be the cause. Without one, the next look is put off.
-func (t *Tracker) mayProbeProven(now time.Time, found *suspect, fingerprints []uint64) bool {
-	if now.Before(found.probeAt) {
-		return false
-	}
-	for _, other := range t.suspects {
-		if other != found && other.hasAllCrashesOf(found) && !slices.Contains(fingerprints, other.fingerprint) {
-			return true
-		}
+// Quarantined returns those of the fingerprints that are quarantined.
+func (t *Tracker) Quarantined(fingerprints []uint64) []uint64 {
+	found := t.quarantinedAmong(fingerprints)
+	quarantined := make([]uint64, 0, len(found))
+	for _, suspected := range found {
+		quarantined = append(quarantined, suspected.fingerprint)
 	}
-	t.scheduleProbe(now, found)
-	return false
+	return quarantined
 }
 
 // quarantinedAmong returns the suspects among the fingerprints that are quarantined.
@@ -154,9 +147,6 @@
 	return found.crashCount >= t.limits.CrashThreshold
 }
 
-// isProven reports whether no probes are sent for a suspect.
-func (t *Tracker) isProven(found *suspect) bool { return found.crashCount >= t.limits.ProofThreshold }
-
 // wasAnswered reports whether a request with a fingerprint was answered within AnswerMemory.
 func (t *Tracker) wasAnswered(now time.Time, fingerprint uint64) bool {
 	at, found := t.answeredAt[fingerprint]
@@ -178,10 +168,10 @@
 	if changed {
 		t.changed[found.fingerprint] = found
 	}
+	t.noteChange(found, wasQuarantined)
 	if found.crashCount > previousCount && t.isQuarantined(found) {
 		t.scheduleProbe(now, found)
 	}
-	t.noteChange(found, wasQuarantined)
 	return found, merged, changed
 }
 
@@ -199,16 +189,16 @@
 // noteChange records the beginning or the end of a quarantine.
 func (t *Tracker) noteChange(found *suspect, wasQuarantined bool) {
 	if quarantined := t.isQuarantined(found); quarantined != wasQuarantined {
+		found.claim, found.probeAt, found.ambiguousProbeAt = Claim{}, time.Time{}, time.Time{}
 		t.changes = append(t.changes, Change{Fingerprint: found.fingerprint, Quarantined: quarantined, Crashes: found.crashes()})
 	}
 }
 
-// scheduleProbe sets the earliest times of the next probe.
+// scheduleProbe puts off the next probe.
 func (t *Tracker) scheduleProbe(now time.Time, found *suspect) {
-	doublings := min(found.crashCount, t.limits.ProofThreshold) - t.limits.CrashThreshold
-	delay := t.limits.ProbeDelay << doublings
-	delay += time.Duration(t.random.Float64() * float64(delay))
-	found.probeAt, found.ambiguousProbeAt = now.Add(delay), now.Add(ambiguousDelayFactor*delay)
+	delay := t.limits.ProbeDelay + time.Duration(t.random.Float64()*float64(t.limits.ProbeDelay))
+	found.probeAt = later(found.probeAt, now.Add(delay))
+	found.ambiguousProbeAt = later(found.ambiguousProbeAt, now.Add(ambiguousDelayFactor*delay))
 }
 
 // prune removes expired records and answers, at most once in pruneInterval.
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -68,6 +68,7 @@
 	targets    []*simTarget
 	deliveries []delivery
 	nextID     uint64
+	store      claimStore
 	// crashes holds the times of the crashes. badSent holds the times at which requests with badPart were sent to targets, soundSent and
 	// soundRefused those of sound requests.
 	crashes, badSent, soundSent, soundRefused []time.Time
@@ -109,7 +110,8 @@
 	if target == nil {
 		return
 	}
-	refused := f.trackers[router].Admit(f.now, fingerprints).Refused
+	verdict := f.trackers[router].Admit(f.now, fingerprints)
+	refused := verdict.Refused || verdict.Probe && !f.claim(router, fingerprints)
 	switch {
 	case refused && part != badPart:
 		f.soundRefused = append(f.soundRefused, f.now)
@@ -123,6 +125,14 @@
 	}
 }
 
+// claim writes the claims of a probe to the store and reports whether the probe may be sent.
+func (f *simFleet) claim(router string, fingerprints []uint64) bool {
+	tracker := f.trackers[router]
+	decision := tracker.DecideProbe(f.now, tracker.Quarantined(fingerprints), f.store.all())
+	tracker.ProbeClaimed(decision.Granted)
+	return len(decision.Granted) > 0 && f.store.write(decision.Granted, f.store.version)
+}
+
 // randomTarget returns a random target that is up, or nil if all are down.
 func (f *simFleet) randomTarget() *simTarget {
 	var up []*simTarget
@@ -175,6 +185,7 @@
 			return
 		default:
 			f.trackers[request.router].RecordAnswer(f.now, request.fingerprints)
+			f.store.removeEnded(f.trackers[request.router].TakeUnsaved())
 		}
 	}
 	target.requests = remaining
@@ -268,6 +279,33 @@
 	}
 }
 
+// TestSharedPartIsServedAfterCrashesAtOnce guards against a part of sound requests that is refused for long because five targets with it
+// were lost at the same time, with and without requests that share it and go on crashing targets.
+func TestSharedPartIsServedAfterCrashesAtOnce(t *testing.T) {
+	const crashes = 5
+	for _, routers := range []int{9, 100} {
+		for _, badPerSecond := range []float64{0, 3} {
+			for seed := range uint64(5) {
+				t.Run(fmt.Sprint(routers, " routers ", badPerSecond, " seed ", seed), func(t *testing.T) {
+					f := newSimFleet(seed, routers, 2*crashes)
+					for i := range crashes {
+						fingerprints := []uint64{uint64(i), sharedPart}
+						if badPerSecond > 0 {
+							fingerprints = append(fingerprints, badPart)
+						}
+						f.trackers[f.names[i]].RecordCrash(f.now, quarantine.Crash{ID: fmt.Sprint("lost", i)}, fingerprints)
+					}
+					f.run(2*stableWindow, 1, badPerSecond)
+					from := f.now
+					f.run(20*time.Second, 1, badPerSecond)
+					sent, refused := countAfter(f.soundSent, from), countAfter(f.soundRefused, from)
+					qt.Check(t, refused <= sent, qt.IsTrue, qt.Commentf("%d sound requests were refused, %d sent", refused, sent))
+				})
+			}
+		}
+	}
+}
+
 // TestRestartedRouterLearnsOfQuarantine guards against a router that sends what crashes targets because it was not there when they
 // crashed.
 func TestRestartedRouterLearnsOfQuarantine(t *testing.T) {
@@ -347,7 +385,7 @@
 	f.now = startTime.Add(time.Hour - time.Second)
 	f.trackers["r0"].Connected("r1")
 	f.run(500*time.Millisecond, 0, 0)
-	qt.Check(t, f.trackers["r1"].Admit(f.now, part).Refused, qt.IsTrue)
+	qt.Check(t, f.trackers["r1"].Quarantined(part), qt.DeepEquals, part)
 	f.now = startTime.Add(time.Hour + time.Second)
 	f.run(2*time.Second, 0, 0)
 	for _, name := range f.names {
@@ -395,3 +433,21 @@
 	qt.Check(t, started.Admit(f.now, part), qt.Equals, quarantine.Verdict{})
 	qt.Check(t, started.TakeUnsaved(), qt.HasLen, 0)
 }
+
+// TestQuarantineThatTheStoreLostIsWrittenAgain guards against a quarantine that ends with the routers because the store came back from an
+// older copy.
+func TestQuarantineThatTheStoreLostIsWrittenAgain(t *testing.T) {
+	tracker := quarantine.New(quarantine.DefaultLimits(), 1)
+	for i := range 3 {
+		tracker.RecordCrash(startTime, quarantine.Crash{ID: fmt.Sprint("t", i)}, []uint64{badPart})
+	}
+	written := tracker.TakeUnsaved()
+	qt.Assert(t, written, qt.HasLen, 1)
+	tracker.Reloaded(map[uint64]bool{badPart: true})
+	qt.Check(t, tracker.TakeUnsaved(), qt.HasLen, 0)
+	tracker.Reloaded(nil)
+	again := tracker.TakeUnsaved()
+	qt.Assert(t, again, qt.HasLen, 1)
+	qt.Check(t, again[0].Fingerprint, qt.Equals, uint64(badPart))
+	qt.Check(t, again[0].Records, qt.HasLen, 3)
+}
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -6,7 +6,7 @@
 type Verdict struct {
 	// Refused is set if the request must not be sent to any target.
 	Refused bool
-	// Probe is set if the request may be sent although one of its fingerprints is quarantined.
+	// Probe is set if the request may be sent although one of its fingerprints is quarantined, once its claims are in the store.
 	Probe bool
 	// Fingerprint is the quarantined fingerprint of a refused request or of a probe.
 	Fingerprint uint64
