Do not clear crash records by an answer whose end is uncertain

An answer that ends with its connection is checked by a new connection to its target. If that attempt runs into its time limit, nothing is known, and the answer is passed on as complete; but it also cleared all crash records of its fingerprints at all routers. It is no evidence any more. Found by review; no test makes a target hang at this point.

--- a/internal/gateway/crashdetector.go
+++ b/internal/gateway/crashdetector.go
@@ -86,14 +86,16 @@
 }
 
 // checkEnd returns a *crashedEndError if the target of an answer that ended with its connection accepts no new connection: the
-// answer was broken off by the crash then. The opened connection replaces the one that has ended.
-func (d *crashDetector) checkEnd(ctx context.Context, target dispatch.Target) error {
+// answer was broken off by the crash then. The opened connection replaces the one that has ended. alive is set if the target has accepted
+// it; otherwise, without an error, nothing is known.
+func (d *crashDetector) checkEnd(ctx context.Context, target dispatch.Target) (alive bool, err error) {
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(maxEndCheckTime))
 	defer cancel()
-	if err := d.client.Probe(ctx, target.Name, target.Address); errors.Is(err, syscall.ECONNREFUSED) {
-		return &crashedEndError{cause: err}
+	err = d.client.Probe(ctx, target.Name, target.Address)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return false, &crashedEndError{cause: err}
 	}
-	return nil
+	return err == nil, nil
 }
 
 // probe opens a connection to a target and records a crash if the target accepts none.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -61,6 +61,8 @@
 	// body did. It is zero if there was none.
 	headReceived bool
 	firstDataAt  time.Time
+	// endUncertain is set if a crash of the target may have ended the response to the last attempt.
+	endUncertain bool
 	// framing is what ends the response to the last attempt. It is empty if the head of none has arrived.
 	framing forward.Framing
 	// events tells whether the stream of the last attempt has ended inside an event.
@@ -247,7 +249,7 @@
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	response, err := x.gateway.client.Send(attemptCtx, x.newAttempt(decision))
-	x.headReceived, x.firstDataAt, x.framing, x.events = err == nil, time.Time{}, "", eventBoundary{}
+	x.headReceived, x.firstDataAt, x.framing, x.events, x.endUncertain = err == nil, time.Time{}, "", eventBoundary{}, false
 	if err != nil {
 		return x.handleSendError(decision, err)
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -115,9 +115,9 @@
 }
 
 // recordAnswer records that a target has answered the request completely. A status other than success does not show that the target
-// has worked on the request.
+// has worked on the request, and an end that a crash may have caused does not show that the answer is complete.
 func (x *exchange) recordAnswer(status int) {
-	if status/100 == 2 {
+	if status/100 == 2 && !x.endUncertain {
 		x.gateway.suspects.recordAnswer(x.fingerprints)
 	}
 }
@@ -252,7 +252,9 @@
 	if response.Framing != forward.FramedByConnection || response.StatusCode/100 != 2 {
 		return nil
 	}
-	return x.gateway.crashes.checkEnd(x.r.Context(), decision.Target)
+	alive, err := x.gateway.crashes.checkEnd(x.r.Context(), decision.Target)
+	x.endUncertain = !alive
+	return err
 }
 
 // finishStream completes the response after the target has sent its stream completely. empty reports whether the stream
