--- a/internal/quarantine/repeats_test.go
+++ b/internal/quarantine/repeats_test.go
@@ -372,6 +372,7 @@
 		{kinds: 5, kindRate: 8, attempts: 3, run: long, restart: soon, sounds: 4, soundRate: 1, slowRouters: 3},
 	} {
 		t.Run(fmt.Sprintf("%+v", c), func(t *testing.T) {
+			t.Parallel()
 			broken, worst, served, arrived, crashes := 0, 0, 0, 0, 0
 			for seed := range uint64(seeds) {
 				crashing, sound := newRepeatFleet(c, seed).run(60 * time.Second)
