Show requests that get no answer from a router that runs late

The tests hold the goroutine of a connection where a busy process would, or let the rest of a request arrive late. TestIdleConnectionIsClosed passes; it guards against a fix that closes nothing.

--- /dev/null
+++ b/internal/gateway/callerconns_test.go
@@ -0,0 +1,162 @@
+package gateway_test
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/chicorydale/chicorydale/internal/gateway"
+)
+
+// simpleRequest is a request without a body.
+const simpleRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+// heldServer is the HTTP server for callers. The goroutine of a connection waits in each change of state that is held.
+type heldServer struct {
+	gateway.CallerServer
+	t       *testing.T
+	reached chan struct{}
+	release chan struct{}
+}
+
+// newHeldServer starts a server that answers each request with status 200. The nth change to the state is held, counted from 1.
+func newHeldServer(t *testing.T, state http.ConnState, nth int) *heldServer {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	s := &heldServer{t: t, reached: make(chan struct{}), release: make(chan struct{})}
+	gw := gateway.New(gateway.Settings{MaxOpenFiles: 100}, gateway.Adapters{Codec: codec{}}, zerolog.New(io.Discard),
+		func() uint64 { return 0 })
+	seen := 0
+	hold := func(changed http.ConnState, before bool) {
+		// The goroutine waits before the connection counts as active, and after it counts as idle.
+		if changed != state || before != (state == http.StateActive) {
+			return
+		}
+		if seen++; seen == nth {
+			close(s.reached)
+			<-s.release
+		}
+	}
+	s.CallerServer = gateway.ServeCallers(gw, listener, hold)
+	t.Cleanup(func() { _ = s.Close() })
+	return s
+}
+
+// dial opens a caller's connection.
+func (s *heldServer) dial() (net.Conn, *bufio.Reader) {
+	s.t.Helper()
+	conn, err := net.Dial("tcp", s.Address())
+	qt.Assert(s.t, err, qt.IsNil)
+	s.t.Cleanup(func() { _ = conn.Close() })
+	qt.Assert(s.t, conn.SetDeadline(time.Now().Add(10*time.Second)), qt.IsNil)
+	return conn, bufio.NewReader(conn)
+}
+
+// request sends a request and returns the status of the answer, or 0 if there is none.
+func (s *heldServer) request(conn net.Conn, reader *bufio.Reader) int {
+	s.t.Helper()
+	_, err := io.WriteString(conn, simpleRequest)
+	qt.Assert(s.t, err, qt.IsNil)
+	return readStatus(reader)
+}
+
+// readStatus reads one answer and returns its status, or 0 if there is none.
+func readStatus(reader *bufio.Reader) int {
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return 0
+	}
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return 0
+	}
+	return response.StatusCode
+}
+
+// TestIdleTimeoutOfReadRequest guards against a whole request that was read and gets no answer, because the goroutine that read it
+// waits for the processor while idle connections are closed.
+func TestIdleTimeoutOfReadRequest(t *testing.T) {
+	s := newHeldServer(t, http.StateActive, 2)
+	conn, reader := s.dial()
+	qt.Assert(t, s.request(conn, reader), qt.Equals, http.StatusOK)
+	_, err := io.WriteString(conn, simpleRequest)
+	qt.Assert(t, err, qt.IsNil)
+	<-s.reached
+	s.CloseIdle(time.Now().Add(time.Hour), time.Minute)
+	close(s.release)
+	qt.Check(t, readStatus(reader), qt.Equals, http.StatusOK)
+}
+
+// TestIdleTimeoutOfWaitingRequest guards against a request that gets no answer, because the goroutine that has to read it waits for
+// the processor while idle connections are closed.
+func TestIdleTimeoutOfWaitingRequest(t *testing.T) {
+	s := newHeldServer(t, http.StateIdle, 1)
+	conn, reader := s.dial()
+	qt.Assert(t, s.request(conn, reader), qt.Equals, http.StatusOK)
+	<-s.reached
+	_, err := io.WriteString(conn, simpleRequest)
+	qt.Assert(t, err, qt.IsNil)
+	s.AwaitData()
+	s.CloseIdle(time.Now().Add(time.Hour), time.Minute)
+	close(s.release)
+	qt.Check(t, readStatus(reader), qt.Equals, http.StatusOK)
+}
+
+// TestIdleConnectionIsClosed guards against connections without a request that stay open longer than the idle timeout.
+func TestIdleConnectionIsClosed(t *testing.T) {
+	s := newHeldServer(t, http.StateHijacked, 1)
+	conn, reader := s.dial()
+	qt.Assert(t, s.request(conn, reader), qt.Equals, http.StatusOK)
+	qt.Assert(t, s.request(conn, reader), qt.Equals, http.StatusOK)
+	// The server marks the connection as idle after the caller has read the answer, so the first calls may come too early.
+	closed := make(chan error, 1)
+	go func() {
+		_, err := reader.ReadByte()
+		closed <- err
+	}()
+	poll := time.NewTicker(time.Millisecond)
+	defer poll.Stop()
+	for {
+		select {
+		case err := <-closed:
+			qt.Check(t, err, qt.Equals, io.EOF)
+			return
+		case <-poll.C:
+			s.CloseIdle(time.Now().Add(time.Hour), time.Minute)
+		}
+	}
+}
+
+// TestDataBeforeDeadline guards against a request that counts as late although it arrived in time, because the process read it only
+// after the deadline.
+func TestDataBeforeDeadline(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = listener.Close() }()
+	gw := gateway.New(gateway.Settings{MaxOpenFiles: 100}, gateway.Adapters{Codec: codec{}}, zerolog.New(io.Discard),
+		func() uint64 { return 0 })
+	callerConn, err := net.Dial("tcp", listener.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = callerConn.Close() }()
+	routerConn, err := gateway.AcceptCaller(gw, listener)
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = routerConn.Close() }()
+	_, err = io.WriteString(callerConn, simpleRequest)
+	qt.Assert(t, err, qt.IsNil)
+	gateway.AwaitData(routerConn)
+	qt.Assert(t, routerConn.SetReadDeadline(time.Now().Add(-time.Second)), qt.IsNil)
+	buffer := make([]byte, 2*len(simpleRequest))
+	n, err := routerConn.Read(buffer)
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, string(buffer[:n]), qt.Equals, simpleRequest)
+	_, err = routerConn.Read(buffer)
+	qt.Check(t, errors.Is(err, os.ErrDeadlineExceeded), qt.IsTrue, qt.Commentf("%v", err))
+}
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -52,7 +54,7 @@
 	for range 100 {
 		g.shedder.recordOutcome(customer, refusal.New(refusal.Overloaded, "no room"))
 	}
-	return &acceptor{Listener: tcpListener, callerConns: g.callerConns, shedder: g.shedder, logger: g.logger}
+	return newAcceptor(g, tcpListener)
 }
 
 // RetryBudgets exports the retry budgets of one router.
@@ -161,3 +163,71 @@
 
 // Announce writes the router's record, and again whenever the store has lost it, until ctx ends.
 func (p PeerLinks) Announce(ctx context.Context) { p.announce(ctx) }
+
+// CallerServer exports the HTTP server for callers with the set of their connections.
+type CallerServer struct {
+	*http.Server
+	conns    *callerConns
+	listener net.Listener
+	accepted *lastConn
+}
+
+// lastConn is a listener that remembers the connection that it accepted last.
+type lastConn struct {
+	net.Listener
+	conn atomic.Value
+}
+
+// Accept accepts a connection.
+func (l *lastConn) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		l.conn.Store(conn)
+	}
+	return conn, err
+}
+
+// ServeCallers serves callers on a listener as a gateway does, but answers each request with status 200. hold is called before and
+// after each change of a connection's state is recorded.
+func ServeCallers(g *Gateway, tcpListener net.Listener, hold func(state http.ConnState, before bool)) CallerServer {
+	accepted := &lastConn{Listener: newAcceptor(g, tcpListener)}
+	server := g.newServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	server.ConnState = func(conn net.Conn, state http.ConnState) {
+		hold(state, true)
+		g.callerConns.stateChanged(conn, state)
+		hold(state, false)
+	}
+	go func() { _ = server.Serve(accepted) }()
+	return CallerServer{Server: server, conns: g.callerConns, listener: tcpListener, accepted: accepted}
+}
+
+// Address returns the address of the server.
+func (s CallerServer) Address() string { return s.listener.Addr().String() }
+
+// CloseIdle closes idle connections as if it were called at the time now.
+func (s CallerServer) CloseIdle(now time.Time, idleTimeout time.Duration) {
+	s.conns.closeIdle(now, idleTimeout)
+}
+
+// AwaitData waits until unread data has arrived on the connection that was accepted last.
+func (s CallerServer) AwaitData() {
+	conn, _ := s.accepted.conn.Load().(net.Conn)
+	AwaitData(conn)
+}
+
+// AwaitData waits until unread data has arrived on a caller's connection.
+func AwaitData(conn net.Conn) {
+	if accepted, ok := conn.(*callerConn); ok {
+		peekReceived(accepted.TCPConn, make([]byte, 1))
+	}
+}
+
+// AcceptCaller accepts a caller's connection as a gateway does.
+func AcceptCaller(g *Gateway, tcpListener net.Listener) (net.Conn, error) {
+	return newAcceptor(g, tcpListener).Accept()
+}
+
+// newAcceptor returns the acceptor of a gateway on a listener.
+func newAcceptor(g *Gateway, tcpListener net.Listener) *acceptor {
+	return &acceptor{Listener: tcpListener, callerConns: g.callerConns, shedder: g.shedder, logger: g.logger}
+}
