Log connections that the router closes without an answer to a request

Event 613 request_cut says so, with the bytes that had been read, the time since the first one and the error of the last read; 20 lines a second at most. The connection of a caller counts its bytes for this, in a file of its own. The test fails without the line, and without the check whether an answer was begun.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -110,6 +110,7 @@
 	CustomerState = Event{612, levelInfo, "customer_state", []string{
 		"service", "customer", "asked", "started", "refused", "usage", "demand", "share",
 	}}
+	RequestCut = Event{613, levelWarn, "request_cut", []string{"bytes", "took_ms", "error"}}
 )
 
 // Events of at-most-once claims.
@@ -142,7 +143,7 @@
 		StoreShared, StoreUnshared,
 		TargetAdded, TargetLeaving, TargetGone, TargetCrashed, TargetLimited,
 		Refused, Retried, Resumed, Abandoned,
-		RequestAnswered, RequestRefused, AttemptFailed, CallerLeft, StreamBroken, ServiceState, RefusalsSummed, CustomerState,
+		RequestAnswered, RequestRefused, AttemptFailed, CallerLeft, StreamBroken, ServiceState, RefusalsSummed, CustomerState, RequestCut,
 		ClaimLost, ClaimUnknown,
 		SuspectFound, SuspectRefused, Quarantined, QuarantineLifted, QuarantineProbed, QuarantineUnsaved,
 	}
--- a/internal/gateway/acceptor.go
+++ b/internal/gateway/acceptor.go
@@ -24,6 +24,7 @@
 	net.Listener
 	callerConns *callerConns
 	shedder     *loadShedder
+	cuts        *cutLog
 	logger      zerolog.Logger
 	lastLogged  time.Time
 }
@@ -35,7 +36,7 @@
 		conn, err := a.Listener.Accept()
 		now := time.Now()
 		if tcpConn, ok := conn.(*net.TCPConn); ok && err == nil {
-			return &callerConn{TCPConn: tcpConn, shedder: a.shedder, acceptedAt: now}, nil
+			return &callerConn{TCPConn: tcpConn, shedder: a.shedder, cuts: a.cuts, acceptedAt: now}, nil
 		}
 		if !errors.Is(err, syscall.EMFILE) && !errors.Is(err, syscall.ENFILE) {
 			return conn, err
--- /dev/null
+++ b/internal/gateway/callerconn.go
@@ -0,0 +1,121 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/chicorydale/chicorydale/internal/event"
+)
+
+// callerConn is a connection of a caller. Its first request may be refused by the load shedder.
+type callerConn struct {
+	*net.TCPConn
+	shedder     *loadShedder
+	cuts        *cutLog
+	acceptedAt  time.Time
+	readStarted bool
+
+	mu sync.Mutex
+	// received is the number of bytes of the current request that were read, receivedSince the time of the first ones. answered is
+	// set from the first byte of its answer on.
+	received      int
+	receivedSince time.Time
+	answered      bool
+	// readErr is the error of the last read.
+	readErr error
+	closed  bool
+}
+
+// Read reads from the connection. It returns io.EOF if the load shedder has refused the first request.
+func (c *callerConn) Read(p []byte) (int, error) {
+	if !c.readStarted {
+		c.readStarted = true
+		if c.shedder.connStarted(c.acceptedAt) && c.shedder.refuseFirstRequest(c.TCPConn) {
+			return 0, io.EOF
+		}
+	}
+	n, err := c.TCPConn.Read(p)
+	c.recordRead(n, err)
+	return n, err
+}
+
+// recordRead records the outcome of a read.
+func (c *callerConn) recordRead(n int, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n > 0 && c.received == 0 {
+		c.receivedSince = time.Now()
+	}
+	c.received += n
+	c.readErr = err
+}
+
+// Write writes a part of an answer.
+func (c *callerConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	c.answered = true
+	c.mu.Unlock()
+	return c.TCPConn.Write(p)
+}
+
+// awaitRequest records that the last request has ended.
+func (c *callerConn) awaitRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.received, c.answered = 0, false
+}
+
+// Close closes the connection. It logs if the caller waits for the answer to a request.
+func (c *callerConn) Close() error {
+	c.logCut()
+	return c.TCPConn.Close()
+}
+
+// logCut logs that the connection is closed after bytes of a request and before any of its answer, unless the caller has left.
+func (c *callerConn) logCut() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return
+	}
+	c.closed = true
+	if c.received > 0 && !c.answered && !isDisconnect(c.readErr) && !isDisconnected(c.TCPConn) {
+		c.cuts.log(time.Now(), c.receivedSince, c.received, c.readErr)
+	}
+}
+
+// isDisconnect reports whether the error of a read says that the caller has left.
+func isDisconnect(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)
+}
+
+// maxCutLinesPerSecond is the maximum number of log lines per second about connections that were closed without an answer.
+const maxCutLinesPerSecond = 20
+
+// cutLog logs connections that the router closes without an answer to a request. It is safe for concurrent use.
+type cutLog struct {
+	logger zerolog.Logger
+
+	mu sync.Mutex
+	// currentSecond is the Unix time of the second in which linesInSecond connections were closed.
+	currentSecond int64
+	linesInSecond int
+}
+
+// log logs a connection on which a number of bytes has arrived since the given time, unless there were too many in this second.
+func (l *cutLog) log(now, since time.Time, bytes int, readErr error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if unixSecond := now.Unix(); unixSecond != l.currentSecond {
+		l.currentSecond, l.linesInSecond = unixSecond, 0
+	}
+	if l.linesInSecond++; l.linesInSecond <= maxCutLinesPerSecond {
+		event.RequestCut.Log(l.logger, bytes, now.Sub(since).Milliseconds(), readErr)
+	}
+}
--- a/internal/gateway/callerconns.go
+++ b/internal/gateway/callerconns.go
@@ -40,6 +40,9 @@
 
 // stateChanged records a new state of a connection. It is the ConnState hook of the HTTP server.
 func (c *callerConns) stateChanged(conn net.Conn, state http.ConnState) {
+	if caller, ok := conn.(*callerConn); ok && state == http.StateIdle {
+		caller.awaitRequest()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch state {
--- a/internal/gateway/callerconns_test.go
+++ b/internal/gateway/callerconns_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -46,7 +47,7 @@
 			<-s.release
 		}
 	}
-	s.CallerServer = gateway.ServeCallers(gw, listener, hold)
+	s.CallerServer = gateway.ServeCallers(gw, listener, hold, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	t.Cleanup(func() { _ = s.Close() })
 	return s
 }
@@ -160,3 +161,42 @@
 	_, err = routerConn.Read(buffer)
 	qt.Check(t, errors.Is(err, os.ErrDeadlineExceeded), qt.IsTrue, qt.Commentf("%v", err))
 }
+
+// TestLogsRequestsWithoutAnswer guards against connections that are closed without an answer to a request and leave no trace in the
+// log, and against lines about callers that got an answer or left.
+func TestLogsRequestsWithoutAnswer(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	var log strings.Builder
+	gw := gateway.New(gateway.Settings{MaxOpenFiles: 100}, gateway.Adapters{Codec: codec{}}, zerolog.New(&log), func() uint64 { return 0 })
+	closed := make(chan struct{}, 1)
+	hold := func(state http.ConnState, before bool) {
+		if state == http.StateClosed && !before {
+			closed <- struct{}{}
+		}
+	}
+	server := gateway.ServeCallers(gw, listener, hold, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Connection", "close")
+		if r.URL.Path == "/cut" {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	defer func() { _ = server.Close() }()
+	for _, path := range []string{"/answered", "/cut"} {
+		conn, err := net.Dial("tcp", server.Address())
+		qt.Assert(t, err, qt.IsNil)
+		request := "POST " + path + " HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx"
+		_, err = io.WriteString(conn, request)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, readStatus(bufio.NewReader(conn)) == http.StatusOK, qt.Equals, path == "/answered")
+		<-closed
+		qt.Assert(t, conn.Close(), qt.IsNil)
+	}
+	conn, err := net.Dial("tcp", server.Address())
+	qt.Assert(t, err, qt.IsNil)
+	_, err = io.WriteString(conn, "GET / HT")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, conn.Close(), qt.IsNil)
+	<-closed
+	qt.Check(t, strings.Count(log.String(), "request_cut"), qt.Equals, 1, qt.Commentf("%s", log.String()))
+}
--- a/internal/gateway/disconnect.go
+++ b/internal/gateway/disconnect.go
@@ -22,6 +22,11 @@
 	if !ok {
 		return false
 	}
+	return isDisconnected(conn)
+}
+
+// isDisconnected reports whether the other end has closed a connection and no data is left to read.
+func isDisconnected(conn syscall.Conn) bool {
 	raw, err := conn.SyscallConn()
 	if err != nil {
 		return true
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -54,7 +54,7 @@
 	for range 100 {
 		g.shedder.recordOutcome(customer, refusal.New(refusal.Overloaded, "no room"))
 	}
-	return newAcceptor(g, tcpListener)
+	return g.newAcceptor(tcpListener)
 }
 
 // RetryBudgets exports the retry budgets of one router.
@@ -187,11 +187,13 @@
 	return conn, err
 }
 
-// ServeCallers serves callers on a listener as a gateway does, but answers each request with status 200. hold is called before and
-// after each change of a connection's state is recorded.
-func ServeCallers(g *Gateway, tcpListener net.Listener, hold func(state http.ConnState, before bool)) CallerServer {
-	accepted := &lastConn{Listener: newAcceptor(g, tcpListener)}
-	server := g.newServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+// ServeCallers serves callers on a listener as a gateway does, but with another handler. hold is called before and after each change
+// of a connection's state is recorded.
+func ServeCallers(
+	g *Gateway, tcpListener net.Listener, hold func(state http.ConnState, before bool), handler http.Handler,
+) CallerServer {
+	accepted := &lastConn{Listener: g.newAcceptor(tcpListener)}
+	server := g.newServer(handler)
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
 		hold(state, true)
 		g.callerConns.stateChanged(conn, state)
@@ -224,10 +226,5 @@
 
 // AcceptCaller accepts a caller's connection as a gateway does.
 func AcceptCaller(g *Gateway, tcpListener net.Listener) (net.Conn, error) {
-	return newAcceptor(g, tcpListener).Accept()
-}
-
-// newAcceptor returns the acceptor of a gateway on a listener.
-func newAcceptor(g *Gateway, tcpListener net.Listener) *acceptor {
-	return &acceptor{Listener: tcpListener, callerConns: g.callerConns, shedder: g.shedder, logger: g.logger}
+	return g.newAcceptor(tcpListener).Accept()
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -171,7 +171,7 @@
 	servers := []*http.Server{callerServer, g.newServer(http.HandlerFunc(g.serveReady)), g.newServer(g.metricsHandler())}
 	serveErrors := make(chan error, len(g.listeners))
 	go func() { serveErrors <- g.peers.hub.Serve(g.listeners[3]) }()
-	g.listeners[0] = &acceptor{Listener: g.listeners[0], callerConns: g.callerConns, shedder: g.shedder, logger: g.logger}
+	g.listeners[0] = g.newAcceptor(g.listeners[0])
 	for i, server := range servers {
 		go func() { serveErrors <- server.Serve(g.listeners[i]) }()
 	}
@@ -230,6 +230,13 @@
 	}
 }
 
+// newAcceptor returns an acceptor of callers' connections on a listener.
+func (g *Gateway) newAcceptor(listener net.Listener) *acceptor {
+	return &acceptor{
+		Listener: listener, callerConns: g.callerConns, shedder: g.shedder, cuts: &cutLog{logger: g.logger}, logger: g.logger,
+	}
+}
+
 // serve handles one request of a caller.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	g.openRequests.Add(1)
--- a/internal/gateway/loadshedder.go
+++ b/internal/gateway/loadshedder.go
@@ -122,25 +122,6 @@
 	return buffer[:n]
 }
 
-// callerConn is a connection of a caller. Its first request may be refused by the load shedder.
-type callerConn struct {
-	*net.TCPConn
-	shedder     *loadShedder
-	acceptedAt  time.Time
-	readStarted bool
-}
-
-// Read reads from the connection. It returns io.EOF if the load shedder has refused the first request.
-func (c *callerConn) Read(p []byte) (int, error) {
-	if !c.readStarted {
-		c.readStarted = true
-		if c.shedder.connStarted(c.acceptedAt) && c.shedder.refuseFirstRequest(c.TCPConn) {
-			return 0, io.EOF
-		}
-	}
-	return c.TCPConn.Read(p)
-}
-
 // responseWriter is an http.ResponseWriter that writes one complete response directly to a connection. Write must be
 // called exactly once, with the whole body.
 type responseWriter struct {
