Count data as in time that arrived before it was read late

A read whose deadline has passed fails in Go without a look at the socket, although the data may have arrived long before: the process had no processor time to read it. net/http then closes the connection without an answer (ReadHeaderTimeout), or a body counts as late (408). The connection of a caller now reads once more without waiting after such an error, so a deadline ends only a wait for data that is not there. A caller that sends slowly gains nothing: what it has not sent is not waited for.

The price is one call of recv that finds nothing for each request, when net/http ends its background read.

--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -32,7 +33,8 @@
 	closed  bool
 }
 
-// Read reads from the connection. It returns io.EOF if the load shedder has refused the first request.
+// Read reads from the connection. Data that has arrived is returned even if the read deadline has passed: the process may have had no
+// processor time to read it before. Read returns io.EOF if the load shedder has refused the first request.
 func (c *callerConn) Read(p []byte) (int, error) {
 	if !c.readStarted {
 		c.readStarted = true
@@ -41,10 +43,30 @@
 		}
 	}
 	n, err := c.TCPConn.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		n, err = readArrived(c.TCPConn, p, err)
+	}
 	c.recordRead(n, err)
 	return n, err
 }
 
+// readArrived reads the data that has arrived on a connection, without waiting. If there is none, it returns noDataErr.
+func readArrived(conn *net.TCPConn, p []byte, noDataErr error) (int, error) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) { n, _, _ = syscall.Recvfrom(int(fd), p, syscall.MSG_DONTWAIT) })
+	if err != nil {
+		return 0, err
+	}
+	if n <= 0 {
+		return 0, noDataErr
+	}
+	return n, nil
+}
+
 // recordRead records the outcome of a read.
 func (c *callerConn) recordRead(n int, err error) {
 	c.mu.Lock()
