Answer the requests that a router reads late in its shutdown

Cause: after http.Server.Shutdown, net/http returns from conn.serve as soon as it has read a request, and closes the listener and idle connections with what waits in them. A router on time has read everything by then; one without processor time has hundreds of accepted connections unread.

Shutdown is not called any more. The listener is closed when no connection waits to be accepted, at the latest when final refusals begin; then connections without a request are ended as idle ones are, until none is open or the grace period is almost over. The margins stay.

TestCloseWhenEmpty fails if the listener is closed at once.

--- a/internal/gateway/acceptor.go
+++ b/internal/gateway/acceptor.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"net"
 	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
 
 	"github.com/chicorydale/chicorydale/internal/event"
 )
@@ -16,6 +18,8 @@
 	acceptRetryPause = 10 * time.Millisecond
 	// acceptLogInterval is the minimum time between log lines about such failures.
 	acceptLogInterval = time.Second
+	// queuePollInterval is the time between checks whether connections wait to be accepted.
+	queuePollInterval = 10 * time.Millisecond
 )
 
 // acceptor is a listener that keeps accepting when the process or the system has run out of file descriptors: it closes
@@ -49,3 +53,27 @@
 		time.Sleep(acceptRetryPause)
 	}
 }
+
+// closeWhenEmpty closes the listener when no connection waits to be accepted, or when ctx ends. The kernel resets the connections that
+// wait when the listener is closed.
+func (a *acceptor) closeWhenEmpty(ctx context.Context) {
+	for a.hasWaitingConns() && ctx.Err() == nil {
+		sleepUntil(ctx, time.Now().Add(queuePollInterval))
+	}
+	_ = a.Close() // The listener is closed in any case.
+}
+
+// hasWaitingConns reports whether connections wait to be accepted.
+func (a *acceptor) hasWaitingConns() bool {
+	listener, ok := a.Listener.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := listener.SyscallConn()
+	if err != nil {
+		return false
+	}
+	ready := 0
+	err = raw.Control(func(fd uintptr) { ready, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0) })
+	return err == nil && ready > 0
+}
--- a/internal/gateway/callerconns.go
+++ b/internal/gateway/callerconns.go
@@ -92,5 +92,18 @@
 	}
 }
 
+// endUnused ends the connections that have had no request for longer than idleTimeout, among them those that never had one. It returns
+// the number of open connections.
+func (c *callerConns) endUnused(now time.Time, idleTimeout time.Duration) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, current := range c.open {
+		if current.state != http.StateActive && now.Sub(current.since) > idleTimeout {
+			conn.endIfIdle()
+		}
+	}
+	return len(c.open)
+}
+
 // excessIdleTimeout is how long a connection may be idle while too many connections are open.
 const excessIdleTimeout = time.Second
--- a/internal/gateway/callerconns_test.go
+++ b/internal/gateway/callerconns_test.go
@@ -217,3 +217,24 @@
 	<-closed
 	qt.Check(t, strings.Count(log.String(), "request_cut"), qt.Equals, 1, qt.Commentf("%s", log.String()))
 }
+
+// TestCloseWhenEmpty guards against connections that are reset when the listener is closed, because they still wait to be accepted.
+func TestCloseWhenEmpty(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	gw := gateway.New(gateway.Settings{MaxOpenFiles: 100}, gateway.Adapters{Codec: codec{}}, zerolog.New(io.Discard),
+		func() uint64 { return 0 })
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	closed := make(chan struct{})
+	polled := gateway.CloseWhenEmpty(t.Context(), gw, listener, closed)
+	<-polled
+	<-polled
+	accepted, err := listener.Accept()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, accepted.Close(), qt.IsNil)
+	<-closed
+	_, err = listener.Accept()
+	qt.Check(t, errors.Is(err, net.ErrClosed), qt.IsTrue)
+}
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"runtime/debug"
 	"time"
 
@@ -18,27 +17,35 @@
 	// finalRefusalTime is how long before the end of the drain new requests are refused, because they may not complete in
 	// time.
 	finalRefusalTime = 1500 * time.Millisecond
-	// openPollInterval is the time between checks whether all open requests have ended.
+	// openPollInterval is the time between checks whether all connections have ended.
 	openPollInterval = 50 * time.Millisecond
+	// drainIdleTimeout is how long a connection may have no request at the end of the drain. A request that is on its way arrives
+	// within this time.
+	drainIdleTimeout = 200 * time.Millisecond
 )
 
-// drain waits until all open requests have ended or the grace period is almost over. It keeps accepting requests until the
-// load balancer has had time to deregister the router.
-func (g *Gateway) drain(callerServer *http.Server) {
+// drain waits until all connections of callers have ended or the grace period is almost over. It keeps accepting connections until the
+// load balancer has had time to deregister the router. After that, only connections without a request are ended: a router that gets
+// too little processor time has accepted and read requests late, and each of them gets an answer or a refusal.
+func (g *Gateway) drain(callers *acceptor) {
 	startedAt := time.Now()
 	deadline := startedAt.Add(g.settings.GracePeriod - exitMargin)
-	g.refuseAfter.Store(deadline.Add(-finalRefusalTime).UnixNano())
+	refuseAfter := deadline.Add(-finalRefusalTime)
+	g.refuseAfter.Store(refuseAfter.UnixNano())
 	g.draining.Store(true)
 	event.Draining.Log(g.logger, g.openRequests.Load())
 	drainCtx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	go g.peers.withdraw(drainCtx) // Not waited for, because the store may not reply.
 	sleepUntil(drainCtx, startedAt.Add(min(deregistrationTime, g.settings.GracePeriod/2)))
-	if err := callerServer.Shutdown(drainCtx); err != nil {
-		event.DrainCut.Log(g.logger, g.openRequests.Load())
-		return
-	}
-	for g.openRequests.Load() > 0 && drainCtx.Err() == nil {
+	acceptCtx, stopAccepting := context.WithDeadline(drainCtx, refuseAfter)
+	defer stopAccepting()
+	callers.closeWhenEmpty(acceptCtx)
+	for g.callerConns.endUnused(time.Now(), drainIdleTimeout) > 0 {
+		if drainCtx.Err() != nil {
+			event.DrainCut.Log(g.logger, g.openRequests.Load())
+			return
+		}
 		sleepUntil(drainCtx, time.Now().Add(openPollInterval))
 	}
 	event.Drained.Log(g.logger, time.Since(startedAt).Milliseconds())
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -236,3 +237,35 @@
 func AcceptCaller(g *Gateway, tcpListener net.Listener) (net.Conn, error) {
 	return g.newAcceptor(tcpListener).Accept()
 }
+
+// pollSignal is a listener that signals each check for connections that wait to be accepted.
+type pollSignal struct {
+	*net.TCPListener
+	polled chan struct{}
+}
+
+// SyscallConn signals a check.
+func (l *pollSignal) SyscallConn() (syscall.RawConn, error) {
+	select {
+	case l.polled <- struct{}{}:
+	default:
+	}
+	return l.TCPListener.SyscallConn()
+}
+
+// Close closes the listener and ends the signals.
+func (l *pollSignal) Close() error {
+	defer close(l.polled)
+	return l.TCPListener.Close()
+}
+
+// CloseWhenEmpty closes a listener in the background as a gateway that ends does, and then the channel closed. It returns a channel
+// that receives a value at each check whether connections wait.
+func CloseWhenEmpty(ctx context.Context, g *Gateway, tcpListener net.Listener, closed chan<- struct{}) <-chan struct{} {
+	signal := &pollSignal{TCPListener: tcpListener.(*net.TCPListener), polled: make(chan struct{})} //nolint:forcetypeassert // As passed.
+	go func() {
+		defer close(closed)
+		g.newAcceptor(signal).closeWhenEmpty(ctx)
+	}()
+	return signal.polled
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -171,7 +171,8 @@
 	servers := []*http.Server{callerServer, g.newServer(http.HandlerFunc(g.serveReady)), g.newServer(g.metricsHandler())}
 	serveErrors := make(chan error, len(g.listeners))
 	go func() { serveErrors <- g.peers.hub.Serve(g.listeners[3]) }()
-	g.listeners[0] = g.newAcceptor(g.listeners[0])
+	callers := g.newAcceptor(g.listeners[0])
+	g.listeners[0] = callers
 	for i, server := range servers {
 		go func() { serveErrors <- server.Serve(g.listeners[i]) }()
 	}
@@ -195,7 +196,7 @@
 	var err error
 	select {
 	case <-ctx.Done():
-		g.drain(callerServer)
+		g.drain(callers)
 	case err = <-serveErrors:
 		event.Failed.Log(g.logger, err)
 	}
