Count answers of targets as in time that were read late

The same cause at the other end: a router without processor time takes a target that has answered, or sends its events, for a silent one, since a read whose deadline has passed does not look at the socket. A connection to a target now reads once more after its deadline. Once only: a target that sends all the time would never come to an end otherwise.

TestDataBeforeDeadline of internal/forward failed before (i/o timeout), and fails if each read may be late.

--- a/internal/forward/client_test.go
+++ b/internal/forward/client_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -334,3 +335,36 @@
 		qt.Check(t, bytes <= acceptable, qt.IsTrue, qt.Commentf("%s: the target sent %d bytes", name, bytes))
 	}
 }
+
+// TestDataBeforeDeadline guards against an attempt that fails although data of the target had arrived in time, because the process read
+// it only after the deadline, and against a target that keeps sending after the deadline.
+func TestDataBeforeDeadline(t *testing.T) {
+	more, sent := make(chan struct{}), make(chan struct{})
+	target := newTestTarget(t, func(conn net.Conn, _ int, id string) bool {
+		writeRaw(conn, strings.TrimSuffix(responseText(id, "abc"), "bc"))
+		for _, part := range []string{"b", "c"} {
+			<-more
+			writeRaw(conn, part)
+			sent <- struct{}{}
+		}
+		return true
+	})
+	response, err := forward.NewClient(codec{}).Send(t.Context(), newAttempt(target, "1"))
+	qt.Assert(t, err, qt.IsNil)
+	defer response.Close()
+	buffer := make([]byte, 10)
+	n, err := response.Read(buffer)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(buffer[:n]), qt.Equals, "a")
+	more <- struct{}{}
+	<-sent
+	passed := time.Now().Add(-time.Second)
+	response.SetReadDeadline(passed, passed)
+	n, err = response.Read(buffer)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, string(buffer[:n]), qt.Equals, "b")
+	more <- struct{}{}
+	<-sent
+	_, err = response.Read(buffer)
+	qt.Check(t, errors.Is(err, os.ErrDeadlineExceeded), qt.IsTrue, qt.Commentf("%v", err))
+}
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -6,6 +6,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"github.com/chicorydale/chicorydale/internal/latedata"
 )
 
 // readBufferSize is the size of a connection's read buffer in bytes.
@@ -21,6 +23,8 @@
 	reader *bufio.Reader
 	// budget limits the bytes that are read before the body of the response.
 	budget *readBudget
+	// lateRead is set if data was read after the deadline.
+	lateRead bool
 	// reused is set if the connection has carried a request before.
 	reused bool
 	// idleDeadline is when the idle connection must no longer be reused, because the target may close it. It is zero until the
@@ -34,8 +38,27 @@
 
 // newConn wraps an open network connection.
 func newConn(netConn net.Conn) *conn {
-	budget := &readBudget{reader: netConn}
-	return &conn{Conn: netConn, reader: bufio.NewReaderSize(budget, readBufferSize), budget: budget}
+	opened := &conn{Conn: netConn}
+	opened.budget = &readBudget{reader: opened}
+	opened.reader = bufio.NewReaderSize(opened.budget, readBufferSize)
+	return opened
+}
+
+// Read reads from the connection. The first read after a deadline returns the data that has arrived until then. Further ones fail, so
+// that a target that keeps sending does not outlast its deadline.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.lateRead {
+		return c.Conn.Read(p)
+	}
+	n, late, err := latedata.Read(c.Conn, p)
+	c.lateRead = late
+	return n, err
+}
+
+// SetDeadline sets the deadline of reads and writes.
+func (c *conn) SetDeadline(deadline time.Time) error {
+	c.lateRead = false
+	return c.Conn.SetDeadline(deadline)
 }
 
 // checkReusable returns an error if an idle connection cannot carry another request. It peeks into the socket without blocking:
--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"net"
-	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -12,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/chicorydale/chicorydale/internal/event"
+	"github.com/chicorydale/chicorydale/internal/latedata"
 )
 
 // callerConn is a connection of a caller. Its first request may be refused by the load shedder.
@@ -44,31 +44,11 @@
 			return 0, io.EOF
 		}
 	}
-	n, err := c.TCPConn.Read(p)
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		n, err = readArrived(c.TCPConn, p, err)
-	}
+	n, _, err := latedata.Read(c.TCPConn, p)
 	c.recordRead(n, err)
 	return n, err
 }
 
-// readArrived reads the data that has arrived on a connection, without waiting. If there is none, it returns noDataErr.
-func readArrived(conn *net.TCPConn, p []byte, noDataErr error) (int, error) {
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	n := 0
-	err = raw.Control(func(fd uintptr) { n, _, _ = syscall.Recvfrom(int(fd), p, syscall.MSG_DONTWAIT) })
-	if err != nil {
-		return 0, err
-	}
-	if n <= 0 {
-		return 0, noDataErr
-	}
-	return n, nil
-}
-
 // recordRead records the outcome of a read.
 func (c *callerConn) recordRead(n int, err error) {
 	c.mu.Lock()
