End an idle connection at most every 50 ms

While no file descriptor is free, the acceptor asks every 10 ms for idle connections to end. A connection is now closed by its own goroutine, so it may be asked many times before that runs, each time with a change of its deadline, and that in a router that has no processor time to spare. By reading; the cost was not measured.

--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -28,8 +28,8 @@
 	received      int
 	receivedSince time.Time
 	answered      bool
-	// ending is set if the connection ends unless data has arrived.
-	ending bool
+	// endingSince is the time of the last call that made the connection end unless data has arrived. It is zero if data has arrived.
+	endingSince time.Time
 	// readErr is the error of the last read.
 	readErr error
 	closed  bool
@@ -57,8 +57,8 @@
 		c.receivedSince = time.Now()
 	}
 	c.received += n
-	if n > 0 && c.ending {
-		c.ending = false
+	if n > 0 && !c.endingSince.IsZero() {
+		c.endingSince = time.Time{}
 		_ = c.SetReadDeadline(time.Now().Add(readHeaderTimeout)) // On a broken connection, the next read fails as well.
 	}
 	c.readErr = err
@@ -79,14 +79,17 @@
 	c.received, c.answered = 0, false
 }
 
+// endRepeatInterval is the minimum time between attempts to end a connection.
+const endRepeatInterval = 50 * time.Millisecond
+
 // endIfIdle ends the connection if nothing of a request has arrived, read or not: its read fails if it finds no data, so that the
 // HTTP server closes the connection. The server may replace the deadline when it begins to wait, so a connection that stays idle
-// needs a further call.
-func (c *callerConn) endIfIdle() {
+// needs a further call. Calls within endRepeatInterval of the last one have no effect.
+func (c *callerConn) endIfIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.received == 0 {
-		c.ending = true
+	if c.received == 0 && now.Sub(c.endingSince) >= endRepeatInterval {
+		c.endingSince = now
 		_ = c.SetReadDeadline(time.Now()) // On a broken connection, the read fails anyway.
 	}
 }
--- a/internal/gateway/callerconns.go
+++ b/internal/gateway/callerconns.go
@@ -87,7 +87,7 @@
 	}
 	for conn, current := range c.open {
 		if current.state == http.StateIdle && now.Sub(current.since) > idleTimeout {
-			conn.endIfIdle()
+			conn.endIfIdle(now)
 		}
 	}
 }
@@ -99,7 +99,7 @@
 	defer c.mu.Unlock()
 	for conn, current := range c.open {
 		if current.state != http.StateActive && now.Sub(current.since) > idleTimeout {
-			conn.endIfIdle()
+			conn.endIfIdle(now)
 		}
 	}
 	return len(c.open)
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -217,7 +217,7 @@
 	conn, _ := s.accepted.conn.Load().(*callerConn)
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
-	return conn.ending
+	return !conn.endingSince.IsZero()
 }
 
 // AwaitData waits until unread data has arrived on the connection that was accepted last.
