--- a/internal/gateway/callerconns.go
+++ b/internal/gateway/callerconns.go
@@ -18,7 +18,7 @@
 	maxOpen int
 
 	mu   sync.Mutex
-	open map[net.Conn]connState
+	open map[*callerConn]connState
 }
 
 // connState is the state of a connection and the time at which it entered that state.
@@ -35,18 +35,25 @@
 
 // newCallerConns returns an empty set of connections, which may use a fraction of the file descriptors.
 func newCallerConns(maxOpenFiles int) *callerConns {
-	return &callerConns{maxOpen: int(float64(maxOpenFiles) * callerConnFraction), open: make(map[net.Conn]connState)}
+	return &callerConns{maxOpen: int(float64(maxOpenFiles) * callerConnFraction), open: make(map[*callerConn]connState)}
 }
 
 // stateChanged records a new state of a connection. It is the ConnState hook of the HTTP server.
 func (c *callerConns) stateChanged(conn net.Conn, state http.ConnState) {
+	caller, ok := conn.(*callerConn)
+	if !ok {
+		return
+	}
+	if state == http.StateIdle {
+		caller.awaitRequest()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch state {
 	case http.StateNew, http.StateActive, http.StateIdle:
-		c.open[conn] = connState{state: state, since: time.Now()}
+		c.open[caller] = connState{state: state, since: time.Now()}
 	case http.StateHijacked, http.StateClosed:
-		delete(c.open, conn)
+		delete(c.open, caller)
 	}
 }
 
@@ -68,8 +75,9 @@
 	return counts
 }
 
-// closeIdle closes the connections that have been idle for longer than idleTimeout. While more than maxOpen connections
-// are open, idleTimeout is at most excessIdleTimeout.
+// closeIdle ends the connections that have been idle for longer than idleTimeout. While more than maxOpen connections
+// are open, idleTimeout is at most excessIdleTimeout. The state tells only how long the goroutine of a connection has seen no request;
+// a connection on which one has arrived is not ended.
 func (c *callerConns) closeIdle(now time.Time, idleTimeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -79,9 +87,22 @@
 	}
 	for conn, current := range c.open {
 		if current.state == http.StateIdle && now.Sub(current.since) > idleTimeout {
-			_ = conn.Close()
+			conn.endIfIdle(now)
+		}
+	}
+}
+
+// endUnused ends the connections that have had no request for longer than idleTimeout, among them those that never had one. It returns
+// the number of open connections.
+func (c *callerConns) endUnused(now time.Time, idleTimeout time.Duration) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, current := range c.open {
+		if current.state != http.StateActive && now.Sub(current.since) > idleTimeout {
+			conn.endIfIdle(now)
 		}
 	}
+	return len(c.open)
 }
 
 // excessIdleTimeout is how long a connection may be idle while too many connections are open.
