Keep in the store where streams began while several builds serve

After the loss of all routers, callers that took up their streams got 503, or text of two software versions in one stream, with 200. Where a stream began, and that another version served a moment ago, was known in the memory of routers alone, and a router that had just started took the only version that it saw for the only one that there was.

Now a build is marked in the store before the first stream that may be taken up begins at it, and while a service has several builds each router writes the origins of its open streams in batches. A router that has started refuses streams that it does not know until it has read both.

--- a/internal/gateway/adapters.go
+++ b/internal/gateway/adapters.go
@@ -13,6 +13,9 @@
 	// ConfigTopic holds the configuration, TargetTopic the records of the targets, RouterTopic the records by which routers find
 	// each other, and QuarantineTopic what is quarantined.
 	ConfigTopic, TargetTopic, RouterTopic, QuarantineTopic topiclog.Topic
+	// BuildTopic holds the builds of the targets' software at which streams may have begun. OriginTopic holds where streams began, in
+	// records without keys that expire.
+	BuildTopic, OriginTopic topiclog.Topic
 	// DecodeTable decodes a record of ConfigTopic. It returns nil without an error for records that hold no routing table.
 	DecodeTable func(record topiclog.Record) (*route.Table, error)
 	// DecodeTarget decodes a record of TargetTopic that was read at the time now.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -198,10 +198,12 @@
 		x.abortDisconnected()
 		return false
 	}
+	if !x.recordOrigin(ctx, decision) {
+		return x.handleUnsent(decision, dispatch.Delayed, &unmarkedBuildError{})
+	}
 	if !x.gateway.scheduler.accepts(decision.Target) {
 		return x.handleUnsent(decision, dispatch.Delayed, &targetLeftError{})
 	}
-	x.recordOrigin(decision)
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	response, err := x.gateway.client.Send(attemptCtx, x.newAttempt(decision))
