Show that a router without processor time begins nothing for its customers

All callers of a customer may be connected to one router. New connections wait 250 to 750 ms, which is where the load shedder holds them, and so does each further step of a request; dials time out after 400 ms and are repeated.

The test plays such a router in virtual time, with 500 and 40 requests per second of two customers, whose callers come back once.

--- /dev/null
+++ b/internal/overload/starvation_test.go
@@ -0,0 +1,175 @@
+package overload_test
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chicorydale/chicorydale/internal/overload"
+)
+
+const (
+	// coreShare is the part of a core that a simulated router gets.
+	coreShare = 0.192
+	// refuseCost, readCost, connectCost and relayCost are the processor time for refusing a request before it is read, for reading it
+	// and dialling its target, for sending it once the target has accepted the connection, and for relaying the answer.
+	refuseCost  = 90 * time.Microsecond
+	readCost    = 350 * time.Microsecond
+	connectCost = 350 * time.Microsecond
+	relayCost   = 400 * time.Microsecond
+	// linkCost is the processor time for messages of peers in each linkPeriod.
+	linkCost   = time.Millisecond
+	linkPeriod = 25 * time.Millisecond
+	// connectTimeout is how long a router waits for a connection to a target, connectAttempts how often it tries.
+	connectTimeout  = 400 * time.Millisecond
+	connectAttempts = 4
+	// answerTime is the time in which a target answers.
+	answerTime = 100 * time.Millisecond
+	// patience is how long a caller waits, readPatience how long until its request is read. retryDelay is the time after which it sends a
+	// request once more that was refused or not read.
+	patience     = 2500 * time.Millisecond
+	readPatience = 800 * time.Millisecond
+	retryDelay   = 400 * time.Millisecond
+	// unhurriedStarts is the number of requests per second that the router begins if it has nothing to refuse. Customers at other
+	// routers are taken to get as much.
+	unhurriedStarts = 137
+)
+
+// job is work that waits for the processor of a simulated router.
+type job struct {
+	readyAt time.Time
+	number  int
+	work    func() time.Duration
+}
+
+// jobs is a heap of jobs in the order in which they became ready.
+type jobs []job
+
+func (h jobs) Len() int { return len(h) }
+func (h jobs) Less(i, j int) bool {
+	if h[i].readyAt.Equal(h[j].readyAt) {
+		return h[i].number < h[j].number
+	}
+	return h[i].readyAt.Before(h[j].readyAt)
+}
+func (h jobs) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *jobs) Push(j any)   { *h = append(*h, j.(job)) }
+func (h *jobs) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// starvedRouter is a router with too little processor time for its callers, in virtual time. It runs jobs in the order in which they
+// became ready, one at a time.
+type starvedRouter struct {
+	now     time.Time
+	random  *rand.Rand
+	shedder *overload.LoadShedder
+	waiting jobs
+	numJobs int
+	// asked and begun hold the number of requests that each customer sent, and that a target began, in each second.
+	asked, begun map[string][]int
+}
+
+// playStarved plays callers that send new requests at the given rates per second for a time.
+func playStarved(seed uint64, length time.Duration, rates map[string]float64) *starvedRouter {
+	r := &starvedRouter{
+		now: startTime, random: rand.New(rand.NewPCG(seed, 5)), shedder: overload.New(),
+		asked: make(map[string][]int), begun: make(map[string][]int),
+	}
+	for customer, rate := range rates {
+		r.asked[customer] = make([]int, int(length/time.Second)+1)
+		r.begun[customer] = make([]int, int(length/time.Second)+1)
+		at := startTime
+		for arrivals := rand.New(rand.NewPCG(seed, uint64(customer[0]))); at.Sub(startTime) < length; {
+			at = at.Add(time.Duration(arrivals.ExpFloat64() / rate * float64(time.Second)))
+			arrivedAt := at
+			r.count(r.asked, customer, arrivedAt)
+			r.queue(arrivedAt, func() time.Duration { return r.accept(customer, arrivedAt, true) })
+		}
+	}
+	for at := startTime; at.Sub(startTime) < length; at = at.Add(linkPeriod) {
+		r.queue(at, func() time.Duration { return linkCost })
+	}
+	for len(r.waiting) > 0 && r.now.Sub(startTime) < length {
+		next, _ := heap.Pop(&r.waiting).(job)
+		if next.readyAt.After(r.now) {
+			r.now = next.readyAt
+		}
+		r.now = r.now.Add(time.Duration(float64(next.work()) / coreShare))
+	}
+	return r
+}
+
+// queue adds work that is ready at a time.
+func (r *starvedRouter) queue(readyAt time.Time, work func() time.Duration) {
+	r.numJobs++
+	heap.Push(&r.waiting, job{readyAt: readyAt, number: r.numJobs, work: work})
+}
+
+// count adds a request to the current second.
+func (r *starvedRouter) count(counts map[string][]int, customer string, at time.Time) {
+	if second := int(at.Sub(startTime) / time.Second); second < len(counts[customer]) {
+		counts[customer][second]++
+	}
+}
+
+// accept handles a new connection with a request. mayReturn is set if the caller sends the request once more.
+func (r *starvedRouter) accept(customer string, arrivedAt time.Time, mayReturn bool) time.Duration {
+	returnAfter := func(since time.Time) {
+		if again := since.Add(retryDelay); mayReturn {
+			r.queue(again, func() time.Duration { return r.accept(customer, again, false) })
+		}
+	}
+	if r.now.Sub(arrivedAt) > readPatience {
+		returnAfter(arrivedAt.Add(readPatience))
+		return refuseCost / 2
+	}
+	r.shedder.RecordStartDelay(r.now, r.now.Sub(arrivedAt))
+	if r.shedder.IsOverloaded(r.now) && r.shedder.ShouldRefuse(r.now, customer, r.random.Float64()) {
+		returnAfter(r.now)
+		return refuseCost
+	}
+	r.shedder.RecordOutcome(r.now, customer, false)
+	r.dial(customer, arrivedAt, connectAttempts)
+	return readCost
+}
+
+// dial opens a connection to a target, which accepts it after a millisecond. The router learns it when it gets the processor.
+func (r *starvedRouter) dial(customer string, arrivedAt time.Time, attempts int) {
+	dialledAt := r.now
+	r.queue(r.now.Add(time.Millisecond), func() time.Duration {
+		switch {
+		case r.now.Sub(arrivedAt) > patience:
+			return refuseCost
+		case r.now.Sub(dialledAt) <= connectTimeout:
+			r.count(r.begun, customer, r.now)
+			r.queue(r.now.Add(answerTime), func() time.Duration { return relayCost })
+		case attempts > 1:
+			r.dial(customer, arrivedAt, attempts-1)
+		}
+		return connectCost
+	})
+}
+
+// TestStarvedRouterServesItsCustomers guards against a router that has too little processor time, and begins far less for its
+// customers than it has time for, or nothing of a small customer, while customers at other routers are served.
+func TestStarvedRouterServesItsCustomers(t *testing.T) {
+	const warmUp, seconds = 2, 12
+	for seed := range uint64(5) {
+		r := playStarved(seed, seconds*time.Second, map[string]float64{"crowd": 500, "desk": 40})
+		for customer, asked := range r.asked {
+			owed, got := 0, 0
+			for second := warmUp; second < seconds; second++ {
+				owed += min(asked[second], unhurriedStarts)
+				got += r.begun[customer][second]
+			}
+			qt.Check(t, 2*got >= owed, qt.IsTrue, qt.Commentf("seed %d: %s got %d of %d, by seconds %v", seed, customer, got, owed,
+				r.begun[customer]))
+		}
+	}
+}
