Keep in the store where streams began while several builds serve

After the loss of all routers, callers that took up their streams got 503, or text of two software versions in one stream, with 200. Where a stream began, and that another version served a moment ago, was known in the memory of routers alone, and a router that had just started took the only version that it saw for the only one that there was.

Now a build is marked in the store before the first stream that may be taken up begins at it, and while a service has several builds each router writes the origins of its open streams in batches. A router that has started refuses streams that it does not know until it has read both.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -53,6 +53,9 @@
 	StoreDown     = Event{308, levelWarn, "store_down", []string{"topic", "error", "age_ms"}}
 	StoreUp       = Event{309, levelInfo, "store_up", []string{"topic"}}
 	RecordInvalid = Event{310, levelWarn, "record_invalid", []string{"topic", "key", "error"}}
+
+	OriginsLoaded  = Event{311, levelInfo, "origins_loaded", []string{"streams", "took_ms"}}
+	OriginsUnsaved = Event{312, levelWarn, "origins_unsaved", []string{"what", "error"}}
 )
 
 // Events of other routers, of the connections to them and of the roles that this router takes over from them or hands over.
@@ -138,7 +141,7 @@
 		Reloaded, SettingsKept, LogGap, ProcessState, AcceptFailed,
 		ConfigApplied, TableApplied,
 		LogDown, LogUp, LogExpired, LogUnsettled, HostsDown, HostsUp, HostsChanged,
-		StoreDown, StoreUp, RecordInvalid,
+		StoreDown, StoreUp, RecordInvalid, OriginsLoaded, OriginsUnsaved,
 		LinkUp, LinkDown, PeerUp, PeerDown, PeerLeaving, RoleGained, RoleLost, Isolated, Rejoined, AnnounceFailed,
 		StoreShared, StoreUnshared,
 		TargetAdded, TargetLeaving, TargetGone, TargetCrashed, TargetLimited,
--- /dev/null
+++ b/internal/gateway/buildmarks.go
@@ -0,0 +1,274 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/chicorydale/chicorydale/internal/boottime"
+	"github.com/chicorydale/chicorydale/internal/event"
+	"github.com/chicorydale/chicorydale/internal/fleetpb"
+	"github.com/chicorydale/chicorydale/internal/origin"
+	"github.com/chicorydale/chicorydale/internal/topiclog"
+)
+
+const (
+	// maxMarkWait limits how long the streams that begin at a build wait for its mark, counted from the first of them.
+	maxMarkWait = 500 * time.Millisecond
+	// markInterval is the time between checks for marks to write again or to remove.
+	markInterval = 250 * time.Millisecond
+	// markTimeout limits one write of a mark.
+	markTimeout = time.Second
+	// markPollInterval is the pause between reads of the marks, whose records change with releases only.
+	markPollInterval = 100 * time.Millisecond
+	// markKeyBase is the base of the numbers in the keys of the topic.
+	markKeyBase = 16
+)
+
+// buildMarks keeps in the store at which builds streams may have begun, for routers that start when no other one is there to tell them. A
+// build is marked before the first stream begins at it. The methods as a topiclog.Handler belong to one goroutine.
+type buildMarks struct {
+	topic   topiclog.Topic
+	origins *streamOrigins
+	logger  zerolog.Logger
+	// byKey holds the builds of the records that were read.
+	byKey map[string]origin.Origin
+}
+
+// newBuildMarks returns the marks in a topic, none of which has been read.
+func newBuildMarks(topic topiclog.Topic, origins *streamOrigins, logger zerolog.Logger) *buildMarks {
+	return &buildMarks{topic: topic, origins: origins, logger: logger, byKey: make(map[string]origin.Origin)}
+}
+
+// Reset takes the newest record of every build. Builds whose marks the store has lost are marked again.
+func (m *buildMarks) Reset(now time.Time, records []topiclog.Record) {
+	clear(m.byKey)
+	var marked []origin.Origin
+	for _, record := range records {
+		if build, ok := m.decode(record); ok {
+			m.byKey[record.Key] = build
+			marked = append(marked, build)
+		}
+	}
+	m.origins.resetMarks(now, marked)
+}
+
+// Apply takes newer records.
+func (m *buildMarks) Apply(now time.Time, records []topiclog.Record) {
+	for _, record := range records {
+		if record.Value == nil {
+			m.origins.unmark(m.byKey[record.Key])
+			delete(m.byKey, record.Key)
+			continue
+		}
+		if build, ok := m.decode(record); ok {
+			m.byKey[record.Key] = build
+			m.origins.mark(now, build)
+		}
+	}
+}
+
+// CaughtUp does nothing, because a router that has read the marks learns of later ones before streams of them can reach it.
+func (m *buildMarks) CaughtUp(boottime.Instant) {}
+
+// Failed does nothing unless the store has lost records: then it may have lost origins too. The handlers of the other topics log failures.
+func (m *buildMarks) Failed(_ time.Time, err error) {
+	var expired *topiclog.ExpiredError
+	var otherEra *topiclog.EraError
+	if errors.As(err, &expired) || errors.As(err, &otherEra) && otherEra.Restored() {
+		m.origins.unsave()
+	}
+}
+
+// decode returns the build of a record. It logs an invalid one.
+func (m *buildMarks) decode(record topiclog.Record) (origin.Origin, bool) {
+	var stored fleetpb.StoredBuild
+	if err := proto.Unmarshal(record.Value, &stored); err != nil {
+		event.RecordInvalid.Log(m.logger, "builds", record.Key, err)
+		return origin.Origin{}, false
+	}
+	build := origin.Origin{Service: stored.GetService(), Build: stored.GetBuild()}
+	if markKey(build) != record.Key {
+		event.RecordInvalid.Log(m.logger, "builds", record.Key, "the key is not that of the build")
+		return origin.Origin{}, false
+	}
+	return build, true
+}
+
+// markKey returns the key of the record of a build.
+func markKey(build origin.Origin) string {
+	return strconv.FormatUint(xxhash.Sum64String(build.Service+"\x00"+build.Build), markKeyBase)
+}
+
+// write writes the marks that are wanted, and removes outdated ones, until ctx ends.
+func (m *buildMarks) write(ctx context.Context) {
+	ticker := time.NewTicker(markInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-m.origins.markWanted:
+		}
+		wanted, outdated := m.origins.marksToWrite()
+		for _, build := range wanted {
+			m.put(ctx, build)
+		}
+		for _, build := range outdated {
+			m.remove(ctx, build)
+		}
+	}
+}
+
+// put writes the mark of a build. If this fails, it is still wanted.
+func (m *buildMarks) put(ctx context.Context, build origin.Origin) {
+	value, err := proto.Marshal(&fleetpb.StoredBuild{Service: build.Service, Build: build.Build})
+	if err == nil {
+		putCtx, cancel := context.WithDeadline(ctx, time.Now().Add(markTimeout))
+		defer cancel()
+		err = m.topic.Put(putCtx, markKey(build), value)
+	}
+	if err != nil {
+		event.OriginsUnsaved.Log(m.logger, "mark of "+build.Service+" "+build.Build, err)
+		return
+	}
+	m.origins.mark(time.Now(), build)
+}
+
+// remove removes the mark of a build. If this fails, the mark is still outdated.
+func (m *buildMarks) remove(ctx context.Context, build origin.Origin) {
+	putCtx, cancel := context.WithDeadline(ctx, time.Now().Add(markTimeout))
+	defer cancel()
+	if err := m.topic.Put(putCtx, markKey(build), nil); err != nil {
+		event.OriginsUnsaved.Log(m.logger, "end of "+build.Service+" "+build.Build, err)
+		return
+	}
+	m.origins.unmark(build)
+}
+
+// resetMarks replaces the marked builds.
+func (s *streamOrigins) resetMarks(now time.Time, marked []origin.Origin) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, lost := range s.builds.ResetMarks(now, marked) {
+		s.want(now, lost)
+	}
+	s.marksLoaded = true
+	s.notifyLoaded()
+	s.notifyMarksChanged()
+	s.wakeMarkWriter()
+}
+
+// mark records that a build is marked.
+func (s *streamOrigins) mark(now time.Time, build origin.Origin) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.builds.Mark(now, build)
+	delete(s.wanted, build)
+	s.notifyMarksChanged()
+}
+
+// unmark records that the mark of a build was removed.
+func (s *streamOrigins) unmark(build origin.Origin) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.builds.Unmark(build)
+}
+
+// awaitMark waits until a build is marked, for maxMarkWait at most. It reports whether the build is marked.
+func (s *streamOrigins) awaitMark(ctx context.Context, build origin.Origin) bool {
+	for {
+		waitUntil, changed := s.needMark(build)
+		if changed == nil {
+			return true
+		}
+		timer := time.NewTimer(time.Until(waitUntil))
+		select {
+		case <-changed:
+			timer.Stop()
+		case <-timer.C:
+			return false
+		case <-ctx.Done():
+			timer.Stop()
+			return false
+		}
+	}
+}
+
+// hasMarked reports whether a build of a service that targets have is marked.
+func (s *streamOrigins) hasMarked(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.builds.HasMarked(service)
+}
+
+// needMark has a build marked. It returns the time until which a stream should wait for it and a channel that is closed when marks were
+// added. The channel is nil if the build is marked.
+func (s *streamOrigins) needMark(build origin.Origin) (time.Time, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.marksLoaded && s.builds.IsMarked(build) {
+		return time.Time{}, nil
+	}
+	s.want(time.Now(), build)
+	return s.wanted[build], s.marksChanged
+}
+
+// want adds a build to the wanted ones. The caller must hold s.mu.
+func (s *streamOrigins) want(now time.Time, build origin.Origin) {
+	if _, found := s.wanted[build]; !found {
+		s.wanted[build] = now.Add(maxMarkWait)
+		s.wakeMarkWriter()
+	}
+}
+
+// wakeMarkWriter wakes the goroutine that writes marks.
+func (s *streamOrigins) wakeMarkWriter() {
+	select {
+	case s.markWanted <- struct{}{}:
+	default:
+	}
+}
+
+// marksToWrite returns the builds to mark and those whose marks are outdated. There are none until the marks have been read. A wanted
+// build that no target has had for long is forgotten.
+func (s *streamOrigins) marksToWrite() (wanted, outdated []origin.Origin) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.marksLoaded {
+		return nil, nil
+	}
+	now := time.Now()
+	for build := range s.wanted {
+		if s.builds.IsMarked(build) || !slices.Contains(s.builds.Of(now, build.Service), build.Build) {
+			delete(s.wanted, build)
+			continue
+		}
+		wanted = append(wanted, build)
+	}
+	return wanted, s.builds.Outdated(now)
+}
+
+// notifyMarksChanged wakes those that wait for marks. The caller must hold s.mu.
+func (s *streamOrigins) notifyMarksChanged() {
+	close(s.marksChanged)
+	s.marksChanged = make(chan struct{})
+}
+
+// notifyLoaded wakes those that wait for what the store holds, once all of it has been read. The caller must hold s.mu.
+func (s *streamOrigins) notifyLoaded() {
+	select {
+	case <-s.loaded:
+	default:
+		if s.marksLoaded && s.streamsLoaded {
+			close(s.loaded)
+		}
+	}
+}
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -16,6 +16,14 @@
 	return fmt.Sprintf("response with status %d is not signed by the target", e.status)
 }
 
+// unmarkedBuildError says that the store does not hold yet that streams may begin at the build of a target.
+type unmarkedBuildError struct{}
+
+// Error implements error.
+func (e *unmarkedBuildError) Error() string {
+	return "the build of the target is not marked in the store"
+}
+
 // targetLeftError says that a target began to leave after it was chosen.
 type targetLeftError struct{}
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -237,6 +237,9 @@
 		x.abortDisconnected()
 		return false
 	}
+	if !x.recordOrigin(ctx, decision) {
+		return x.handleUnsent(decision, dispatch.Delayed, &unmarkedBuildError{})
+	}
 	if refusalErr := x.authorizeSend(ctx); refusalErr != nil {
 		x.finishAttempt(decision, dispatch.Cancelled)
 		x.failRequest(refusalErr)
@@ -245,7 +248,6 @@
 	if !x.gateway.scheduler.accepts(decision.Target) {
 		return x.handleUnsent(decision, dispatch.Delayed, &targetLeftError{})
 	}
-	x.recordOrigin(decision)
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	response, err := x.gateway.client.Send(attemptCtx, x.newAttempt(decision))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,6 +59,8 @@
 	suspects        *suspects
 	claims          *probeClaims
 	origins         *streamOrigins
+	buildMarks      *buildMarks
+	originStore     *originStore
 	quarantines     *quarantineStore
 	crashes         *crashDetector
 	retryBudgets    *retryBudgets
@@ -111,6 +113,7 @@
 		origins:      origins,
 		claims:       claims,
 		quarantines:  &quarantineStore{topic: adapters.QuarantineTopic, claims: claims, suspects: suspects, logger: logger},
+		buildMarks:   newBuildMarks(adapters.BuildTopic, origins, logger),
 		crashes:      newCrashDetector(client, logger, suspects.recordCrash),
 		retryBudgets: budgets,
 		callerConns:  newCallerConns(settings.MaxOpenFiles),
@@ -120,6 +123,9 @@
 		refusalLog:    newRefusalLog(logger),
 		streamBuffers: sync.Pool{New: func() any { return new(make([]byte, streamBufferBytes)) }},
 	}
+	g.originStore = &originStore{
+		topic: topiclog.WithReadTimeout(adapters.OriginTopic), origins: origins, logger: logger, routerCount: g.peers.routerCount,
+	}
 	g.shedder = newLoadShedder(g)
 	return g
 }
@@ -190,6 +196,13 @@
 		topiclog.NewFollower(topic, g.quarantines, routerPollWait, routerPollInterval).Run(runCtx)
 	})
 	tasks.Go(func() { g.quarantines.writeUnsaved(runCtx) })
+	tasks.Go(func() {
+		topic := topiclog.WithReadTimeout(g.adapters.BuildTopic)
+		topiclog.NewFollower(topic, g.buildMarks, routerPollWait, markPollInterval).Run(runCtx)
+	})
+	tasks.Go(func() { g.buildMarks.write(runCtx) })
+	tasks.Go(func() { g.originStore.load(runCtx) })
+	tasks.Go(func() { g.originStore.writeUnsaved(runCtx) })
 	tasks.Go(func() { g.peers.announce(runCtx) })
 	tasks.Go(func() { g.peers.handleEvents(runCtx) })
 	tasks.Go(func() { g.runMaintenance(runCtx) })
--- /dev/null
+++ b/internal/gateway/originstore_test.go
@@ -0,0 +1,222 @@
+package gateway_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chicorydale/chicorydale/internal/dispatch"
+	"github.com/chicorydale/chicorydale/internal/gateway"
+	"github.com/chicorydale/chicorydale/internal/origin"
+	"github.com/chicorydale/chicorydale/internal/topiclog"
+)
+
+var (
+	oldBuild  = origin.Origin{Service: "m", Build: "v1"}
+	newBuild  = origin.Origin{Service: "m", Build: "v2"}
+	oldTarget = dispatch.Target{Name: "a", Service: "m", Build: "v1"}
+	newTarget = dispatch.Target{Name: "b", Service: "m", Build: "v2"}
+)
+
+// logTopic is a topic in memory whose oldest records expire.
+type logTopic struct {
+	mu          sync.Mutex
+	firstOffset uint64
+	records     []topiclog.Record
+	// putDelay is the time that a write takes.
+	putDelay time.Duration
+	// isAway is set while the store answers nothing. losesAnswers is set while it does what it is asked, and its answers are lost.
+	isAway, losesAnswers bool
+}
+
+// errAway is the answer of a store that is away.
+var errAway = errors.New("away")
+
+// set changes the topic.
+func (t *logTopic) set(change func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	change()
+}
+
+// count returns the number of records.
+func (t *logTopic) count() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.records)
+}
+
+// ReadNewest returns all records, since no test writes a key twice.
+func (t *logTopic) ReadNewest(ctx context.Context) (topiclog.Page, error) {
+	return t.Read(ctx, t.firstOffset, time.Now())
+}
+
+// Read implements topiclog.Topic. It does not wait for records.
+func (t *logTopic) Read(_ context.Context, from uint64, _ time.Time) (topiclog.Page, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	end := t.firstOffset + uint64(len(t.records))
+	switch {
+	case t.isAway:
+		return topiclog.Page{}, errAway
+	case from < t.firstOffset || from > end:
+		return topiclog.Page{}, &topiclog.ExpiredError{RequestedOffset: from, OldestOffset: t.firstOffset}
+	}
+	return topiclog.Page{Records: append([]topiclog.Record(nil), t.records[from-t.firstOffset:]...), NextOffset: end}, nil
+}
+
+// Put implements topiclog.Topic.
+func (t *logTopic) Put(_ context.Context, key string, value []byte) error {
+	time.Sleep(t.putDelay)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.isAway {
+		return errAway
+	}
+	t.records = append(t.records, topiclog.Record{Key: key, Value: value})
+	if t.losesAnswers {
+		return errAway
+	}
+	return nil
+}
+
+// newest returns all records of the topic.
+func (t *logTopic) newest() []topiclog.Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]topiclog.Record(nil), t.records...)
+}
+
+// startOrigins starts a router that has read the topics and writes to them, and returns a function that ends it.
+func startOrigins(t *testing.T, builds, streams *logTopic, targets ...dispatch.Target) (gateway.StreamOrigins, func()) {
+	t.Helper()
+	ctx, stop := context.WithCancel(t.Context())
+	origins := gateway.NewStreamOrigins(builds, streams)
+	origins.SetTargets(targets...)
+	origins.Marks().Reset(time.Now(), builds.newest())
+	origins.Load(ctx)
+	go origins.Write(ctx)
+	return origins, func() {
+		stop()
+		time.Sleep(5 * time.Second)
+	}
+}
+
+// TestStreamWaitsForMarkOfItsBuild guards against a stream that begins at a build before the store has its mark: a router that starts after
+// the loss of all others would take the service for one with another single build.
+func TestStreamWaitsForMarkOfItsBuild(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		builds, streams := &logTopic{putDelay: 200 * time.Millisecond}, new(logTopic)
+		origins, stop := startOrigins(t, builds, streams, oldTarget)
+		defer stop()
+		startedAt := time.Now()
+		qt.Check(t, origins.AwaitMark(t.Context(), oldBuild), qt.IsTrue)
+		qt.Check(t, builds.count(), qt.Equals, 1)
+		qt.Check(t, time.Since(startedAt), qt.Equals, 200*time.Millisecond)
+		qt.Check(t, origins.AwaitMark(t.Context(), oldBuild), qt.IsTrue)
+		qt.Check(t, builds.count(), qt.Equals, 1)
+
+		later := gateway.NewStreamOrigins(builds, streams)
+		later.SetTargets(newTarget)
+		later.Load(t.Context())
+		qt.Check(t, later.OnlyBuild("m"), qt.Equals, "", qt.Commentf("the marks were not read"))
+		later.Marks().Reset(time.Now(), builds.newest())
+		qt.Check(t, later.OnlyBuild("m"), qt.Equals, "")
+	})
+}
+
+// TestStreamBeginsWithoutStore guards against streams that are held up for as long as the store is away, and against a mark that is not
+// written when the store is back.
+func TestStreamBeginsWithoutStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		builds := new(logTopic)
+		origins, stop := startOrigins(t, builds, new(logTopic), oldTarget)
+		defer stop()
+		builds.set(func() { builds.isAway = true })
+		startedAt := time.Now()
+		for range 3 {
+			qt.Check(t, origins.AwaitMark(t.Context(), oldBuild), qt.IsFalse)
+		}
+		qt.Check(t, time.Since(startedAt), qt.Equals, 500*time.Millisecond)
+		builds.set(func() { builds.isAway = false })
+		time.Sleep(time.Second)
+		qt.Check(t, builds.count(), qt.Equals, 1)
+		qt.Check(t, origins.AwaitMark(t.Context(), oldBuild), qt.IsTrue)
+	})
+}
+
+// TestMarkLostByStoreIsWrittenAgain guards against a build without a mark after the store has come back from an older copy, and against
+// origins that are missing there.
+func TestMarkLostByStoreIsWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		builds, streams := new(logTopic), new(logTopic)
+		origins, stop := startOrigins(t, builds, streams, oldTarget, newTarget)
+		defer stop()
+		qt.Check(t, origins.AwaitMark(t.Context(), oldBuild), qt.IsTrue)
+		origins.Begin(1, oldBuild, time.Now().Add(time.Minute))
+		time.Sleep(time.Second)
+		qt.Check(t, streams.count(), qt.Equals, 1)
+		builds.set(func() { builds.records = nil })
+		streams.set(func() { streams.records = nil })
+		origins.Marks().Failed(time.Now(), &topiclog.EraError{Known: 1, Received: 2})
+		origins.Marks().Reset(time.Now(), nil)
+		time.Sleep(time.Second)
+		qt.Check(t, builds.count(), qt.Equals, 1)
+		qt.Check(t, streams.count(), qt.Equals, 1)
+	})
+}
+
+// TestOriginsOutliveAllRouters guards against streams that no router knows after all of them were lost although they began more than a
+// write interval before, also if the store's answer to the write was lost and old records have expired, and against writes while a service
+// has a single build.
+func TestOriginsOutliveAllRouters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		builds, streams := new(logTopic), &logTopic{firstOffset: 7, losesAnswers: true}
+		first, stop := startOrigins(t, builds, streams, oldTarget)
+		expiresAt := time.Now().Add(time.Minute)
+		first.Begin(1, oldBuild, expiresAt)
+		time.Sleep(10 * time.Second)
+		qt.Check(t, streams.count(), qt.Equals, 0)
+		first.SetTargets(oldTarget, newTarget)
+		first.Begin(2, newBuild, expiresAt)
+		time.Sleep(300 * time.Millisecond)
+		qt.Check(t, streams.count() > 0, qt.IsTrue)
+		stop()
+		second, stop := startOrigins(t, builds, streams, newTarget)
+		defer stop()
+		for stream, want := range map[origin.StreamID]origin.Origin{1: oldBuild, 2: newBuild} {
+			from, known := second.Find(t.Context(), stream)
+			qt.Check(t, known, qt.IsTrue)
+			qt.Check(t, from, qt.Equals, want)
+		}
+	})
+}
+
+// TestUnknownStreamIsRefusedUntilStoreIsRead guards against a router that has just started and lets a stream go on at the only build that it
+// has seen, and against a request that waits for the store until its deadline.
+func TestUnknownStreamIsRefusedUntilStoreIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		builds, streams := new(logTopic), &logTopic{isAway: true}
+		origins := gateway.NewStreamOrigins(builds, streams)
+		origins.SetTargets(oldTarget)
+		origins.Marks().Reset(time.Now(), nil)
+		loaded := make(chan struct{})
+		go func() {
+			origins.Load(t.Context())
+			close(loaded)
+		}()
+		startedAt := time.Now()
+		_, known := origins.Find(t.Context(), 1)
+		qt.Check(t, known, qt.IsFalse)
+		qt.Check(t, time.Since(startedAt), qt.Equals, 200*time.Millisecond)
+		qt.Check(t, origins.OnlyBuild("m"), qt.Equals, "")
+		streams.set(func() { streams.isAway = false })
+		<-loaded
+		qt.Check(t, origins.OnlyBuild("m"), qt.Equals, "v1")
+	})
+}
--- a/internal/gateway/peerlinks.go
+++ b/internal/gateway/peerlinks.go
@@ -160,6 +160,13 @@
 	return byZone
 }
 
+// routerCount returns the number of routers that have a record.
+func (p *peerLinks) routerCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.routers)
+}
+
 // CaughtUp does nothing, because the links themselves show whether a router is reachable.
 func (p *peerLinks) CaughtUp(boottime.Instant) {}
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -13,6 +13,7 @@
 	"github.com/chicorydale/chicorydale/internal/forward"
 	"github.com/chicorydale/chicorydale/internal/metric"
 	"github.com/chicorydale/chicorydale/internal/refusal"
+	"github.com/chicorydale/chicorydale/internal/route"
 )
 
 const (
@@ -313,6 +314,9 @@
 // be set.
 func (x *exchange) startResponse(response *forward.Response) bool {
 	x.responseStarted = true
+	if x.route.Kind == route.ResumableStream {
+		x.gateway.origins.begin(x.streamID())
+	}
 	x.setResponseHeader(response.Header)
 	if response.ContentLength >= 0 && !x.route.Kind.Retryable() {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
--- a/internal/gateway/streamorigins.go
+++ b/internal/gateway/streamorigins.go
@@ -35,12 +35,23 @@
 	builds    *origin.Builds
 	// waiters holds the channels to close when the question for a stream has ended.
 	waiters map[origin.StreamID][]chan struct{}
+	// marksLoaded and streamsLoaded are set when the marks of builds and the origins of streams were read from the store. loaded is
+	// closed when both were.
+	marksLoaded, streamsLoaded bool
+	loaded                     chan struct{}
+	// wanted holds the builds to mark, with the time until which streams wait for the mark. markWanted wakes the writer of marks.
+	wanted     map[origin.Origin]time.Time
+	markWanted chan struct{}
+	// marksChanged is closed and replaced when marks were added.
+	marksChanged chan struct{}
 }
 
 // newStreamOrigins returns streamOrigins that know no stream.
 func newStreamOrigins(logger zerolog.Logger) *streamOrigins {
 	return &streamOrigins{
 		logger: logger, directory: origin.New(), builds: origin.NewBuilds(), waiters: make(map[origin.StreamID][]chan struct{}),
+		loaded: make(chan struct{}), wanted: make(map[origin.Origin]time.Time), markWanted: make(chan struct{}, 1),
+		marksChanged: make(chan struct{}),
 	}
 }
 
@@ -62,10 +73,34 @@
 	s.withDirectory(func(directory *origin.Directory, now time.Time) { directory.Record(now, stream, from, expiresAt) })
 }
 
-// find returns the origin of a stream, and whether it is known. It asks the peers if this router does not know it.
+// begin records that the caller of a stream is about to get a part of it.
+func (s *streamOrigins) begin(stream origin.StreamID) {
+	s.withDirectory(func(directory *origin.Directory, _ time.Time) { directory.Begin(stream) })
+}
+
+// find returns the origin of a stream, and whether it is known. It asks the peers if this router does not know it, and waits for the origins
+// of the store if they were not read yet.
 func (s *streamOrigins) find(ctx context.Context, stream origin.StreamID) (origin.Origin, bool) {
-	var from origin.Origin
-	var known bool
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(maxOriginWait))
+	defer cancel()
+	if from, known := s.askPeers(ctx, stream); known {
+		return from, known
+	}
+	select {
+	case <-s.loaded:
+	case <-ctx.Done():
+	}
+	return s.lookUp(stream)
+}
+
+// lookUp returns the origin of a stream that this router knows.
+func (s *streamOrigins) lookUp(stream origin.StreamID) (from origin.Origin, known bool) {
+	s.withDirectory(func(directory *origin.Directory, now time.Time) { from, known = directory.Find(now, stream) })
+	return from, known
+}
+
+// askPeers returns the origin of a stream that this router or a linked peer knows.
+func (s *streamOrigins) askPeers(ctx context.Context, stream origin.StreamID) (from origin.Origin, known bool) {
 	var answered chan struct{}
 	s.withDirectory(func(directory *origin.Directory, now time.Time) {
 		if from, known = directory.Find(now, stream); !known && directory.Ask(stream) > 0 {
@@ -76,8 +111,6 @@
 	if answered == nil {
 		return from, known
 	}
-	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(maxOriginWait))
-	defer cancel()
 	select {
 	case <-answered:
 	case <-ctx.Done():
@@ -149,11 +182,14 @@
 	s.builds.Set(time.Now(), listed)
 }
 
-// onlyBuild returns the build of all targets that a service has or had until recently. It is empty if they have several, or if there
-// are none.
+// onlyBuild returns the only build of a service at which streams may have begun. It is empty if there are several or none, or if this is
+// not known because the store was not read yet.
 func (s *streamOrigins) onlyBuild(service string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.marksLoaded || !s.streamsLoaded {
+		return ""
+	}
 	if builds := s.builds.Of(time.Now(), service); len(builds) == 1 {
 		return builds[0]
 	}
@@ -197,11 +233,18 @@
 		WithRetryAt(time.Now().Add(retryAfter))
 }
 
-// recordOrigin records that the target of a decision is about to begin the stream, or to continue it for the caller.
-func (x *exchange) recordOrigin(decision dispatch.Decision) {
+// recordOrigin records that the target of a decision is about to begin the stream, or to continue it for the caller. It first waits until the
+// target's build is marked. It reports false if the build could not be marked and another target should be tried, of a build that is. If no
+// build is marked, the stream begins all the same, because the store does not answer.
+func (x *exchange) recordOrigin(ctx context.Context, decision dispatch.Decision) bool {
 	if x.route.Kind != route.ResumableStream || x.responseStarted {
-		return
+		return true
 	}
 	from := origin.Origin{Service: decision.Target.Service, Build: decision.Target.Build}
+	marked := x.gateway.origins.awaitMark(ctx, from)
+	if !marked && x.build == "" && x.unsentAttempts+1 < maxUnsentAttempts && x.beforeDeadline() && x.gateway.origins.hasMarked(from.Service) {
+		return false
+	}
 	x.gateway.origins.record(x.streamID(), from, x.deadline.Add(originRetention))
+	return true
 }
--- a/internal/origin/builds.go
+++ b/internal/origin/builds.go
@@ -9,20 +9,28 @@
 // buildRetention is how long after its last target a build counts as one at which streams may have begun.
 const buildRetention = 30 * time.Second
 
-// Builds remembers which builds the targets of each service have, or had until recently.
+// Builds remembers which builds the targets of each service have, or had until recently, and which are marked in the store. A build is
+// marked before a stream begins at it, so that a router that has just started knows every build of which streams may be taken up.
 type Builds struct {
 	// lastListed holds the time at which each build was last listed.
 	lastListed map[Origin]time.Time
 	current    map[Origin]bool
+	// listedSince is the time of the first list, zero before it.
+	listedSince time.Time
+	// marked holds the time at which this router learned of the mark of each build.
+	marked map[Origin]time.Time
 }
 
-// NewBuilds returns the builds of services without targets.
+// NewBuilds returns the builds of services without targets and marks.
 func NewBuilds() *Builds {
-	return &Builds{lastListed: make(map[Origin]time.Time)}
+	return &Builds{lastListed: make(map[Origin]time.Time), marked: make(map[Origin]time.Time)}
 }
 
 // Set replaces the builds that the listed targets have.
 func (b *Builds) Set(now time.Time, listed []Origin) {
+	if b.listedSince.IsZero() {
+		b.listedSince = now
+	}
 	for build := range b.current {
 		b.lastListed[build] = now
 	}
@@ -31,19 +39,107 @@
 		b.current[build] = true
 		b.lastListed[build] = now
 	}
-	maps.DeleteFunc(b.lastListed, func(build Origin, last time.Time) bool {
-		return !b.current[build] && now.Sub(last) >= buildRetention
-	})
+	maps.DeleteFunc(b.lastListed, func(build Origin, _ time.Time) bool { return !b.recentlyListed(now, build) })
+}
+
+// recentlyListed reports whether targets have a build, or had it until recently.
+func (b *Builds) recentlyListed(now time.Time, build Origin) bool {
+	last, found := b.lastListed[build]
+	return b.current[build] || found && now.Sub(last) < buildRetention
 }
 
-// Of returns the builds that the targets of a service have or had until recently, in order.
+// Mark records that a build is marked in the store.
+func (b *Builds) Mark(now time.Time, build Origin) {
+	if _, found := b.marked[build]; !found {
+		b.marked[build] = now
+	}
+}
+
+// Unmark records that the mark of a build was removed from the store.
+func (b *Builds) Unmark(build Origin) { delete(b.marked, build) }
+
+// ResetMarks replaces the marked builds. It returns those that have lost their mark although streams of them may be taken up: the store
+// has come back from an older copy.
+func (b *Builds) ResetMarks(now time.Time, marked []Origin) (lost []Origin) {
+	previous := b.marked
+	b.marked = make(map[Origin]time.Time, len(marked))
+	for _, build := range marked {
+		b.marked[build] = now
+		if since, found := previous[build]; found {
+			b.marked[build] = since
+		}
+	}
+	for build := range previous {
+		if _, found := b.marked[build]; !found && b.recentlyListed(now, build) {
+			lost = append(lost, build)
+		}
+	}
+	return lost
+}
+
+// IsMarked reports whether a build is marked.
+func (b *Builds) IsMarked(build Origin) bool {
+	_, found := b.marked[build]
+	return found
+}
+
+// HasMarked reports whether targets of a service have a build that is marked.
+func (b *Builds) HasMarked(service string) bool {
+	for build := range b.current {
+		if build.Service == service && b.IsMarked(build) {
+			return true
+		}
+	}
+	return false
+}
+
+// Outdated returns the marked builds that no target has had for so long that none of their streams can be taken up. A router counts from
+// its first list of targets and from when it learned of the mark.
+func (b *Builds) Outdated(now time.Time) []Origin {
+	var outdated []Origin
+	for build, since := range b.marked {
+		if b.listedSince.After(since) {
+			since = b.listedSince
+		}
+		if !b.listedSince.IsZero() && !b.recentlyListed(now, build) && now.Sub(since) >= buildRetention {
+			outdated = append(outdated, build)
+		}
+	}
+	return outdated
+}
+
+// Of returns the builds of a service at which streams may have begun that can be taken up, in order: those that its targets have or had
+// until recently, and the marked ones.
 func (b *Builds) Of(now time.Time, service string) []string {
-	var builds []string
-	for build, last := range b.lastListed {
-		if build.Service == service && (b.current[build] || now.Sub(last) < buildRetention) {
-			builds = append(builds, build.Build)
+	found := make(map[string]bool)
+	for build := range b.lastListed {
+		if build.Service == service && b.recentlyListed(now, build) {
+			found[build.Build] = true
+		}
+	}
+	for build := range b.marked {
+		if build.Service == service {
+			found[build.Build] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(found))
+}
+
+// SharedServices returns the services that have several builds at which streams may have begun.
+func (b *Builds) SharedServices(now time.Time) []string {
+	builds := make(map[Origin]bool)
+	for build := range b.lastListed {
+		builds[build] = b.recentlyListed(now, build)
+	}
+	for build := range b.marked {
+		builds[build] = true
+	}
+	counts := make(map[string]int)
+	for build, counted := range builds {
+		if counted {
+			counts[build.Service]++
 		}
 	}
-	slices.Sort(builds)
-	return builds
+	maps.DeleteFunc(counts, func(_ string, count int) bool { return count < 2 })
+	return slices.Sorted(maps.Keys(counts))
 }
--- a/internal/origin/directory.go
+++ b/internal/origin/directory.go
@@ -24,8 +24,19 @@
 type entry struct {
 	origin    Origin
 	expiresAt time.Time
-	// isOwn is set if this router has sent the stream to a target.
-	isOwn bool
+	// isOwn is set if this router has sent the stream to a target, hasBegun if the caller has a part of it from this router. From then on
+	// its origin cannot change.
+	isOwn, hasBegun bool
+	// savedUntil is the expiry with which the store holds the entry, zero if it does not.
+	savedUntil time.Time
+}
+
+// after returns the entry with what a known entry says of the same origin.
+func (e entry) after(known entry) entry {
+	if e.origin == known.origin {
+		e.hasBegun, e.savedUntil = known.hasBegun, known.savedUntil
+	}
+	return e
 }
 
 // Directory holds the origins of streams and shares them with peers.
@@ -54,7 +65,8 @@
 	if found && known.origin == origin && known.expiresAt.After(expiresAt) {
 		expiresAt = known.expiresAt
 	}
-	if !d.put(stream, entry{origin: origin, expiresAt: expiresAt, isOwn: true}) {
+	recorded := entry{origin: origin, expiresAt: expiresAt, isOwn: true}
+	if !d.put(stream, recorded.after(known)) {
 		return
 	}
 	d.hasUnsent = true
@@ -73,6 +85,9 @@
 	return known.origin, true
 }
 
+// Len returns the number of streams whose origins are remembered.
+func (d *Directory) Len() int { return len(d.entries) }
+
 // Ask asks all peers for the origin of a stream, unless they are being asked. It returns the number of peers that have not answered.
 func (d *Directory) Ask(stream StreamID) int {
 	if awaited, asked := d.questions[stream]; asked {
@@ -111,10 +126,11 @@
 		}
 		stream := StreamID(record.GetStream())
 		lifetime := min(time.Duration(record.GetRemainingMs())*time.Millisecond, maxLifetime)
-		d.put(stream, entry{
-			origin: Origin{Service: record.GetService(), Build: record.GetBuild()}, expiresAt: now.Add(lifetime),
-			isOwn: d.entries[stream].isOwn,
-		})
+		known := d.entries[stream]
+		added := entry{
+			origin: Origin{Service: record.GetService(), Build: record.GetBuild()}, expiresAt: now.Add(lifetime), isOwn: known.isOwn,
+		}
+		d.put(stream, added.after(known))
 		if d.questions[stream] != nil {
 			d.endAnswered(stream)
 		}
@@ -201,9 +217,14 @@
 	}
 }
 
-// isValid reports whether the names in a record of a peer are not empty, valid UTF-8 and not too long.
+// isValid reports whether the names in a record of a peer are valid.
 func isValid(record *fleetpb.StreamOrigin) bool {
-	for _, name := range []string{record.GetService(), record.GetBuild()} {
+	return areValidNames(record.GetService(), record.GetBuild())
+}
+
+// areValidNames reports whether names of services and builds are not empty, valid UTF-8 and not too long.
+func areValidNames(names ...string) bool {
+	for _, name := range names {
 		if name == "" || len(name) > maxNameBytes || !utf8.ValidString(name) {
 			return false
 		}
