--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -240,14 +240,14 @@
 	if !x.recordOrigin(ctx, decision) {
 		return x.handleUnsent(decision, dispatch.Delayed, &unmarkedBuildError{})
 	}
-	if !x.gateway.scheduler.accepts(decision.Target) {
-		return x.handleUnsent(decision, dispatch.Delayed, &targetLeftError{})
-	}
 	if refusalErr := x.authorizeSend(ctx); refusalErr != nil {
 		x.finishAttempt(decision, dispatch.Cancelled)
 		x.failRequest(refusalErr)
 		return false
 	}
+	if !x.gateway.scheduler.accepts(decision.Target) {
+		return x.handleUnsent(decision, dispatch.Delayed, &targetLeftError{})
+	}
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	response, err := x.gateway.client.Send(attemptCtx, x.newAttempt(decision))
