--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -69,6 +69,8 @@
 	deliveries []delivery
 	nextID     uint64
 	store      claimStore
+	// unsentProbes is the fraction of the claimed probes that reach no target.
+	unsentProbes float64
 	// crashes holds the times of the crashes. badSent holds the times at which requests with badPart were sent to targets, soundSent and
 	// soundRefused those of sound requests.
 	crashes, badSent, soundSent, soundRefused []time.Time
@@ -112,6 +114,9 @@
 	}
 	verdict := f.trackers[router].Admit(f.now, fingerprints)
 	refused := verdict.Refused || verdict.Probe && !f.claim(router, fingerprints)
+	if verdict.Probe && f.random.Float64() < f.unsentProbes {
+		refused = true
+	}
 	switch {
 	case refused && part != badPart:
 		f.soundRefused = append(f.soundRefused, f.now)
@@ -435,6 +440,29 @@
 	qt.Check(t, started.TakeUnsaved(), qt.HasLen, 0)
 }
 
+// TestProbesThatReachNoTargetDoNotCount guards against sound requests that are refused for long because the probes of what they share were
+// claimed and then reached no target, as is usual right after crashes.
+func TestProbesThatReachNoTargetDoNotCount(t *testing.T) {
+	for _, perSecond := range []float64{0.3, 1, 4} {
+		for seed := range uint64(8) {
+			t.Run(fmt.Sprint(perSecond, " seed ", seed), func(t *testing.T) {
+				t.Parallel()
+				f := newSimFleet(seed, 9, 9)
+				f.unsentProbes = 0.5
+				for i := range 3 {
+					crash := quarantine.Crash{ID: fmt.Sprint("lost", i)}
+					f.trackers[f.names[i]].RecordCrash(f.now, crash, []uint64{uint64(i), sharedPart})
+				}
+				f.run(90*time.Second, perSecond, 0)
+				from := f.now
+				f.run(20*time.Second, perSecond, 0)
+				sent, refused := countAfter(f.soundSent, from), countAfter(f.soundRefused, from)
+				qt.Check(t, refused <= sent, qt.IsTrue, qt.Commentf("%d sound requests were refused, %d sent", refused, sent))
+			})
+		}
+	}
+}
+
 // TestQuarantineThatTheStoreLostIsWrittenAgain guards against a quarantine that ends with the routers because the store came back from an
 // older copy.
 func TestQuarantineThatTheStoreLostIsWrittenAgain(t *testing.T) {
