--- a/internal/quarantine/claim.go
+++ b/internal/quarantine/claim.go
@@ -13,8 +13,6 @@
 	// Alone is the number of probes without another quarantined fingerprint, Together that of probes with one.
 	Alone    int `json:"alone"`
 	Together int `json:"together"`
-	// Crashes is the number of crash records of the fingerprint when its last probe was claimed.
-	Crashes int `json:"crashes"`
 	// NextAt is the earliest time of the next probe, and Expiry the time at which the claim is forgotten, both in Unix milliseconds.
 	NextAt int64 `json:"next"`
 	Expiry int64 `json:"expiry"`
@@ -45,7 +43,6 @@
 			found[claim.Fingerprint] = mergeClaims(found[claim.Fingerprint], claim)
 		}
 	}
-	found = t.withoutVainProbes(now, found)
 	nextAt := t.nextClaimAt(now, found)
 	if nextAt.IsZero() || now.Before(nextAt) {
 		decision.RetryAt = nextAt
@@ -54,7 +51,7 @@
 	}
 	for _, fingerprint := range quarantined {
 		claim := found[fingerprint]
-		claim.Fingerprint, claim.Crashes = fingerprint, t.crashCountOf(fingerprint)
+		claim.Fingerprint = fingerprint
 		claim.NextAt, claim.Expiry = now.Add(t.limits.ProbeInterval).UnixMilli(), now.Add(t.limits.RecordLifetime).UnixMilli()
 		if len(quarantined) > 1 {
 			claim.Together++
@@ -75,46 +72,13 @@
 	}
 }
 
-// withoutVainProbes gives each fingerprint its last probe back if it led to no crash within VainProbeTime: it reached no target, and says
-// nothing.
-func (t *Tracker) withoutVainProbes(now time.Time, claims map[uint64]Claim) map[uint64]Claim {
-	counted := make(map[uint64]Claim, len(claims))
-	for fingerprint, claim := range claims {
-		if t.crashCountOf(fingerprint) <= claim.Crashes && !now.Before(t.vainAt(now, claim)) {
-			claim.Alone = min(claim.Alone, t.limits.MaxProbesAlone-1)
-			claim.Together = min(claim.Together, t.limits.MaxProbesTogether-1)
-		}
-		counted[fingerprint] = claim
-	}
-	return counted
-}
-
-// vainAt returns the time at which the last probe of a claim counts as one that reached no target. Clocks of routers may differ, so the time
-// is limited.
-func (t *Tracker) vainAt(now time.Time, claim Claim) time.Time {
-	claimedAt := min(time.UnixMilli(claim.NextAt).Add(-t.limits.ProbeInterval).UnixMilli(), now.UnixMilli())
-	return time.UnixMilli(claimedAt).Add(t.limits.VainProbeTime)
-}
-
-// crashCountOf returns the number of crash records of a fingerprint that are not cleared.
-func (t *Tracker) crashCountOf(fingerprint uint64) int {
-	if found, known := t.suspects[fingerprint]; known {
-		return found.crashCount
-	}
-	return 0
-}
-
 // nextClaimAt returns the earliest time at which a probe may be claimed after the given claims of its fingerprints, or zero if there must
 // be no further one. Clocks of routers may differ, so the time is limited.
 func (t *Tracker) nextClaimAt(now time.Time, claims map[uint64]Claim) time.Time {
 	nextAt := now
-	for fingerprint, claim := range claims {
+	for _, claim := range claims {
 		if t.limits.isExhausted(claim, len(claims) > 1) {
-			if t.crashCountOf(fingerprint) > claim.Crashes {
-				return time.Time{}
-			}
-			nextAt = later(nextAt, t.vainAt(now, claim))
-			continue
+			return time.Time{}
 		}
 		nextAt = later(nextAt, time.UnixMilli(min(claim.NextAt, now.Add(t.limits.ProbeInterval).UnixMilli())))
 	}
@@ -137,7 +101,7 @@
 // mergeClaims returns what two claims of a fingerprint say together.
 func mergeClaims(a, b Claim) Claim {
 	return Claim{
-		Fingerprint: b.Fingerprint, Alone: max(a.Alone, b.Alone), Together: max(a.Together, b.Together), Crashes: max(a.Crashes, b.Crashes),
+		Fingerprint: b.Fingerprint, Alone: max(a.Alone, b.Alone), Together: max(a.Together, b.Together),
 		NextAt: max(a.NextAt, b.NextAt), Expiry: max(a.Expiry, b.Expiry),
 	}
 }
--- a/internal/quarantine/limits.go
+++ b/internal/quarantine/limits.go
@@ -14,8 +14,6 @@
 	// MaxProbesAlone is the maximum number of probes of a fingerprint at all routers, until its quarantine ends, in which no other fingerprint is
 	// quarantined. MaxProbesTogether is that of probes with another one: they use up nothing that a sound part needs to be told apart.
 	MaxProbesAlone, MaxProbesTogether int
-	// VainProbeTime is the time after a probe in which it leads to a crash or to an answer. Otherwise it reached no target and does not count.
-	VainProbeTime time.Duration
 	// AnswerMemory is the time for which an answer prevents crash records: what was answered so recently does not crash targets.
 	AnswerMemory time.Duration
 	// RecordLifetime is the time from a crash to the expiry of its records.
@@ -32,7 +30,6 @@
 		ProbeInterval:     2 * time.Second,
 		MaxProbesAlone:    2,
 		MaxProbesTogether: 1,
-		VainProbeTime:     8 * time.Second,
 		AnswerMemory:      time.Second,
 		RecordLifetime:    time.Hour,
 		MaxFingerprints:   10_000,
