Split the exchange by its jobs: failed attempts and probes of their own

What handles failed attempts and what decides on probes leave it, with the constants that only they use; declarations moved and nothing else changed.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -2,31 +2,23 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/chicorydale/chicorydale/internal/dispatch"
 	"github.com/chicorydale/chicorydale/internal/event"
 	"github.com/chicorydale/chicorydale/internal/forward"
-	"github.com/chicorydale/chicorydale/internal/metric"
-	"github.com/chicorydale/chicorydale/internal/refusal"
 	"github.com/chicorydale/chicorydale/internal/route"
 )
 
 const (
 	// retryAfter is the time after which callers should retry a request that was refused for a temporary reason.
 	retryAfter = time.Second
-	// maxUnsentAttempts is the maximum number of attempts per request that reach no target or the wrong one.
-	maxUnsentAttempts = 4
 	// firstByteTimeoutSlack plus firstByteTimeoutFactor times the expected time to the first byte is the time after which
 	// a retryable request is sent to another target.
 	firstByteTimeoutFactor = 4
 	firstByteTimeoutSlack  = 250 * time.Millisecond
-	// earlyAnswerTime is the time after the first data of an answer in which a crash of the target may be due to the request.
-	earlyAnswerTime = 100 * time.Millisecond
 )
 
 // exchange is one request of a caller with its response. It belongs to the goroutine that handles the request.
@@ -146,40 +138,6 @@
 	}
 }
 
-// admitSuspect returns a refusal if the request, or a part of its prompt, is quarantined and the next attempt cannot be a probe.
-func (x *exchange) admitSuspect() *refusal.Error {
-	if !x.probeUntil.IsZero() {
-		return nil // The last attempt reached no target, so the probe has not been sent yet.
-	}
-	var refusalErr *refusal.Error
-	x.probe, refusalErr = x.gateway.suspects.admit(x.fingerprints)
-	return refusalErr
-}
-
-// authorizeSend is called right before an attempt. It claims the probe if the attempt is one, and returns a refusal if the request must not be
-// sent: it may have been quarantined while it waited for a target.
-func (x *exchange) authorizeSend(ctx context.Context) *refusal.Error {
-	quarantined := x.gateway.suspects.quarantined(x.fingerprints)
-	now := time.Now()
-	switch {
-	case len(quarantined) == 0 || now.Before(x.probeUntil):
-		return nil
-	case !x.probe || !x.probeUntil.IsZero():
-		return refuseQuarantined(now, now.Add(retryAfter))
-	}
-	granted, retryAt := x.gateway.claims.claim(ctx, quarantined)
-	now = time.Now()
-	if !granted {
-		return refuseQuarantined(now, retryAt)
-	}
-	event.QuarantineProbed.Log(x.gateway.logger, quarantined[0], x.info.ID)
-	x.probeUntil = now.Add(claimLifetime)
-	return nil
-}
-
-// endProbe records that the claimed probe has been sent, so that the next attempt needs another one.
-func (x *exchange) endProbe() { x.probe, x.probeUntil = false, time.Time{} }
-
 // dispatchRequest returns the request as the dispatcher needs it.
 func (x *exchange) dispatchRequest() dispatch.Request {
 	return dispatch.Request{
@@ -315,130 +273,7 @@
 	return attempt
 }
 
-// handleSendError handles an attempt that failed before the head of a response arrived.
-func (x *exchange) handleSendError(decision dispatch.Decision, err error) (retry bool) {
-	var unsent *forward.UnsentError
-	if !errors.As(err, &unsent) {
-		x.endProbe()
-		x.sentAttempts++
-		return x.handleBrokenAttempt(decision, err)
-	}
-	if x.r.Context().Err() != nil {
-		x.finishAttempt(decision, dispatch.Cancelled)
-		x.abortDisconnected()
-		return false
-	}
-	outcome := dispatch.Unreachable
-	if isOwnDelay(err) {
-		outcome = dispatch.Delayed
-	}
-	return x.handleUnsent(decision, outcome, err)
-}
-
-// handleUnsent handles an attempt of which the target got nothing.
-func (x *exchange) handleUnsent(decision dispatch.Decision, outcome dispatch.Outcome, err error) (retry bool) {
-	x.unsentAttempts++
-	x.finishAttempt(decision, outcome)
-	retry = x.unsentAttempts < maxUnsentAttempts && x.beforeDeadline()
-	x.logFailedAttempt(decision, outcome, err, retry)
-	if retry {
-		x.gateway.metrics.CountRetry(metric.RetryUnreachable)
-		return true
-	}
-	x.failRequest(refusal.New(refusal.NoTarget, "no target accepted a connection").WithRetryAt(time.Now().Add(retryAfter)))
-	return false
-}
-
-// handleRejection handles a response that says that the target did not run the request.
-func (x *exchange) handleRejection(decision dispatch.Decision, response *forward.Response) (retry bool) {
-	discardRest(response)
-	if !response.Info.Misdirected {
-		x.sentAttempts++
-	}
-	outcome := dispatch.Rejected
-	if response.Info.Misdirected {
-		outcome = dispatch.Misdirected
-	}
-	x.finishAttempt(decision, outcome)
-	retry = x.beforeDeadline() && x.sentAttempts < x.route.MaxAttempts && x.unsentAttempts < maxUnsentAttempts &&
-		x.gateway.retryBudgets.takeRetry(x.service)
-	if response.Info.Misdirected {
-		x.unsentAttempts++
-	}
-	x.logFailedAttempt(decision, outcome, &rejectedError{status: response.StatusCode}, retry)
-	if retry {
-		x.gateway.metrics.CountRetry(metric.RetryRejected)
-		return true
-	}
-	x.failRequest(refusal.New(refusal.Overloaded, "the target has no room").WithRetryAt(time.Now().Add(retryAfter)))
-	return false
-}
-
-// handleBrokenAttempt handles an attempt without a valid response whose request the target may have run.
-func (x *exchange) handleBrokenAttempt(decision dispatch.Decision, err error) (retry bool) {
-	x.mayHaveRun = true
-	outcome := dispatch.Broken
-	switch {
-	case x.r.Context().Err() != nil:
-		x.finishAttempt(decision, dispatch.Cancelled)
-		x.abortDisconnected()
-		return false
-	case isTimeout(err) || !x.beforeDeadline():
-		outcome = dispatch.Stalled
-	}
-	x.finishAttempt(decision, outcome)
-	if outcome == dispatch.Broken {
-		x.gateway.crashes.attemptBroke(decision.Target, x.suspectFingerprints())
-	}
-	retry = x.takeRetry()
-	x.logFailedAttempt(decision, outcome, err, retry)
-	if retry {
-		x.gateway.metrics.CountRetry(metric.RetryCrashed)
-		return true
-	}
-	if !x.beforeDeadline() {
-		x.failRequest(refusal.New(refusal.Expired, "the target did not answer in time").WithExecutionUnknown())
-	} else {
-		x.failRequest(refusal.New(refusal.TargetFailed, "the target broke off the request").WithExecutionUnknown())
-	}
-	return false
-}
-
-// suspectFingerprints returns the fingerprints of the request if the last attempt broke before its answer had well begun, and none
-// otherwise: what crashes a target does so when the target begins to work or to answer.
-func (x *exchange) suspectFingerprints() []uint64 {
-	if !x.firstDataAt.IsZero() && time.Since(x.firstDataAt) > earlyAnswerTime {
-		return nil
-	}
-	return x.fingerprints
-}
-
-// takeRetry reports whether a request that may have run can be sent to another target. If so, it takes a retry from the
-// budget.
-func (x *exchange) takeRetry() bool {
-	return x.route.Kind.Retryable() && x.sentAttempts < x.route.MaxAttempts && x.beforeDeadline() &&
-		x.gateway.retryBudgets.takeRetry(x.service)
-}
-
-// beforeDeadline reports whether there is time for another attempt.
-func (x *exchange) beforeDeadline() bool { return time.Now().Before(x.deadline) }
-
 // finishAttempt reports the outcome of an attempt to the scheduler.
 func (x *exchange) finishAttempt(decision dispatch.Decision, outcome dispatch.Outcome) {
 	x.gateway.scheduler.finishAttempt(decision.ID, outcome)
 }
-
-// logFailedAttempt logs a failed attempt and whether the request is retried.
-func (x *exchange) logFailedAttempt(decision dispatch.Decision, outcome dispatch.Outcome, err error, retry bool) {
-	event.AttemptFailed.Log(x.gateway.logger, x.info.ID, decision.Target.Name, string(outcome), err, x.sentAttempts, retry,
-		time.Since(x.arrivedAt).Milliseconds(), x.customer, x.headReceived, x.sharedPartNames(), string(x.framing), decision.Target.Build)
-}
-
-// sharedPartNames returns the hashes of the prompt parts that requests of other sessions may share, for the log.
-func (x *exchange) sharedPartNames() []string {
-	names := make([]string, 0, len(x.info.PromptParts))
-	for _, part := range x.info.SharedParts() {
-		names = append(names, strconv.FormatUint(part.ID, 16))
-	}
-	return names
-}
