Refuse requests that a router reads after the balancer has had time to deregister it

Requests that are read after the 2.5 s of the deregistration get 503 with Connection: close, a true refusal, so that their callers go elsewhere at once.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -14,9 +14,8 @@
 	deregistrationTime = 2500 * time.Millisecond
 	// exitMargin is the time between the end of the drain and the end of the grace period, when the process is killed.
 	exitMargin = 400 * time.Millisecond
-	// finalRefusalTime is how long before the end of the drain new requests are refused, because they may not complete in
-	// time.
-	finalRefusalTime = 1500 * time.Millisecond
+	// acceptMargin is how long before the end of the drain the listener is closed at the latest.
+	acceptMargin = 1500 * time.Millisecond
 	// openPollInterval is the time between checks whether all connections have ended.
 	openPollInterval = 50 * time.Millisecond
 	// drainIdleTimeout is how long a connection may have no request at the end of the drain. A request that is on its way arrives
@@ -25,20 +24,20 @@
 )
 
 // drain waits until all connections of callers have ended or the grace period is almost over. It keeps accepting connections until the
-// load balancer has had time to deregister the router. After that, only connections without a request are ended: a router that gets
-// too little processor time has accepted and read requests late, and each of them gets an answer or a refusal.
+// load balancer has had time to deregister the router. After that, new requests are refused, because their answers may not end in time, and
+// only connections without a request are ended: a router that gets too little processor time accepts and reads requests late.
 func (g *Gateway) drain(callers *acceptor) {
 	startedAt := time.Now()
 	deadline := startedAt.Add(g.settings.GracePeriod - exitMargin)
-	refuseAfter := deadline.Add(-finalRefusalTime)
-	g.refuseAfter.Store(refuseAfter.UnixNano())
+	deregisteredAt := startedAt.Add(min(deregistrationTime, g.settings.GracePeriod/2))
+	g.refuseAfter.Store(deregisteredAt.UnixNano())
 	g.draining.Store(true)
 	event.Draining.Log(g.logger, g.openRequests.Load())
 	drainCtx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	go g.peers.withdraw(drainCtx) // Not waited for, because the store may not reply.
-	sleepUntil(drainCtx, startedAt.Add(min(deregistrationTime, g.settings.GracePeriod/2)))
-	acceptCtx, stopAccepting := context.WithDeadline(drainCtx, refuseAfter)
+	sleepUntil(drainCtx, deregisteredAt)
+	acceptCtx, stopAccepting := context.WithDeadline(drainCtx, deadline.Add(-acceptMargin))
 	defer stopAccepting()
 	callers.closeWhenEmpty(acceptCtx)
 	for g.callerConns.endUnused(time.Now(), drainIdleTimeout) > 0 {
@@ -51,7 +50,7 @@
 	event.Drained.Log(g.logger, time.Since(startedAt).Milliseconds())
 }
 
-// refusesNewRequests reports whether the router is so close to its exit that it refuses new requests.
+// refusesNewRequests reports whether the router is draining and callers have had time to use others.
 func (g *Gateway) refusesNewRequests(now time.Time) bool {
 	return g.draining.Load() && now.UnixNano() > g.refuseAfter.Load()
 }
