--- a/internal/overload/starvation_test.go
+++ b/internal/overload/starvation_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -75,12 +76,20 @@
 	asked, begun map[string][]int
 }
 
-// playStarved plays callers that send new requests at the given rates per second for a time.
-func playStarved(seed uint64, length time.Duration, rates map[string]float64) *starvedRouter {
+// newStarvedRouter returns a router without callers that gets the messages of its peers for a time.
+func newStarvedRouter(seed uint64, length time.Duration) *starvedRouter {
 	r := &starvedRouter{
 		now: startTime, random: rand.New(rand.NewPCG(seed, 5)), shedder: overload.New(),
 		asked: make(map[string][]int), begun: make(map[string][]int),
 	}
+	for at := startTime; at.Sub(startTime) < length; at = at.Add(linkPeriod) {
+		r.queue(at, func() time.Duration { return linkCost })
+	}
+	return r
+}
+
+// addCallers adds callers that send new requests at the given rates per second for a time.
+func (r *starvedRouter) addCallers(seed uint64, length time.Duration, rates map[string]float64) {
 	for customer, rate := range rates {
 		r.asked[customer] = make([]int, int(length/time.Second)+1)
 		r.begun[customer] = make([]int, int(length/time.Second)+1)
@@ -92,19 +101,52 @@
 			r.queue(arrivedAt, func() time.Duration { return r.accept(customer, arrivedAt, true) })
 		}
 	}
-	for at := startTime; at.Sub(startTime) < length; at = at.Add(linkPeriod) {
-		r.queue(at, func() time.Duration { return linkCost })
+}
+
+// runNext runs the job that has waited longest.
+func (r *starvedRouter) runNext() {
+	next, _ := heap.Pop(&r.waiting).(job)
+	if next.readyAt.After(r.now) {
+		r.now = next.readyAt
+	}
+	r.now = r.now.Add(time.Duration(float64(next.work()) / coreShare))
+}
+
+// nextStart returns the time at which the router runs its next job, which must exist.
+func (r *starvedRouter) nextStart() time.Time {
+	if next := r.waiting[0].readyAt; next.After(r.now) {
+		return next
 	}
+	return r.now
+}
+
+// playStarved plays a router with callers that send new requests at the given rates per second for a time.
+func playStarved(seed uint64, length time.Duration, rates map[string]float64) *starvedRouter {
+	r := newStarvedRouter(seed, length)
+	r.addCallers(seed, length, rates)
 	for len(r.waiting) > 0 && r.now.Sub(startTime) < length {
-		next, _ := heap.Pop(&r.waiting).(job)
-		if next.readyAt.After(r.now) {
-			r.now = next.readyAt
-		}
-		r.now = r.now.Add(time.Duration(float64(next.work()) / coreShare))
+		r.runNext()
 	}
 	return r
 }
 
+// playZone plays the routers of an availability zone for a time. All callers come to the first one. It returns the sums over the zone.
+func playZone(seed uint64, length time.Duration, size int, rates map[string]float64) *starvedRouter {
+	zone := make([]*starvedRouter, size)
+	for i := range zone {
+		zone[i] = newStarvedRouter(seed+uint64(i), length)
+		zone[i].asked, zone[i].begun = zone[0].asked, zone[0].begun
+	}
+	zone[0].addCallers(seed, length, rates)
+	for {
+		next := slices.MinFunc(zone, func(a, b *starvedRouter) int { return a.nextStart().Compare(b.nextStart()) })
+		if next.nextStart().Sub(startTime) >= length {
+			return zone[0]
+		}
+		next.runNext()
+	}
+}
+
 // queue adds work that is ready at a time.
 func (r *starvedRouter) queue(readyAt time.Time, work func() time.Duration) {
 	r.numJobs++
@@ -173,3 +215,21 @@
 		}
 	}
 }
+
+// TestCustomerAtBusyRouterIsServedByItsZone guards against a customer that gets far less than it asks for because the balancer sends its
+// callers to one router without processor time for them, while the routers beside it are idle.
+func TestCustomerAtBusyRouterIsServedByItsZone(t *testing.T) {
+	const warmUp, seconds, zoneSize = 2, 12, 9
+	for seed := range uint64(5) {
+		zone := playZone(seed, seconds*time.Second, zoneSize, map[string]float64{"crowd": 400, "desk": 40})
+		for customer, asked := range zone.asked {
+			owed, got := 0, 0
+			for second := warmUp; second < seconds; second++ {
+				owed += asked[second]
+				got += zone.begun[customer][second]
+			}
+			qt.Check(t, 2*got >= owed, qt.IsTrue, qt.Commentf("seed %d: %s got %d of %d, by seconds %v", seed, customer, got, owed,
+				zone.begun[customer]))
+		}
+	}
+}
