Read the marks of builds anew before a stream of unknown origin is taken up

Cause: a router that does not know where a stream began takes the only build that it knows, and a router that is out of step knows fewer than there are. The marks of builds are written before the first stream of a build, so a read of them that begins after the request has arrived holds the build of the stream. Without an answer of the store within 200 ms the request is refused (503): such streams no longer go on while the store is away and no peer knows them.

TestStreamIsNotTakenUpByRouterOutOfStep failed before (store refuses, store silent: the streams went on at v1) and passes now, with the other tests of streams and versions. Ruled out: the in-answer continuation, which stays at the build of its target.

--- a/internal/gateway/buildmarks.go
+++ b/internal/gateway/buildmarks.go
@@ -39,11 +39,29 @@
 	logger  zerolog.Logger
 	// byKey holds the builds of the records that were read.
 	byKey map[string]origin.Origin
+	// reader reads all marks for requests.
+	reader *markReader
 }
 
 // newBuildMarks returns the marks in a topic, none of which has been read.
 func newBuildMarks(topic topiclog.Topic, origins *streamOrigins, logger zerolog.Logger) *buildMarks {
-	return &buildMarks{topic: topic, origins: origins, logger: logger, byKey: make(map[string]origin.Origin)}
+	m := &buildMarks{topic: topic, origins: origins, logger: logger, byKey: make(map[string]origin.Origin)}
+	m.reader = &markReader{read: m.readAll}
+	return m
+}
+
+// readAll reads all marks from the store, in addition to those that are known. It reports whether it succeeded.
+func (m *buildMarks) readAll(ctx context.Context) bool {
+	page, err := m.topic.ReadNewest(ctx)
+	if err != nil {
+		return false
+	}
+	for _, record := range page.Records {
+		if build, ok := m.decode(record); ok {
+			m.origins.mark(time.Now(), build)
+		}
+	}
+	return true
 }
 
 // Reset takes the newest record of every build. Builds whose marks the store has lost are marked again.
@@ -74,7 +92,7 @@
 	}
 }
 
-// CaughtUp does nothing, because a router that has read the marks learns of later ones before streams of them can reach it.
+// CaughtUp does nothing, because the marks are read anew when it matters that none is missing.
 func (m *buildMarks) CaughtUp(boottime.Instant) {}
 
 // Failed does nothing unless the store has lost records: then it may have lost origins too. The handlers of the other topics log failures.
--- a/internal/gateway/streamorigins.go
+++ b/internal/gateway/streamorigins.go
@@ -226,13 +226,27 @@
 		}
 		return nil
 	}
-	if x.build = x.gateway.origins.onlyBuild(x.service); x.build != "" {
+	if x.build = x.onlyBuild(ctx); x.build != "" {
 		return nil
 	}
 	return refusal.New(refusal.NoTarget, "no router knows at which software version the stream began").
 		WithRetryAt(time.Now().Add(retryAfter))
 }
 
+// onlyBuild returns the only build at which the stream that the caller takes up may have begun. It is empty if there are several or none. The
+// marks are read for it, because a router that was cut off or stood still knows fewer builds than there are.
+func (x *exchange) onlyBuild(ctx context.Context) string {
+	if x.gateway.origins.onlyBuild(x.service) == "" {
+		return ""
+	}
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(maxOriginWait))
+	defer cancel()
+	if !x.gateway.buildMarks.reader.await(ctx) {
+		return ""
+	}
+	return x.gateway.origins.onlyBuild(x.service)
+}
+
 // recordOrigin records that the target of a decision is about to begin the stream, or to continue it for the caller. It first waits until the
 // target's build is marked. It reports false if the build could not be marked and another target should be tried, of a build that is. If no
 // build is marked, the stream begins all the same, because the store does not answer.
