Send calls that run at most once on connections of their own

Report of another operator: a faulty replica wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that ran, or these ran at a second replica (REFUSED, TWICE).

On the platform's path this cannot happen: answers are matched by the ID of their request, and an attempt is never sent twice to the same target; TestRepeatedRefusalIsNotTakenForResponse (internal/forward) passes before and after. On the product's own path it could: answers of services name no request, connections are kept, and each 503 counts as not run, so a keyed call was sent to a second replica. Calls now use a connection for one request only. The price is a new connection, one round trip, for each call.

--- a/internal/external/serviceclient/client.go
+++ b/internal/external/serviceclient/client.go
@@ -38,6 +38,8 @@
 	request := transport.Request{
 		System: c.name, Address: c.address, Method: http.MethodPost, Path: "/invoke", Body: body,
 		SendDeadline: invocation.SendDeadline,
+		// Answers do not name their request, and a refusal of another one would count as not run.
+		OwnConnection: true,
 	}
 	var response wire.InvokeResponse
 	if err := c.transport.DoJSON(ctx, request, maxResponseBytes, &response); err != nil {
--- a/internal/external/transport/client.go
+++ b/internal/external/transport/client.go
@@ -33,6 +33,8 @@
 // Client sends requests to external systems and reuses connections. It is safe for concurrent use.
 type Client struct {
 	httpClient *http.Client
+	// oneShot uses each connection for one request only.
+	oneShot *http.Client
 }
 
 // New returns a client, to be closed with Close.
@@ -41,16 +43,22 @@
 	for _, opt := range opts {
 		opt(&config)
 	}
-	return &Client{httpClient: &http.Client{
+	return &Client{httpClient: newHTTPClient(config, false), oneShot: newHTTPClient(config, true)}
+}
+
+// newHTTPClient returns an HTTP client that keeps connections for reuse unless oneShot is set.
+func newHTTPClient(config options, oneShot bool) *http.Client {
+	return &http.Client{
 		Transport: &http.Transport{
 			DialContext:         withDialTimeout(config.dial),
 			MaxIdleConnsPerHost: maxIdleConnsPerAddress,
 			IdleConnTimeout:     idleConnTimeout,
 			DisableCompression:  true,
+			DisableKeepAlives:   oneShot,
 		},
 		// Following a redirect would send a request that is not idempotent a second time.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
+	}
 }
 
 // withDialTimeout returns a dial function that is cancelled after dialTimeout. Without it, package net/http lets a dial
@@ -84,7 +92,11 @@
 		req.Body = io.NopCloser(deadlineReader{Reader: req.Body, deadline: request.SendDeadline})
 		req.GetBody = nil // Package net/http would send its copy of the body without the deadline.
 	}
-	response, err := c.httpClient.Do(req)
+	httpClient := c.httpClient
+	if request.OwnConnection {
+		httpClient = c.oneShot
+	}
+	response, err := httpClient.Do(req)
 	switch {
 	case err != nil && !tracker.connected.Load():
 		return nil, &external.UnavailableError{System: request.System, Cause: err}
--- a/internal/external/transport/request.go
+++ b/internal/external/transport/request.go
@@ -16,4 +16,7 @@
 	Body []byte
 	// SendDeadline is the time from which on a request with a body must not be sent, zero for none.
 	SendDeadline time.Time
+	// OwnConnection is set if the request must be the only one on its connection, so that no answer to an earlier request can be taken for
+	// its own.
+	OwnConnection bool
 }
--- a/internal/forward/client_test.go
+++ b/internal/forward/client_test.go
@@ -132,6 +132,33 @@
 	}
 }
 
+// TestRepeatedRefusalIsNotTakenForResponse guards against a request that counts as not run although it runs, because its target has
+// written an earlier refusal once more on a kept connection.
+func TestRepeatedRefusalIsNotTakenForResponse(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nId: r1\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\nfull"
+	target := newTestTarget(t, func(conn net.Conn, number int, id string) bool {
+		writeRaw(conn, refusal)
+		if number == 2 {
+			writeRaw(conn, responseText(id, "answer to "+id))
+		}
+		return number < 3
+	})
+	client := forward.NewClient(codec{})
+	response, err := client.Send(t.Context(), newAttempt(target, "r1"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, response.Info.NotRun, qt.IsTrue)
+	_, err = io.ReadAll(response)
+	qt.Assert(t, err, qt.IsNil)
+	response.Close()
+	body, err := sendAndRead(t, client, newAttempt(target, "r2"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, body, qt.Equals, "answer to r2")
+	_, err = client.Send(t.Context(), newAttempt(target, "r3"))
+	var unknown *forward.OutcomeUnknownError
+	qt.Check(t, errors.As(err, &unknown), qt.IsTrue, qt.Commentf("%v", err))
+	qt.Check(t, target.accepted, qt.HasLen, 1)
+}
+
 // TestStrayBytes guards against reusing a connection on which the target sent more than its response.
 func TestStrayBytes(t *testing.T) {
 	target := newTestTarget(t, func(conn net.Conn, _ int, id string) bool {
