Hand connections over within a zone, and leave the rotation, when short of processor time

Cause: the balancer sends all callers of a customer to one router. With 0.192 of a core it can serve 110 to 140 requests a second, and when more come it falls to 6 to 20, while its neighbours use a third of their time.

Bytes are read by one router only, so the promises on runs and refusals stay with it.

Ruled out: serving or refusing more cheaply at the same router, since at the worst moment a refusal costs as much as handing over.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -29,7 +29,7 @@
 
 	ProcessState = Event{114, levelInfo, "process_state", []string{
 		"cpu_ms", "lag_ms", "collections", "heap_kb", "goroutines", "callers_new", "callers_active", "callers_idle",
-		"targets_idle",
+		"targets_idle", "accepted", "handed_over", "taken_over",
 	}}
 	AcceptFailed = Event{115, levelWarn, "accept_failed", []string{"error"}}
 )
--- a/internal/gateway/acceptor.go
+++ b/internal/gateway/acceptor.go
@@ -28,9 +28,12 @@
 	net.Listener
 	callerConns *callerConns
 	shedder     *loadShedder
-	cuts        *cutLog
-	logger      zerolog.Logger
-	lastLogged  time.Time
+	// handovers takes connections that this router is too late for, unless handedOver is set: then another router has handed them over.
+	handovers  *handovers
+	handedOver bool
+	cuts       *cutLog
+	logger     zerolog.Logger
+	lastLogged time.Time
 }
 
 // Accept returns the next connection as a *callerConn. It blocks while no file descriptor is free and returns all other
@@ -40,7 +43,10 @@
 		conn, err := a.Listener.Accept()
 		now := time.Now()
 		if tcpConn, ok := conn.(*net.TCPConn); ok && err == nil {
-			return &callerConn{TCPConn: tcpConn, shedder: a.shedder, cuts: a.cuts, acceptedAt: now}, nil
+			if !a.handedOver && a.handovers.take(tcpConn, now) {
+				continue
+			}
+			return a.newCallerConn(tcpConn, now), nil
 		}
 		if !errors.Is(err, syscall.EMFILE) && !errors.Is(err, syscall.ENFILE) {
 			return conn, err
@@ -54,6 +60,14 @@
 	}
 }
 
+// newCallerConn returns the connection of a caller that was accepted at the given time.
+func (a *acceptor) newCallerConn(conn *net.TCPConn, acceptedAt time.Time) net.Conn {
+	a.handovers.connAccepted(a.handedOver)
+	return &callerConn{
+		TCPConn: conn, shedder: a.shedder, cuts: a.cuts, acceptedAt: acceptedAt, started: a.handovers.connStarted, handedOver: a.handedOver,
+	}
+}
+
 // closeWhenEmpty closes the listener when no connection waits to be accepted, or when ctx ends. The kernel resets the connections that
 // wait when the listener is closed.
 func (a *acceptor) closeWhenEmpty(ctx context.Context) {
--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -21,6 +21,10 @@
 	cuts        *cutLog
 	acceptedAt  time.Time
 	readStarted bool
+	// started is called when the process begins to handle the connection.
+	started func(acceptedAt time.Time)
+	// handedOver is set if another router has handed the connection over.
+	handedOver bool
 
 	mu sync.Mutex
 	// received is the number of bytes of the current request that were read, receivedSince the time of the first ones. answered is
@@ -40,6 +44,7 @@
 func (c *callerConn) Read(p []byte) (int, error) {
 	if !c.readStarted {
 		c.readStarted = true
+		c.started(c.acceptedAt)
 		if c.shedder.connStarted(c.acceptedAt) && c.shedder.refuseFirstRequest(c.TCPConn) {
 			return 0, io.EOF
 		}
--- /dev/null
+++ b/internal/gateway/connqueue.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// acceptedConn is a connection that waits to be served, and when it was accepted.
+type acceptedConn struct {
+	conn       *net.TCPConn
+	acceptedAt time.Time
+}
+
+// connQueue is a listener for connections that another listener has accepted. It is safe for concurrent use.
+type connQueue struct {
+	wrap  func(*net.TCPConn, time.Time) net.Conn
+	conns chan acceptedConn
+
+	closeOnce sync.Once
+	closed    chan struct{}
+}
+
+// newConnQueue returns an empty queue. Accept returns connections as wrap returns them.
+func newConnQueue(wrap func(*net.TCPConn, time.Time) net.Conn) *connQueue {
+	return &connQueue{wrap: wrap, conns: make(chan acceptedConn), closed: make(chan struct{})}
+}
+
+// put passes a connection to Accept, or closes it if the queue is closed.
+func (q *connQueue) put(conn *net.TCPConn, acceptedAt time.Time) {
+	select {
+	case q.conns <- acceptedConn{conn, acceptedAt}:
+	case <-q.closed:
+		_ = conn.Close() // Nobody serves it any more.
+	}
+}
+
+// Accept returns the next connection, or net.ErrClosed after Close.
+func (q *connQueue) Accept() (net.Conn, error) {
+	select {
+	case next := <-q.conns:
+		return q.wrap(next.conn, next.acceptedAt), nil
+	case <-q.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close makes Accept fail.
+func (q *connQueue) Close() error {
+	q.closeOnce.Do(func() { close(q.closed) })
+	return nil
+}
+
+// Addr returns an empty address, because the queue has none of its own.
+func (q *connQueue) Addr() net.Addr { return new(net.TCPAddr) }
--- a/internal/gateway/disconnect.go
+++ b/internal/gateway/disconnect.go
@@ -14,6 +14,12 @@
 	return context.WithValue(ctx, connContextKey{}, conn)
 }
 
+// wasHandedOver reports whether another router has handed over the connection of a request, given the request's context.
+func wasHandedOver(ctx context.Context) bool {
+	conn, ok := ctx.Value(connContextKey{}).(*callerConn)
+	return ok && conn.handedOver
+}
+
 // callerDisconnected reports whether the caller has closed the connection of a request, given the request's context. The
 // HTTP server detects this too, but later: an overloaded host reads requests whose callers have already left, and would
 // send them to targets before the server cancels them.
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -26,7 +26,7 @@
 // drain waits until all connections of callers have ended or the grace period is almost over. It keeps accepting connections until the
 // load balancer has had time to deregister the router. After that, new requests are refused, because their answers may not end in time, and
 // only connections without a request are ended: a router that gets too little processor time accepts and reads requests late.
-func (g *Gateway) drain(callers *acceptor) {
+func (g *Gateway) drain(acceptors []*acceptor) {
 	startedAt := time.Now()
 	deadline := startedAt.Add(g.settings.GracePeriod - exitMargin)
 	deregisteredAt := startedAt.Add(min(deregistrationTime, g.settings.GracePeriod/2))
@@ -39,8 +39,10 @@
 	sleepUntil(drainCtx, deregisteredAt)
 	acceptCtx, stopAccepting := context.WithDeadline(drainCtx, deadline.Add(-acceptMargin))
 	defer stopAccepting()
-	callers.closeWhenEmpty(acceptCtx)
-	for g.callerConns.endUnused(time.Now(), drainIdleTimeout) > 0 {
+	for _, callers := range acceptors {
+		callers.closeWhenEmpty(acceptCtx)
+	}
+	for g.callerConns.endUnused(time.Now(), drainIdleTimeout)+g.handovers.endUnused() > 0 {
 		if drainCtx.Err() != nil {
 			event.DrainCut.Log(g.logger, g.openRequests.Load())
 			return
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -58,7 +58,7 @@
 	for range 100 {
 		g.shedder.recordOutcome(customer, refusal.New(refusal.Overloaded, "no room"))
 	}
-	return g.newAcceptor(tcpListener)
+	return g.newAcceptor(tcpListener, false)
 }
 
 // RetryBudgets exports the retry budgets of one router.
@@ -220,7 +220,7 @@
 func ServeCallers(
 	g *Gateway, tcpListener net.Listener, hold func(state http.ConnState, before bool), handler http.Handler,
 ) CallerServer {
-	accepted := &lastConn{Listener: g.newAcceptor(tcpListener)}
+	accepted := &lastConn{Listener: g.newAcceptor(tcpListener, false)}
 	server := g.newServer(handler)
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
 		hold(state, true)
@@ -262,7 +262,7 @@
 
 // AcceptCaller accepts a caller's connection as a gateway does.
 func AcceptCaller(g *Gateway, tcpListener net.Listener) (net.Conn, error) {
-	return g.newAcceptor(tcpListener).Accept()
+	return g.newAcceptor(tcpListener, false).Accept()
 }
 
 // pollSignal is a listener that signals each check for connections that wait to be accepted.
@@ -292,7 +292,7 @@
 	signal := &pollSignal{TCPListener: tcpListener.(*net.TCPListener), polled: make(chan struct{})} //nolint:forcetypeassert // As passed.
 	go func() {
 		defer close(closed)
-		g.newAcceptor(signal).closeWhenEmpty(ctx)
+		g.newAcceptor(signal, false).closeWhenEmpty(ctx)
 	}()
 	return signal.polled
 }
@@ -347,3 +347,30 @@
 
 // OnlyBuild returns the only build of a service at which streams may have begun.
 func (s StreamOrigins) OnlyBuild(service string) string { return s.onlyBuild(service) }
+
+// Handovers is handovers for tests, at a router that is always late.
+type Handovers struct{ *handovers }
+
+// NewHandovers returns the handovers of a late router with one peer that has processor time, and a listener for the connections that it
+// keeps.
+func NewHandovers(peer, address string) (Handovers, net.Listener) {
+	kept := newConnQueue(func(conn *net.TCPConn, _ time.Time) net.Conn { return conn })
+	h := newHandovers(1000, 1, kept)
+	now := time.Now()
+	h.setPeer(now, peer, address, time.Second)
+	h.policy.RecordStartDelay(now.Add(time.Hour), time.Second) // It stays the newest measurement.
+	return Handovers{h}, kept
+}
+
+// Take hands a connection over if a peer has processor time, and reports whether it did.
+func (h Handovers) Take(conn *net.TCPConn) bool { return h.take(conn, time.Now()) }
+
+// LosePeer records that the link to a peer has ended, and lets the given time pass.
+func (h Handovers) LosePeer(name string, elapsed time.Duration) {
+	now := time.Now()
+	h.peerDisconnected(now, name)
+	h.endLost(now.Add(elapsed))
+}
+
+// EndUnused ends the connections on which nothing has arrived, and returns the number of open ones.
+func (h Handovers) EndUnused() int { return h.endUnused() }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/chicorydale/chicorydale/internal/event"
 	"github.com/chicorydale/chicorydale/internal/forward"
 	"github.com/chicorydale/chicorydale/internal/metric"
+	"github.com/chicorydale/chicorydale/internal/overload"
 	"github.com/chicorydale/chicorydale/internal/quarantine"
 	"github.com/chicorydale/chicorydale/internal/refusal"
 	"github.com/chicorydale/chicorydale/internal/registry"
@@ -68,7 +69,10 @@
 	peers           *peerLinks
 	lateness        *latenessMeter
 	shedder         *loadShedder
-	refusalLog      *refusalLog
+	handovers       *handovers
+	// kept holds connections of callers that could not be handed over to a peer.
+	kept       *connQueue
+	refusalLog *refusalLog
 	// usageAtLastLog belongs to the goroutine of runMaintenance.
 	usageAtLastLog processUsage
 	// streamBuffers holds buffers of type *[]byte with streamBufferBytes bytes.
@@ -80,7 +84,8 @@
 	refuseAfter atomic.Int64
 	// maintenanceRuns belongs to the goroutine of runMaintenance.
 	maintenanceRuns int
-	// listeners are for callers, readiness checks, metrics and links to other routers, in this order.
+	// listeners are for callers, readiness checks, metrics, links to other routers and connections that these hand over, in this order. The
+	// last one is missing if there is no HandoverAddr.
 	listeners []net.Listener
 }
 
@@ -117,16 +122,25 @@
 		crashes:      newCrashDetector(client, logger, suspects.recordCrash),
 		retryBudgets: budgets,
 		callerConns:  newCallerConns(settings.MaxOpenFiles),
-		peers:        newPeerLinks(settings, adapters.RouterTopic, logger, metrics, linkUsers{scheduler, suspects, origins, budgets, lateness}),
 		lateness:     lateness,
 
 		refusalLog:    newRefusalLog(logger),
 		streamBuffers: sync.Pool{New: func() any { return new(make([]byte, streamBufferBytes)) }},
 	}
+	g.shedder = newLoadShedder(g)
+	g.kept = newConnQueue(func(conn *net.TCPConn, acceptedAt time.Time) net.Conn {
+		return g.newAcceptor(nil, false).newCallerConn(conn, acceptedAt)
+	})
+	g.handovers = newHandovers(settings.MaxOpenFiles, settings.Seed, g.kept)
+	loads := &loadReports{
+		handovers: g.handovers, logger: logger, share: settings.ProcessorShare, zonePeers: make(map[string]bool),
+		rotation:  overload.NewRotation(),
+		takesMore: func() bool { return !g.draining.Load() && g.config.Table() != nil && g.config.fresh() },
+	}
+	g.peers = newPeerLinks(settings, adapters.RouterTopic, logger, metrics, linkUsers{scheduler, suspects, origins, budgets, lateness, loads})
 	g.originStore = &originStore{
 		topic: topiclog.WithReadTimeout(adapters.OriginTopic), origins: origins, logger: logger, routerCount: g.peers.routerCount,
 	}
-	g.shedder = newLoadShedder(g)
 	return g
 }
 
@@ -135,6 +149,8 @@
 	// Caller is for callers, Ready for readiness checks of the load balancer, Metrics for metrics, Link for links from
 	// other routers.
 	Caller, Ready, Metrics, Link netip.AddrPort
+	// Handover is for connections of callers that other routers hand over. It is not valid if the router takes none.
+	Handover netip.AddrPort
 }
 
 // Listen opens the ports of the gateway and returns their addresses, so that ports chosen by the kernel are known before
@@ -143,6 +159,9 @@
 	// No TCP keep-alive is needed: dead connections are closed by the deadlines of requests and by the idle timeout.
 	listenConfig := net.ListenConfig{KeepAlive: -1}
 	requested := []netip.AddrPort{g.settings.CallerAddr, g.settings.ReadyAddr, g.settings.MetricsAddr, g.settings.LinkAddr}
+	if g.settings.HandoverAddr.IsValid() {
+		requested = append(requested, g.settings.HandoverAddr)
+	}
 	bound := make([]netip.AddrPort, 0, len(requested))
 	for _, address := range requested {
 		listener, err := listenConfig.Listen(ctx, "tcp", address.String())
@@ -160,9 +179,17 @@
 		bound = append(bound, actual)
 	}
 	g.peers.ownRecord.Address = bound[3].String()
-	return Addresses{Caller: bound[0], Ready: bound[1], Metrics: bound[2], Link: bound[3]}, nil
+	addresses := Addresses{Caller: bound[0], Ready: bound[1], Metrics: bound[2], Link: bound[3]}
+	if len(bound) > handoverListener {
+		addresses.Handover = bound[handoverListener]
+		g.peers.loads.address = addresses.Handover.String()
+	}
+	return addresses, nil
 }
 
+// handoverListener is the index of the listener for connections that other routers hand over.
+const handoverListener = 4
+
 // Run serves requests until ctx ends, then drains open requests and returns nil. If a server fails, Run returns its error
 // without draining. Run calls Listen unless it was called before.
 func (g *Gateway) Run(ctx context.Context) error {
@@ -180,11 +207,18 @@
 	servers := []*http.Server{callerServer, g.newServer(http.HandlerFunc(g.serveReady)), g.newServer(g.metricsHandler())}
 	serveErrors := make(chan error, len(g.listeners))
 	go func() { serveErrors <- g.peers.hub.Serve(g.listeners[3]) }()
-	callers := g.newAcceptor(g.listeners[0])
+	callers := g.newAcceptor(g.listeners[0], false)
 	g.listeners[0] = callers
 	for i, server := range servers {
 		go func() { serveErrors <- server.Serve(g.listeners[i]) }()
 	}
+	go func() { serveErrors <- callerServer.Serve(g.kept) }()
+	acceptors := []*acceptor{callers}
+	if len(g.listeners) > handoverListener {
+		handedOver := g.newAcceptor(g.listeners[handoverListener], true)
+		acceptors = append(acceptors, handedOver)
+		go func() { serveErrors <- callerServer.Serve(handedOver) }()
+	}
 	var tasks sync.WaitGroup
 	configTopic, targetTopic := g.topicsToFollow()
 	tasks.Go(func() { topiclog.NewFollower(configTopic, g.config, configPollWait, 0).Run(runCtx) })
@@ -212,7 +246,7 @@
 	var err error
 	select {
 	case <-ctx.Done():
-		g.drain(callers)
+		g.drain(acceptors)
 	case err = <-serveErrors:
 		event.Failed.Log(g.logger, err)
 	}
@@ -247,10 +281,11 @@
 	}
 }
 
-// newAcceptor returns an acceptor of callers' connections on a listener.
-func (g *Gateway) newAcceptor(listener net.Listener) *acceptor {
+// newAcceptor returns an acceptor of callers' connections on a listener. handedOver is set if other routers have handed them over.
+func (g *Gateway) newAcceptor(listener net.Listener, handedOver bool) *acceptor {
 	return &acceptor{
-		Listener: listener, callerConns: g.callerConns, shedder: g.shedder, cuts: &cutLog{logger: g.logger}, logger: g.logger,
+		Listener: listener, callerConns: g.callerConns, shedder: g.shedder, handovers: g.handovers, handedOver: handedOver,
+		cuts: &cutLog{logger: g.logger}, logger: g.logger,
 	}
 }
 
@@ -260,7 +295,7 @@
 	defer g.openRequests.Add(-1)
 	x := &exchange{gateway: g, w: w, r: r, controller: http.NewResponseController(w), arrivedAt: time.Now()}
 	defer x.recoverPanic()
-	if g.draining.Load() || len(r.TransferEncoding) > 0 {
+	if g.draining.Load() || len(r.TransferEncoding) > 0 || wasHandedOver(r.Context()) {
 		// A request with both Content-Length and Transfer-Encoding is ambiguous. The server uses the chunked encoding.
 		// Closing the connection keeps bytes that another HTTP parser would count as part of the body from being read as
 		// the next request.
@@ -291,9 +326,9 @@
 }
 
 // ready reports whether the load balancer should send new connections. A router whose configuration is too old to check
-// API keys reports that it is not ready, so that callers reach other routers.
+// API keys, or that gets too little processor time, reports that it is not ready, so that callers reach other routers.
 func (g *Gateway) ready() bool {
-	return !g.draining.Load() && g.config.Table() != nil && g.config.fresh()
+	return !g.draining.Load() && g.config.Table() != nil && g.config.fresh() && !g.peers.loads.absent.Load()
 }
 
 // serveReady handles readiness checks of the load balancer.
--- /dev/null
+++ b/internal/gateway/handover_test.go
@@ -0,0 +1,144 @@
+package gateway_test
+
+import (
+	"errors"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chicorydale/chicorydale/internal/gateway"
+)
+
+// handoverTimeout limits each step of a test.
+const handoverTimeout = 10 * time.Second
+
+// listen returns a listener that is closed at the end of the test.
+func listen(t *testing.T) *net.TCPListener {
+	t.Helper()
+	listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener
+}
+
+// accept returns the next connection of a listener, with a deadline.
+func accept(t *testing.T, listener net.Listener) *net.TCPConn {
+	t.Helper()
+	conn, err := listener.Accept()
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = conn.Close() })
+	qt.Assert(t, conn.SetDeadline(time.Now().Add(handoverTimeout)), qt.IsNil)
+	tcpConn, _ := conn.(*net.TCPConn)
+	return tcpConn
+}
+
+// newPair returns both ends of a caller's connection: the caller's and the router's.
+func newPair(t *testing.T) (caller, accepted *net.TCPConn) {
+	t.Helper()
+	listener := listen(t)
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = conn.Close() })
+	qt.Assert(t, conn.SetDeadline(time.Now().Add(handoverTimeout)), qt.IsNil)
+	caller, _ = conn.(*net.TCPConn)
+	return caller, accept(t, listener)
+}
+
+// handOver hands a caller's connection over and returns its ends at the caller and at the peer.
+func handOver(t *testing.T) (handovers gateway.Handovers, caller, atPeer *net.TCPConn) {
+	t.Helper()
+	peer := listen(t)
+	handovers, _ = gateway.NewHandovers("peer", peer.Addr().String())
+	caller, accepted := newPair(t)
+	qt.Assert(t, handovers.Take(accepted), qt.IsTrue)
+	return handovers, caller, accept(t, peer)
+}
+
+// readText reads as many bytes as the expected text has, and checks them.
+func readText(t *testing.T, conn net.Conn, expected string) {
+	t.Helper()
+	received := make([]byte, len(expected))
+	_, err := io.ReadFull(conn, received)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, string(received), qt.Equals, expected)
+}
+
+// awaitNoneOpen waits until all handed over connections have ended.
+func awaitNoneOpen(t *testing.T, handovers gateway.Handovers) {
+	t.Helper()
+	for deadline := time.Now().Add(handoverTimeout); handovers.EndUnused() > 0; {
+		qt.Assert(t, time.Now().Before(deadline), qt.IsTrue)
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestHandoverPassesBytesUnchanged guards against a request or a response that is changed or cut on its way through two routers.
+func TestHandoverPassesBytesUnchanged(t *testing.T) {
+	handovers, caller, atPeer := handOver(t)
+	_, err := io.WriteString(caller, "request")
+	qt.Assert(t, err, qt.IsNil)
+	readText(t, atPeer, "request")
+	_, err = io.WriteString(atPeer, "response")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, atPeer.Close(), qt.IsNil)
+	received, err := io.ReadAll(caller)
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, string(received), qt.Equals, "response")
+	awaitNoneOpen(t, handovers)
+}
+
+// TestHandoverResetIsPassedOn guards against a response that looks complete although the peer has broken it off.
+func TestHandoverResetIsPassedOn(t *testing.T) {
+	handovers, caller, atPeer := handOver(t)
+	_, err := io.WriteString(atPeer, "part")
+	qt.Assert(t, err, qt.IsNil)
+	readText(t, caller, "part")
+	qt.Assert(t, atPeer.SetLinger(0), qt.IsNil)
+	qt.Assert(t, atPeer.Close(), qt.IsNil)
+	_, err = io.ReadAll(caller)
+	qt.Check(t, errors.Is(err, syscall.ECONNRESET), qt.IsTrue, qt.Commentf("%v", err))
+	awaitNoneOpen(t, handovers)
+}
+
+// TestHandoverCallerLeaves guards against a peer that goes on with a request whose caller has left.
+func TestHandoverCallerLeaves(t *testing.T) {
+	handovers, caller, atPeer := handOver(t)
+	qt.Assert(t, caller.Close(), qt.IsNil)
+	_, err := io.ReadAll(atPeer)
+	qt.Check(t, err == nil || errors.Is(err, syscall.ECONNRESET), qt.IsTrue, qt.Commentf("%v", err))
+	awaitNoneOpen(t, handovers)
+}
+
+// TestHandoverEndsWithPeer guards against a caller that waits for an answer of a peer that cannot be reached any more.
+func TestHandoverEndsWithPeer(t *testing.T) {
+	handovers, caller, atPeer := handOver(t)
+	_, err := io.WriteString(caller, "request")
+	qt.Assert(t, err, qt.IsNil)
+	readText(t, atPeer, "request")
+	handovers.LosePeer("peer", time.Second)
+	qt.Check(t, handovers.EndUnused(), qt.Equals, 1)
+	handovers.LosePeer("peer", time.Minute)
+	_, err = io.ReadAll(caller)
+	qt.Check(t, errors.Is(err, syscall.ECONNRESET), qt.IsTrue, qt.Commentf("%v", err))
+	awaitNoneOpen(t, handovers)
+	_, accepted := newPair(t)
+	qt.Check(t, handovers.Take(accepted), qt.IsFalse)
+}
+
+// TestHandoverToClosedPortIsKept guards against a caller that is lost, or handed to the same peer again, because the peer has just ended.
+func TestHandoverToClosedPortIsKept(t *testing.T) {
+	closed := listen(t)
+	qt.Assert(t, closed.Close(), qt.IsNil)
+	handovers, kept := gateway.NewHandovers("peer", closed.Addr().String())
+	caller, accepted := newPair(t)
+	_, err := io.WriteString(caller, "request")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, handovers.Take(accepted), qt.IsTrue)
+	readText(t, accept(t, kept), "request")
+	_, other := newPair(t)
+	qt.Check(t, handovers.Take(other), qt.IsFalse)
+}
--- a/internal/gateway/lateness.go
+++ b/internal/gateway/lateness.go
@@ -13,15 +13,17 @@
 	worst atomic.Int64
 }
 
-// recordRun records a run of work that is due once per period. runAt must hold a monotonic clock reading, so that changes
+// recordRun records a run of work that is due once per period, and returns its delay. runAt must hold a monotonic clock reading, so that changes
 // of the wall clock have no effect.
-func (m *latenessMeter) recordRun(runAt time.Time, period time.Duration) {
+func (m *latenessMeter) recordRun(runAt time.Time, period time.Duration) (lateness time.Duration) {
 	if !m.lastRun.IsZero() {
-		if lateness := int64(runAt.Sub(m.lastRun) - period); lateness > m.worst.Load() {
-			m.worst.Store(lateness)
-		}
+		lateness = runAt.Sub(m.lastRun) - period
+	}
+	if int64(lateness) > m.worst.Load() {
+		m.worst.Store(int64(lateness))
 	}
 	m.lastRun = runAt
+	return lateness
 }
 
 // takeWorst returns the largest delay since the last call.
--- a/internal/gateway/maintenance.go
+++ b/internal/gateway/maintenance.go
@@ -113,7 +113,8 @@
 		event.Ready.Log(g.logger, g.config.Table().Version())
 		g.metrics.SetGauge(metric.Ready, 1)
 	case !ready && wasReady:
-		event.NotReady.Log(g.logger, fmt.Sprintf("draining: %t, age of the configuration: %v", g.draining.Load(), g.config.age()))
+		event.NotReady.Log(g.logger, fmt.Sprintf("draining: %t, too little processor time: %t, age of the configuration: %v",
+			g.draining.Load(), g.peers.loads.absent.Load(), g.config.age()))
 		g.metrics.SetGauge(metric.Ready, 0)
 	}
 	return ready
--- a/internal/gateway/peerlinks.go
+++ b/internal/gateway/peerlinks.go
@@ -48,6 +48,7 @@
 	origins   *streamOrigins
 	budgets   *retryBudgets
 	lateness  *latenessMeter
+	loads     *loadReports
 }
 
 // peerLinks manages the links to other routers. Over these links, routers exchange the messages of their dispatchers, crash
@@ -261,8 +262,7 @@
 			p.handleLinkEvent(linkEvent)
 		case <-ticker.C:
 			now := time.Now()
-			p.lateness.recordRun(now, tickInterval)
-			p.sendDue(now)
+			p.sendDue(now, p.lateness.recordRun(now, tickInterval))
 		}
 	}
 }
@@ -276,6 +276,9 @@
 		p.sharing.peerConnected(linkEvent.Peer, linkEvent.Zone == p.ownRecord.Zone)
 		p.suspects.peerConnected(linkEvent.Peer)
 		p.origins.peerConnected(linkEvent.Peer, linkEvent.Zone)
+		if linkEvent.Zone == p.ownRecord.Zone {
+			p.loads.peerConnected(linkEvent.Peer)
+		}
 		p.scheduler.withDispatcher(func(dispatcher *dispatch.Dispatcher, now time.Time) {
 			dispatcher.AddPeer(now, dispatch.Peer{Name: linkEvent.Peer, Region: linkEvent.Region, Zone: linkEvent.Zone})
 		})
@@ -285,6 +288,7 @@
 		p.sharing.peerDisconnected(linkEvent.Peer)
 		p.suspects.peerDisconnected(linkEvent.Peer)
 		p.origins.peerDisconnected(linkEvent.Peer)
+		p.loads.peerDisconnected(linkEvent.Peer)
 		p.scheduler.withDispatcher(func(dispatcher *dispatch.Dispatcher, now time.Time) { dispatcher.RemovePeer(now, linkEvent.Peer) })
 	case linkEvent.ConnectFailed:
 	default:
@@ -302,6 +306,8 @@
 			p.sharing.handleTopicRead(time.Now(), from, body.GetTopicRead())
 		case body.GetTopicPage() != nil:
 			p.sharing.handleTopicPage(from, body.GetTopicPage())
+		case body.GetProcessorLoad() != nil:
+			p.loads.receive(from, body.GetProcessorLoad())
 		case body.GetCrashRecords() != nil:
 			p.suspects.receive(from, body.GetCrashRecords().GetRecords())
 		default:
@@ -320,9 +326,9 @@
 
 // sendDue answers held reads, sends crash records, origins of streams and the dispatcher's messages, and sends heartbeats to peers that were sent
 // nothing else.
-func (p *peerLinks) sendDue(now time.Time) {
+func (p *peerLinks) sendDue(now time.Time, lateness time.Duration) {
 	p.sharing.answerDue(now)
-	for _, envelope := range slices.Concat(p.suspects.tick(), p.origins.tick()) {
+	for _, envelope := range slices.Concat(p.suspects.tick(), p.origins.tick(), p.loads.tick(now, lateness)) {
 		p.hub.Send(envelope.To, []*fleetpb.Body{envelope.Body})
 		p.lastSent[envelope.To] = now
 	}
--- a/internal/gateway/processstate.go
+++ b/internal/gateway/processstate.go
@@ -42,6 +42,7 @@
 	conns := g.callerConns.count()
 	event.ProcessState.Log(g.logger, (cpuTime - g.usageAtLastLog.cpuTime).Milliseconds(), lateness.Milliseconds(),
 		gcCycles-g.usageAtLastLog.gcCycles, samples[1].Value.Uint64()>>10, runtime.NumGoroutine(),
-		conns.unused, conns.active, conns.idle, g.client.IdleConns())
+		conns.unused, conns.active, conns.idle, g.client.IdleConns(),
+		g.handovers.accepted.Swap(0), g.handovers.passed.Swap(0), g.handovers.takenOver.Swap(0))
 	g.usageAtLastLog = processUsage{cpuTime: cpuTime, gcCycles: gcCycles}
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -16,8 +16,11 @@
 	// Locality is the availability zone and region of the host.
 	Locality dispatch.Locality
 	// CallerAddr is the listen address for callers, ReadyAddr for readiness checks of the load balancer, MetricsAddr for
-	// metrics, and LinkAddr for links from other routers.
-	CallerAddr, ReadyAddr, MetricsAddr, LinkAddr netip.AddrPort
+	// metrics, LinkAddr for links from other routers, and HandoverAddr for connections of callers that other routers hand over. Without a
+	// HandoverAddr, the router takes none.
+	CallerAddr, ReadyAddr, MetricsAddr, LinkAddr, HandoverAddr netip.AddrPort
+	// ProcessorShare is the part of a core that the router may use, zero if that is not known.
+	ProcessorShare float64
 	// MaxRevocationDelay is the time after which no router may accept a revoked API key. It is zero if keys are accepted
 	// regardless of the age of the configuration.
 	MaxRevocationDelay time.Duration
--- a/internal/overload/starvation_test.go
+++ b/internal/overload/starvation_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -21,6 +22,14 @@
 	readCost    = 350 * time.Microsecond
 	connectCost = 350 * time.Microsecond
 	relayCost   = 400 * time.Microsecond
+	// acceptCost, handoverCost and passCost are the processor time for accepting a connection, for handing it over to a peer, and for
+	// passing the answer on.
+	acceptCost   = 20 * time.Microsecond
+	handoverCost = 60 * time.Microsecond
+	passCost     = 40 * time.Microsecond
+	// reportPeriod is the time between reports of spare processor time, networkDelay the time in which a message reaches a peer.
+	reportPeriod = 250 * time.Millisecond
+	networkDelay = time.Millisecond
 	// linkCost is the processor time for messages of peers in each linkPeriod.
 	linkCost   = time.Millisecond
 	linkPeriod = 25 * time.Millisecond
@@ -72,6 +81,13 @@
 	shedder *overload.LoadShedder
 	waiting jobs
 	numJobs int
+	// peers are the other routers of the availability zone.
+	peers    map[string]*starvedRouter
+	handover *overload.Handover
+	// unstarted is the number of accepted connections that wait for the processor.
+	unstarted int
+	// busy is the processor time that was used since the last report.
+	busy time.Duration
 	// asked and begun hold the number of requests that each customer sent, and that a target began, in each second.
 	asked, begun map[string][]int
 }
@@ -79,7 +95,7 @@
 // newStarvedRouter returns a router without callers that gets the messages of its peers for a time.
 func newStarvedRouter(seed uint64, length time.Duration) *starvedRouter {
 	r := &starvedRouter{
-		now: startTime, random: rand.New(rand.NewPCG(seed, 5)), shedder: overload.New(),
+		now: startTime, random: rand.New(rand.NewPCG(seed, 5)), shedder: overload.New(), handover: overload.NewHandover(seed),
 		asked: make(map[string][]int), begun: make(map[string][]int),
 	}
 	for at := startTime; at.Sub(startTime) < length; at = at.Add(linkPeriod) {
@@ -98,7 +114,7 @@
 			at = at.Add(time.Duration(arrivals.ExpFloat64() / rate * float64(time.Second)))
 			arrivedAt := at
 			r.count(r.asked, customer, arrivedAt)
-			r.queue(arrivedAt, func() time.Duration { return r.accept(customer, arrivedAt, true) })
+			r.queue(arrivedAt, func() time.Duration { return r.receive(customer, arrivedAt, true) })
 		}
 	}
 }
@@ -109,7 +125,9 @@
 	if next.readyAt.After(r.now) {
 		r.now = next.readyAt
 	}
-	r.now = r.now.Add(time.Duration(float64(next.work()) / coreShare))
+	cost := next.work()
+	r.busy += cost
+	r.now = r.now.Add(time.Duration(float64(cost) / coreShare))
 }
 
 // nextStart returns the time at which the router runs its next job, which must exist.
@@ -137,6 +155,15 @@
 		zone[i] = newStarvedRouter(seed+uint64(i), length)
 		zone[i].asked, zone[i].begun = zone[0].asked, zone[0].begun
 	}
+	for i, r := range zone {
+		r.peers = make(map[string]*starvedRouter)
+		for j, peer := range zone {
+			if i != j {
+				r.peers[strconv.Itoa(j)] = peer
+			}
+		}
+		r.reportLoad(strconv.Itoa(i), startTime.Add(reportPeriod))
+	}
 	zone[0].addCallers(seed, length, rates)
 	for {
 		next := slices.MinFunc(zone, func(a, b *starvedRouter) int { return a.nextStart().Compare(b.nextStart()) })
@@ -160,11 +187,47 @@
 	}
 }
 
-// accept handles a new connection with a request. mayReturn is set if the caller sends the request once more.
+// reportLoad sends the spare processor time to the peers at a time, and again in each reportPeriod.
+func (r *starvedRouter) reportLoad(name string, at time.Time) {
+	r.queue(at, func() time.Duration {
+		spare := time.Duration((coreShare - float64(r.busy)/float64(reportPeriod)) * float64(time.Second))
+		r.busy = 0
+		for _, peer := range r.peers {
+			peer.queue(r.now.Add(networkDelay), func() time.Duration {
+				peer.handover.RecordPeer(peer.now, name, max(spare, 0))
+				return 0
+			})
+		}
+		r.reportLoad(name, at.Add(reportPeriod))
+		return 0
+	})
+}
+
+// receive accepts a new connection with a request, and hands it over to a peer or keeps it. mayReturn is set if the caller sends the
+// request once more.
+func (r *starvedRouter) receive(customer string, arrivedAt time.Time, mayReturn bool) time.Duration {
+	acceptedAt := r.now
+	peer, handedOver := r.handover.Pick(r.now, r.unstarted)
+	r.unstarted++
+	r.queue(r.now, func() time.Duration {
+		r.unstarted--
+		r.handover.RecordStartDelay(r.now, r.now.Sub(acceptedAt))
+		if !handedOver {
+			return r.accept(customer, arrivedAt, mayReturn)
+		}
+		receiver := r.peers[peer]
+		receiver.queue(r.now.Add(networkDelay), func() time.Duration { return receiver.accept(customer, arrivedAt, mayReturn) })
+		r.queue(r.now.Add(answerTime), func() time.Duration { return passCost })
+		return handoverCost
+	})
+	return acceptCost
+}
+
+// accept handles a connection with a request. mayReturn is set if the caller sends the request once more.
 func (r *starvedRouter) accept(customer string, arrivedAt time.Time, mayReturn bool) time.Duration {
 	returnAfter := func(since time.Time) {
 		if again := since.Add(retryDelay); mayReturn {
-			r.queue(again, func() time.Duration { return r.accept(customer, again, false) })
+			r.queue(again, func() time.Duration { return r.receive(customer, again, false) })
 		}
 	}
 	if r.now.Sub(arrivedAt) > readPatience {
