Hand no connections over while the router ends, and split the code by type

A connection that is passed on during the shutdown may not end before the process is killed, and the caller would see its answer broken off. TestHandoverAtShutdown fails without it. The set of handovers and a single one are in files of their own.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -32,6 +32,7 @@
 	deregisteredAt := startedAt.Add(min(deregistrationTime, g.settings.GracePeriod/2))
 	g.refuseAfter.Store(deregisteredAt.UnixNano())
 	g.draining.Store(true)
+	g.handovers.stop() // What is passed on now might not end in time.
 	event.Draining.Log(g.logger, g.openRequests.Load())
 	drainCtx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -356,14 +356,17 @@
 func NewHandovers(peer, address string) (Handovers, net.Listener) {
 	kept := newConnQueue(func(conn *net.TCPConn, _ time.Time) net.Conn { return conn })
 	h := newHandovers(1000, 1, kept)
-	now := time.Now()
-	h.setPeer(now, peer, address, time.Second)
-	h.policy.RecordStartDelay(now.Add(time.Hour), time.Second) // It stays the newest measurement.
+	h.setPeer(time.Now(), peer, address, time.Second)
 	return Handovers{h}, kept
 }
 
 // Take hands a connection over if a peer has processor time, and reports whether it did.
-func (h Handovers) Take(conn *net.TCPConn) bool { return h.take(conn, time.Now()) }
+func (h Handovers) Take(conn *net.TCPConn) bool {
+	h.mu.Lock()
+	h.policy.RecordStartDelay(time.Now(), time.Second)
+	h.mu.Unlock()
+	return h.take(conn, time.Now())
+}
 
 // LosePeer records that the link to a peer has ended, and lets the given time pass.
 func (h Handovers) LosePeer(name string, elapsed time.Duration) {
@@ -372,5 +375,8 @@
 	h.endLost(now.Add(elapsed))
 }
 
+// Stop makes the router keep all further connections.
+func (h Handovers) Stop() { h.stop() }
+
 // EndUnused ends the connections on which nothing has arrived, and returns the number of open ones.
 func (h Handovers) EndUnused() int { return h.endUnused() }
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -129,6 +129,30 @@
 	qt.Check(t, handovers.Take(accepted), qt.IsFalse)
 }
 
+// TestHandoverAtShutdown guards against a shutdown that waits for callers without a request, breaks off an answer, or begins further
+// handovers.
+func TestHandoverAtShutdown(t *testing.T) {
+	handovers, caller, atPeer := handOver(t)
+	_, err := io.WriteString(caller, "request")
+	qt.Assert(t, err, qt.IsNil)
+	readText(t, atPeer, "request")
+	unused, accepted := newPair(t)
+	qt.Assert(t, handovers.Take(accepted), qt.IsTrue)
+	handovers.Stop()
+	_, late := newPair(t)
+	qt.Check(t, handovers.Take(late), qt.IsFalse)
+	for handovers.EndUnused() > 1 {
+		time.Sleep(time.Millisecond)
+	}
+	_, err = unused.Read(make([]byte, 1))
+	qt.Check(t, err, qt.Not(qt.IsNil))
+	_, err = io.WriteString(atPeer, "response")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, atPeer.Close(), qt.IsNil)
+	readText(t, caller, "response")
+	awaitNoneOpen(t, handovers)
+}
+
 // TestHandoverToClosedPortIsKept guards against a caller that is lost, or handed to the same peer again, because the peer has just ended.
 func TestHandoverToClosedPortIsKept(t *testing.T) {
 	closed := listen(t)
--- /dev/null
+++ b/internal/gateway/handovers.go
@@ -0,0 +1,198 @@
+package gateway
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/chicorydale/chicorydale/internal/overload"
+)
+
+const (
+	// handoverDialTimeout limits the time to open a connection to a router of the same availability zone. It is long because a late process
+	// learns late that a connection is open.
+	handoverDialTimeout = 2 * time.Second
+	// handoverAckTimeout limits how long sent bytes may remain unacknowledged by that router.
+	handoverAckTimeout = time.Second
+	// handoverBufferBytes is the size of the buffers through which a connection is passed on.
+	handoverBufferBytes = 4 << 10
+	// handoverConnFraction is the fraction of the file descriptors that handed over connections may use, two each.
+	handoverConnFraction = 0.75
+	// failedPeerPause is the time for which nothing is handed to a peer after a failed dial.
+	failedPeerPause = time.Second
+	// lostPeerGrace is the time from the end of the link to a peer until the connections that it has are ended. A link may end because this
+	// router is late, and opens again.
+	lostPeerGrace = 2 * time.Second
+)
+
+// handovers passes new connections of callers on to other routers of the availability zone while this router gets too little processor
+// time. A connection is passed on unread, and the other router closes it after one response, so a request is read by one router only. It
+// is safe for concurrent use.
+type handovers struct {
+	dialer  net.Dialer
+	maxOpen int
+	buffers sync.Pool
+	// kept receives the connections that could not be handed over.
+	kept *connQueue
+	// unstarted is the number of accepted connections that the process has not begun to handle.
+	unstarted atomic.Int32
+	// accepted is the number of connections that callers opened, passed and takenOver are the numbers of those that this router handed over
+	// and of those that peers handed over to it.
+	accepted, passed, takenOver atomic.Int64
+
+	mu     sync.Mutex
+	policy *overload.Handover
+	// addresses holds the addresses at which peers accept connections, failedUntil the time until which a peer gets none, and lostUntil the
+	// time at which a peer without a link counts as gone.
+	addresses   map[string]string
+	failedUntil map[string]time.Time
+	lostUntil   map[string]time.Time
+	open        map[*handover]struct{}
+	// stopped is set when no more connections are to be handed over.
+	stopped bool
+}
+
+// newHandovers returns handovers without peers. Connections that cannot be handed over go to kept.
+func newHandovers(maxOpenFiles int, seed uint64, kept *connQueue) *handovers {
+	return &handovers{
+		dialer:      net.Dialer{Timeout: handoverDialTimeout, KeepAlive: -1, Control: setHandoverTimeout},
+		maxOpen:     int(float64(maxOpenFiles) * handoverConnFraction / 2),
+		buffers:     sync.Pool{New: func() any { return new(make([]byte, handoverBufferBytes)) }},
+		kept:        kept,
+		policy:      overload.NewHandover(seed),
+		addresses:   make(map[string]string),
+		failedUntil: make(map[string]time.Time),
+		lostUntil:   make(map[string]time.Time),
+		open:        make(map[*handover]struct{}),
+	}
+}
+
+// setHandoverTimeout sets TCP_USER_TIMEOUT, so that a connection to an unreachable router fails. It is a net.Dialer.Control function.
+func setHandoverTimeout(_, _ string, rawConn syscall.RawConn) error {
+	var sockErr error
+	err := rawConn.Control(func(fd uintptr) {
+		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(handoverAckTimeout.Milliseconds()))
+	})
+	return errors.Join(err, sockErr)
+}
+
+// setPeer records the processor time that a peer has left per second, and where it accepts connections.
+func (h *handovers) setPeer(now time.Time, name, address string, spare time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.lostUntil, name)
+	if now.Before(h.failedUntil[name]) {
+		return
+	}
+	h.addresses[name] = address
+	h.policy.RecordPeer(now, name, spare)
+}
+
+// peerDisconnected ends the handing over to a peer.
+func (h *handovers) peerDisconnected(now time.Time, name string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.policy.RemovePeer(name)
+	delete(h.addresses, name)
+	delete(h.failedUntil, name)
+	h.lostUntil[name] = now.Add(lostPeerGrace)
+}
+
+// endLost ends the connections of peers that have had no link for lostPeerGrace, because they may not answer them.
+func (h *handovers) endLost(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for name, until := range h.lostUntil {
+		if now.Before(until) {
+			continue
+		}
+		delete(h.lostUntil, name)
+		for passed := range h.open {
+			if passed.peer == name {
+				passed.abort()
+			}
+		}
+	}
+}
+
+// peerFailed records that a peer has accepted no connection.
+func (h *handovers) peerFailed(name string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.policy.RemovePeer(name)
+	h.failedUntil[name] = time.Now().Add(failedPeerPause)
+}
+
+// connStarted records that the process has begun to handle an accepted connection.
+func (h *handovers) connStarted(acceptedAt time.Time) {
+	h.unstarted.Add(-1)
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.policy.RecordStartDelay(now, now.Sub(acceptedAt))
+}
+
+// connAccepted records that a connection of a caller was accepted. handedOver is set if a peer has handed it over.
+func (h *handovers) connAccepted(handedOver bool) {
+	h.unstarted.Add(1)
+	if handedOver {
+		h.takenOver.Add(1)
+	} else {
+		h.accepted.Add(1)
+	}
+}
+
+// take hands a new connection over to a peer if this router is too late for it and a peer has time. It reports whether it did.
+func (h *handovers) take(conn *net.TCPConn, acceptedAt time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.stopped || len(h.open) >= h.maxOpen {
+		return false
+	}
+	peer, picked := h.policy.Pick(acceptedAt, int(h.unstarted.Load()))
+	if !picked {
+		return false
+	}
+	h.connAccepted(false)
+	passed := &handover{handovers: h, peer: peer, caller: conn}
+	h.open[passed] = struct{}{}
+	address := h.addresses[peer]
+	go passed.run(address, acceptedAt)
+	return true
+}
+
+// remove forgets a connection that has ended.
+func (h *handovers) remove(passed *handover) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.open, passed)
+}
+
+// stop makes the router keep all further connections.
+func (h *handovers) stop() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.stopped = true
+}
+
+// endUnused ends the connections on which nothing has arrived. It returns the number of open connections.
+func (h *handovers) endUnused() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for passed := range h.open {
+		if !passed.used.Load() {
+			_ = passed.caller.SetReadDeadline(time.Now()) // On a broken connection, the read fails anyway.
+		}
+	}
+	return len(h.open)
+}
+
+// keep returns a connection that could not be handed over to this router's own server.
+func (h *handovers) keep(conn *net.TCPConn, acceptedAt time.Time) {
+	h.kept.put(conn, acceptedAt)
+}
