--- a/internal/gateway/loadreports.go
+++ b/internal/gateway/loadreports.go
@@ -87,17 +87,14 @@
 	l.rotation.RecordLateness(now, lateness)
 	l.absent.Store(l.rotation.IsAbsent(now))
 	l.handovers.endLost(now)
-	absent := l.absent.Load()
-	if now.Sub(l.measuredAt) < loadPeriod && absent == l.sentAbsent || len(l.zonePeers) == 0 {
-		return nil
+	if now.Sub(l.measuredAt) >= loadPeriod {
+		l.measure(now)
 	}
-	l.measure(now)
-	changed := math.Abs(float64(l.spare-l.sentSpare)) > reportedChange*l.share*float64(time.Second)
-	if !changed && absent == l.sentAbsent && now.Sub(l.sentAt) < loadRepeatPeriod {
+	if len(l.zonePeers) == 0 || !l.isDue(now) {
 		return nil
 	}
-	l.sentAt, l.sentSpare, l.sentAbsent = now, l.spare, absent
-	report := &fleetpb.ProcessorLoad{SpareUs: uint32(l.spare.Microseconds()), Address: l.address, Absent: absent}
+	l.sentAt, l.sentSpare, l.sentAbsent = now, l.spare, l.absent.Load()
+	report := &fleetpb.ProcessorLoad{SpareUs: uint32(l.spare.Microseconds()), Address: l.address, Absent: l.sentAbsent}
 	envelopes := make([]message.Envelope, 0, len(l.zonePeers))
 	for peer := range l.zonePeers {
 		envelopes = append(envelopes, message.Envelope{To: peer, Body: &fleetpb.Body{Kind: &fleetpb.Body_ProcessorLoad{ProcessorLoad: report}}})
@@ -105,6 +102,12 @@
 	return envelopes
 }
 
+// isDue reports whether the report has changed, or was last sent long ago.
+func (l *loadReports) isDue(now time.Time) bool {
+	change := math.Abs(float64(l.spare - l.sentSpare))
+	return change > reportedChange*l.share*float64(time.Second) || l.absent.Load() != l.sentAbsent || now.Sub(l.sentAt) >= loadRepeatPeriod
+}
+
 // measure updates the processor time that is left per second.
 func (l *loadReports) measure(now time.Time) {
 	var usage unix.Rusage
--- a/internal/overload/handover.go
+++ b/internal/overload/handover.go
@@ -29,8 +29,9 @@
 type peerLoad struct {
 	name string
 	// spare is the processor time that the peer has left per second.
-	spare      time.Duration
-	reportedAt time.Time
+	spare time.Duration
+	// usableUntil is the time until which the report is used.
+	usableUntil time.Time
 	// credit is the processor time that connections handed over at creditedAt may still cost.
 	credit     time.Duration
 	creditedAt time.Time
@@ -62,8 +63,7 @@
 	if !found {
 		h.peers = slices.Insert(h.peers, i, new(peerLoad))
 	}
-	credit := time.Duration(float64(spare) * creditPeriod.Seconds())
-	*h.peers[i] = peerLoad{name: name, spare: spare, reportedAt: now, credit: credit, creditedAt: now}
+	*h.peers[i] = peerLoad{name: name, spare: spare, usableUntil: now.Add(reportTTL), credit: maxCredit(spare), creditedAt: now}
 }
 
 // RemovePeer removes a peer that cannot be reached.
@@ -109,14 +109,19 @@
 
 // refill adds the credit for the time since the last call.
 func (l *peerLoad) refill(now time.Time) {
-	period := creditPeriod.Seconds()
-	l.credit = min(l.credit+time.Duration(float64(l.spare)*now.Sub(l.creditedAt).Seconds()), time.Duration(float64(l.spare)*period))
+	earned := time.Duration(float64(l.spare) * now.Sub(l.creditedAt).Seconds())
+	l.credit = min(l.credit+earned, maxCredit(l.spare))
 	l.creditedAt = now
 }
 
+// maxCredit returns the processor time that connections to a peer may cost at once.
+func maxCredit(spare time.Duration) time.Duration {
+	return time.Duration(float64(spare) * creditPeriod.Seconds())
+}
+
 // usable returns the weight of the peer in the choice of a receiver: its spare time, 0 if it must get no connection.
 func (l *peerLoad) usable(now time.Time) time.Duration {
-	if l.spare < minSpare || l.credit < connCost || now.Sub(l.reportedAt) > reportTTL {
+	if l.spare < minSpare || l.credit < connCost || now.After(l.usableUntil) {
 		return 0
 	}
 	return l.spare
