Do not pass requests on whose callers have left

Cause: a late router read a request that had arrived and passed it on, and read only later that the caller had closed the connection. It looks for that before it writes now, as a router does before it sends a request to a target. TestHandoverOfCallerThatLeftIsNotPassedOn failed before.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -63,27 +63,34 @@
 
 // passRequest passes the bytes of the caller on. Their end means that the caller has left.
 func (p *handover) passRequest() {
-	_ = p.pass(p.target, p.caller, func() { p.used.Store(true) }) // Any end is handled in the same way.
-	_ = p.target.Close()                                          // The peer learns that the caller has left.
+	arrived := func() bool {
+		p.used.Store(true)
+		return !isDisconnected(p.caller) // A late process reads requests of callers that have left.
+	}
+	_ = p.pass(p.target, p.caller, arrived) // Any end is handled in the same way.
+	_ = p.target.Close()                    // The peer learns that the caller has left.
 }
 
 // passResponse passes the bytes of the peer on. A connection that the peer resets is reset, so that a part of a response does not look
 // complete.
 func (p *handover) passResponse() {
-	err := p.pass(p.caller, p.target, func() {})
+	err := p.pass(p.caller, p.target, func() bool { return true })
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.close(err != nil)
 }
 
-// pass copies bytes until the source ends, and returns nil then, or until an error.
-func (p *handover) pass(to, from *net.TCPConn, arrived func()) error {
+// pass copies bytes until the source ends or arrived, which is called for each part before it is written, returns false. It returns nil
+// then, and otherwise an error.
+func (p *handover) pass(to, from *net.TCPConn, arrived func() bool) error {
 	buffer, _ := p.handovers.buffers.Get().(*[]byte)
 	defer p.handovers.buffers.Put(buffer)
 	for {
 		n, _, err := latedata.Read(from, *buffer)
 		if n > 0 {
-			arrived()
+			if !arrived() {
+				return nil
+			}
 			if _, writeErr := to.Write((*buffer)[:n]); writeErr != nil {
 				return writeErr
 			}
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -113,6 +113,21 @@
 	awaitNoneOpen(t, handovers)
 }
 
+// TestHandoverOfCallerThatLeftIsNotPassedOn guards against a request that reaches a target after its caller has left, because the router
+// was too late to see that.
+func TestHandoverOfCallerThatLeftIsNotPassedOn(t *testing.T) {
+	peer := listen(t)
+	handovers, _ := gateway.NewHandovers("peer", peer.Addr().String())
+	caller, accepted := newPair(t)
+	_, err := io.WriteString(caller, "request")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, caller.Close(), qt.IsNil)
+	qt.Assert(t, handovers.Take(accepted), qt.IsTrue)
+	received, _ := io.ReadAll(accept(t, peer))
+	qt.Check(t, string(received), qt.Equals, "")
+	awaitNoneOpen(t, handovers)
+}
+
 // TestHandoverEndsWithPeer guards against a caller that waits for an answer of a peer that cannot be reached any more.
 func TestHandoverEndsWithPeer(t *testing.T) {
 	handovers, caller, atPeer := handOver(t)
