--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -70,9 +70,9 @@
 	lateness        *latenessMeter
 	shedder         *loadShedder
 	handovers       *handovers
+	refusalLog      *refusalLog
 	// kept holds connections of callers that could not be handed over to a peer.
-	kept       *connQueue
-	refusalLog *refusalLog
+	kept *connQueue
 	// usageAtLastLog belongs to the goroutine of runMaintenance.
 	usageAtLastLog processUsage
 	// streamBuffers holds buffers of type *[]byte with streamBufferBytes bytes.
@@ -205,7 +205,7 @@
 	callerServer.ConnContext = contextWithConn
 	callerServer.MaxHeaderBytes = maxHeaderBytes
 	servers := []*http.Server{callerServer, g.newServer(http.HandlerFunc(g.serveReady)), g.newServer(g.metricsHandler())}
-	serveErrors := make(chan error, len(g.listeners))
+	serveErrors := make(chan error, len(g.listeners)+1) // One for each listener, and one for kept connections.
 	go func() { serveErrors <- g.peers.hub.Serve(g.listeners[3]) }()
 	callers := g.newAcceptor(g.listeners[0], false)
 	g.listeners[0] = callers
