Do not break answers off because the link to a peer has ended

The connections of a peer were reset two seconds after its link. The kernel probes such connections now, and answers for its host however late the process is.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -21,8 +21,7 @@
 
 	mu sync.Mutex
 	// target is the connection to the peer, nil until it is open.
-	target  *net.TCPConn
-	aborted bool
+	target *net.TCPConn
 }
 
 // run connects to the peer and passes bytes on in both directions until one side ends.
@@ -42,23 +41,17 @@
 		p.handovers.keep(p.caller, acceptedAt)
 		return
 	}
-	if !p.setTarget(target) {
-		return
-	}
+	p.setTarget(target)
 	p.handovers.passed.Add(1)
 	go p.passRequest()
 	p.passResponse()
 }
 
-// setTarget records the connection to the peer. It reports false if the handover was aborted before.
-func (p *handover) setTarget(target *net.TCPConn) bool {
+// setTarget records the connection to the peer.
+func (p *handover) setTarget(target *net.TCPConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.target = target
-	if p.aborted {
-		p.close(true)
-	}
-	return !p.aborted
 }
 
 // passRequest passes the bytes of the caller on. Their end means that the caller has left.
@@ -104,13 +97,13 @@
 	}
 }
 
-// abort ends the handover with a reset of both connections.
-func (p *handover) abort() {
+// probe makes the kernel probe the connection to the peer whenever it is silent.
+func (p *handover) probe() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.aborted = true
 	if p.target != nil {
-		p.close(true)
+		config := net.KeepAliveConfig{Enable: true, Idle: checkInterval, Interval: checkInterval}
+		_ = p.target.SetKeepAliveConfig(config) // A connection that has ended needs no probes.
 	}
 }
 
--- a/internal/gateway/handovers.go
+++ b/internal/gateway/handovers.go
@@ -25,9 +25,10 @@
 	handoverConnFraction = 0.75
 	// failedPeerPause is the time for which nothing is handed to a peer after a failed dial.
 	failedPeerPause = time.Second
-	// lostPeerGrace is the time from the end of the link to a peer until the connections that it has are ended. A link may end because this
-	// router is late, and opens again.
+	// lostPeerGrace is the time from the end of the link to a peer until the connections that it has are checked.
 	lostPeerGrace = 2 * time.Second
+	// checkInterval is the time without data after which a connection to such a peer is probed, and between probes.
+	checkInterval = time.Second
 )
 
 // handovers passes new connections of callers on to other routers of the availability zone while this router gets too little processor
@@ -47,11 +48,11 @@
 
 	mu     sync.Mutex
 	policy *overload.Handover
-	// addresses holds the addresses at which peers accept connections, failedUntil the time until which a peer gets none, and lostUntil the
-	// time at which a peer without a link counts as gone.
+	// addresses holds the addresses at which peers accept connections, failedUntil the time until which a peer gets none, and checkAt the
+	// time at which the connections of a peer without a link are checked.
 	addresses   map[string]string
 	failedUntil map[string]time.Time
-	lostUntil   map[string]time.Time
+	checkAt     map[string]time.Time
 	open        map[*handover]struct{}
 	// stopped is set when no more connections are to be handed over.
 	stopped bool
@@ -67,7 +68,7 @@
 		policy:      overload.NewHandover(seed),
 		addresses:   make(map[string]string),
 		failedUntil: make(map[string]time.Time),
-		lostUntil:   make(map[string]time.Time),
+		checkAt:     make(map[string]time.Time),
 		open:        make(map[*handover]struct{}),
 	}
 }
@@ -85,7 +86,7 @@
 func (h *handovers) setPeer(now time.Time, name, address string, spare time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	delete(h.lostUntil, name)
+	delete(h.checkAt, name)
 	if now.Before(h.failedUntil[name]) {
 		return
 	}
@@ -100,21 +101,22 @@
 	h.policy.RemovePeer(name)
 	delete(h.addresses, name)
 	delete(h.failedUntil, name)
-	h.lostUntil[name] = now.Add(lostPeerGrace)
+	h.checkAt[name] = now.Add(lostPeerGrace)
 }
 
-// endLost ends the connections of peers that have had no link for lostPeerGrace, because they may not answer them.
-func (h *handovers) endLost(now time.Time) {
+// checkLost makes the kernel probe the connections of peers that have had no link for lostPeerGrace, and end those that are not
+// acknowledged. The end of a link alone does not show that the peer is gone: one of the two routers may be late.
+func (h *handovers) checkLost(now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for name, until := range h.lostUntil {
-		if now.Before(until) {
+	for name, checkAt := range h.checkAt {
+		if now.Before(checkAt) {
 			continue
 		}
-		delete(h.lostUntil, name)
+		delete(h.checkAt, name)
 		for passed := range h.open {
 			if passed.peer == name {
-				passed.abort()
+				passed.probe()
 			}
 		}
 	}
--- a/internal/gateway/loadreports.go
+++ b/internal/gateway/loadreports.go
@@ -86,7 +86,7 @@
 	l.lateness = max(l.lateness, lateness)
 	l.rotation.RecordLateness(now, lateness)
 	l.absent.Store(l.rotation.IsAbsent(now))
-	l.handovers.endLost(now)
+	l.handovers.checkLost(now)
 	if now.Sub(l.measuredAt) >= loadPeriod {
 		l.measure(now)
 	}
