Send requests to targets that have their long shared parts, and make copies when the demand needs them

Cause: a request went to whichever target was idle, and a part that it lacked was copied there, since a fetched token counted as half a read one. The copies pushed other parts out, so the targets read and moved more than they kept. Three errors hid the price: the read speed was regressed on the estimated backlog, whose errors flatten the slope (120 to 240 k tokens a second instead of some 100 k); the latency ratio was a mean of ratios (1.3 to 1.5 at sound targets) and held the network delay, which the cost adds again; and the memory model held 0.6 of a target's memory although prompts, parts all of them, may take nearly all.

Now the speed comes from the prompt lengths (instrumental variable), fetch times are learnt, a fetch costs as much as reading, displaced tokens count by age and lifetime of parts, a holder may be busier by what its cache saves, and while requests compete no further copy is made than the demand for the part needs. The home is chosen by the longest part.

--- a/internal/dispatch/accounts.go
+++ b/internal/dispatch/accounts.go
@@ -30,6 +30,21 @@
 	return min(a.ownDemand.valueAt(now)/demand, 1)
 }
 
+// ownFraction returns the part of all customers' demand for a service that reached this router, 1 if there was none.
+func (a *customerAccounts) ownFraction(now time.Time, serviceHash uint32) float64 {
+	own, all := 0.0, 0.0
+	for _, acct := range a.byKey {
+		if acct.serviceHash == serviceHash {
+			own += acct.ownDemand.valueAt(now)
+			all += acct.demand.valueAt(now)
+		}
+	}
+	if all <= 0 {
+		return 1
+	}
+	return min(own/all, 1)
+}
+
 // customerAccounts holds the accounts of all customers by the hash of service and customer name. It also caches the fair share
 // of each service by the hash of the service name.
 type customerAccounts struct {
--- a/internal/dispatch/cache.go
+++ b/internal/dispatch/cache.go
@@ -8,8 +8,11 @@
 const (
 	// cacheEntryTTL is the time after its last use at which a prompt part is assumed to be evicted from a target's cache.
 	cacheEntryTTL = 60 * time.Second
-	// cacheMemoryFraction is the fraction of a target's KV capacity that holds cached parts. Running requests use the rest.
-	cacheMemoryFraction = 0.6
+	// cacheMemoryFraction is the fraction of a target's KV capacity that holds parts of prompts. The tokens that running requests have
+	// generated use the rest.
+	cacheMemoryFraction = 0.95
+	// lifetimeWeight is the weight of one evicted part in the average lifetime of parts.
+	lifetimeWeight = 0.05
 	// defaultKVCapacity is the KV capacity in tokens that is assumed for a target whose capacity is not known.
 	defaultKVCapacity = 400_000
 )
@@ -27,6 +30,8 @@
 	// recency lists the entries from the most to the least recently used.
 	recency     *list.List
 	totalTokens int
+	// lifetime is how long parts that are not used stay in the cache, by those that were evicted recently. It is 0 until one was.
+	lifetime time.Duration
 }
 
 // newPromptCache returns an empty cache.
@@ -54,10 +59,38 @@
 		kvCapacity = defaultKVCapacity
 	}
 	for c.totalTokens > int(float64(kvCapacity)*cacheMemoryFraction) && c.recency.Len() > 1 {
-		c.remove(entryOf(c.recency.Back()).partID)
+		c.evict(now, entryOf(c.recency.Back()))
 	}
 }
 
+// evict removes the least recently used part and learns from its age how long parts stay.
+func (c *promptCache) evict(now time.Time, entry *cacheEntry) {
+	age := min(now.Sub(entry.lastUsed), cacheEntryTTL)
+	if c.lifetime == 0 {
+		c.lifetime = age
+	}
+	c.lifetime += time.Duration(float64(age-c.lifetime) * lifetimeWeight)
+	c.remove(entry.partID)
+}
+
+// displacedTokens returns the number of tokens of other parts that are expected to be evicted earlier because the target uses the parts of
+// a prompt. A part that is not in the cache displaces as many tokens as it has. One that is extends its stay by the time since its last use,
+// which is a fraction of the lifetime of a part.
+func (c *promptCache) displacedTokens(now time.Time, parts []Part) float64 {
+	if c.lifetime <= 0 {
+		return 0 // Nothing has been evicted yet.
+	}
+	displaced := 0.0
+	for _, part := range parts {
+		fraction := 1.0
+		if found, ok := c.entries[part.ID]; ok {
+			fraction = min(float64(now.Sub(entryOf(found).lastUsed))/float64(c.lifetime), 1)
+		}
+		displaced += fraction * float64(part.Tokens)
+	}
+	return displaced
+}
+
 // remove removes a part from the cache.
 func (c *promptCache) remove(partID uint64) {
 	if found, ok := c.entries[partID]; ok {
--- a/internal/dispatch/decision.go
+++ b/internal/dispatch/decision.go
@@ -19,9 +19,9 @@
 	Refusal *refusal.Error
 	// Waited is the time from the submission, or from the retry, to the decision.
 	Waited time.Duration
-	// PrefillTokens is the number of prompt tokens that the target is expected to read. A token that it fetches from
-	// CacheSource counts as 1/fetchSpeedup, one in its own cache not at all.
-	PrefillTokens int
+	// PrefillTokens is the number of prompt tokens that the target is expected to read. Those in its own cache, and those that it fetches
+	// from CacheSource, do not count. FetchTokens is the number of the latter.
+	PrefillTokens, FetchTokens int
 	// ExpectedFirstByte is the time at which the first byte of the answer is expected.
 	ExpectedFirstByte time.Time
 	// Cost is the cost of the chosen target in seconds. EligibleTargets is the number of targets that the choice was made
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -139,6 +139,9 @@
 		cost := requestCost(&qr.request)
 		d.recordUsage(now, s, qr.request.Customer, 0, cost)
 		s.activityOf(qr.request.Customer).askedTokens += cost
+		if home := qr.request.homePartID(); home != 0 {
+			s.demand.recordRequest(now, home)
+		}
 		if d.exceedsShare(now, s, &qr.request) {
 			d.refuse(now, qr, d.overloadRefusal(now, &qr.request, "the customer has its share"))
 			return
@@ -187,9 +190,10 @@
 	}
 	s := d.getOrCreateService(r.request.Service)
 	if !r.answered {
-		predicted := s.latency.PredictFirstByte(float64(r.tokensBeforeFirstByte))
-		r.target.recordFirstByte(now, r, predicted)
-		s.latency = s.latency.WithObservation(r.tokensBeforeFirstByte, now.Sub(r.assignedAt))
+		predicted := s.latency.PredictFirstByte(float64(r.tokensBeforeFirstByte)) + s.fetches.Predict(r.fetchTokens)
+		elapsed := max(now.Sub(r.assignedAt)-d.locality.networkDelay(&r.target.Target), 0)
+		r.target.recordFirstByte(now, r, elapsed, predicted)
+		s.recordLatency(r, elapsed)
 		if len(d.peers) == 0 {
 			s.readSpeed = s.latency.TokensPerSecond()
 		}
@@ -300,7 +304,7 @@
 		return false
 	}
 	d.dequeue(s, qr)
-	firstByteIn := s.expectedFirstByte(now, &selected)
+	firstByteIn := s.expectedFirstByte(now, d.locality, &selected)
 	if !qr.mayHavePart() && now.Add(firstByteIn).After(qr.request.Objective) && s.isContended(now) {
 		d.refuse(now, qr, d.overloadRefusal(now, &qr.request, "no target can answer in time"))
 		return true
@@ -310,7 +314,8 @@
 	r := &run{
 		id: qr.id, request: qr.request, target: state, assignedAt: now,
 		tokensBeforeFirstByte: int(state.backlog(now, s.readSpeed)) + selected.prefillTokens, prefillTokens: selected.prefillTokens,
-		charged: requestCost(&qr.request),
+		fetchTokens: selected.fetchTokens,
+		charged:     requestCost(&qr.request),
 	}
 	r.behindAfter = now.Add(firstByteIn + behindSlack)
 	r.stalledAfter = now.Add(stallSlack + stallFactor*firstByteIn)
@@ -332,10 +337,11 @@
 	d.recordUsage(now, s, qr.request.Customer, r.charged, 0)
 	s.activityOf(qr.request.Customer).startedTokens += r.charged
 	s.startRate = s.startRate.withEvent(now)
+	s.demand.recordRead(selected.prefillTokens)
 	d.runs[qr.id] = r
 	d.decisions = append(d.decisions, Decision{
 		ID: qr.id, Target: state.Target, CacheSource: selected.cacheSource, Waited: now.Sub(qr.queuedAt),
-		PrefillTokens: selected.prefillTokens, ExpectedFirstByte: now.Add(firstByteIn), Cost: selected.cost,
+		PrefillTokens: selected.prefillTokens, FetchTokens: selected.fetchTokens, ExpectedFirstByte: now.Add(firstByteIn), Cost: selected.cost,
 		EligibleTargets: selected.eligible,
 	})
 	return true
--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -70,7 +70,7 @@
 	waiting []func()
 	// readUntil is the time at which the last prompt will have been read.
 	readUntil time.Time
-	cached    map[uint64]bool
+	memory    *promptMemory
 	// rateLimit is the number of requests per second that the target names in its answers, 0 for none.
 	rateLimit float64
 	// arrivals holds the times at which requests reached the target.
@@ -110,6 +110,7 @@
 	targets map[string]*simTarget
 	seconds int
 	seen    map[string]*customerSeconds
+	prompts promptFigures
 }
 
 // newSimFleet returns a fleet of three regions with two availability zones each, "r0a" to "r2b".
@@ -126,7 +127,7 @@
 				Region: zone.Region, Slots: slots,
 			}
 			listed = append(listed, target)
-			f.targets[target.Name] = &simTarget{Target: target, cached: make(map[uint64]bool)}
+			f.targets[target.Name] = &simTarget{Target: target, memory: newPromptMemory(0)}
 		}
 	}
 	for _, zone := range f.zones() {
@@ -149,6 +150,9 @@
 	return f
 }
 
+// targetAt returns the target with an address, or nil if there is none.
+func (f *simFleet) targetAt(address string) *simTarget { return f.targets[address] }
+
 // capacity returns the number of requests that the targets together serve per second.
 func (f *simFleet) capacity() float64 {
 	capacity := 0.0
@@ -244,7 +248,7 @@
 	target := f.targets[decision.Target.Name]
 	f.after(networkDelay(router.Region, target.Region), func() {
 		target.arrivals = append(target.arrivals, f.now)
-		begin := func() { f.begin(router, target, decision.ID, request) }
+		begin := func() { f.begin(router, target, decision, request) }
 		if target.running >= target.Slots {
 			target.waiting = append(target.waiting, begin)
 			return
@@ -254,23 +258,29 @@
 }
 
 // begin runs a request at a target.
-func (f *simFleet) begin(router *simRouter, target *simTarget, id uint64, request simRequest) {
+func (f *simFleet) begin(router *simRouter, target *simTarget, decision dispatch.Decision, request simRequest) {
+	id := decision.ID
 	target.running++
-	unread := request.PromptTokens
+	source := f.targetAt(decision.CacheSource)
+	unread, fetched := target.memory.missing(request.Request, source)
+	f.prompts.count(request.Request, unread, fetched)
 	for _, part := range request.Parts {
-		if target.cached[part.ID] {
-			unread -= part.Tokens
-		}
-		target.cached[part.ID] = true
+		target.memory.use(f.now, part)
 	}
 	if target.readUntil.Before(f.now) {
 		target.readUntil = f.now
 	}
+	if fetched > 0 {
+		target.readUntil = target.readUntil.Add(fetchSetup + time.Duration(float64(fetched)/fetchTokensPerSecond*float64(time.Second)))
+	}
 	target.readUntil = target.readUntil.Add(time.Duration(float64(unread) / readTokensPerSecond * float64(time.Second)))
 	firstByteIn := target.readUntil.Sub(f.now) + tokenTime
 	back := networkDelay(router.Region, target.Region)
 	f.after(firstByteIn, func() {
 		f.record(request.Customer).started[f.second()] += tokensOf(request)
+		if f.now.Add(back).Before(request.Objective) {
+			f.prompts.inTime++
+		}
 		named := target.rateLimit
 		f.after(back, func() {
 			router.dispatcher.RecordRateLimit(f.now, target.Name, named)
--- a/internal/dispatch/locality.go
+++ b/internal/dispatch/locality.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "time"
+
 // Locality is where a process runs.
 type Locality struct {
 	// Zone is the availability zone.
@@ -16,6 +18,24 @@
 	crossRegionCost = 0.06
 )
 
+const (
+	// crossZoneDelay and crossRegionDelay are the typical round-trip times to another availability zone of the region and to another region.
+	crossZoneDelay   = 2 * time.Millisecond
+	crossRegionDelay = 25 * time.Millisecond
+)
+
+// networkDelay returns the typical round-trip time from the locality to a target.
+func (l Locality) networkDelay(target *Target) time.Duration {
+	switch {
+	case target.Zone == l.Zone:
+		return 0
+	case target.Region == l.Region:
+		return crossZoneDelay
+	default:
+		return crossRegionDelay
+	}
+}
+
 // networkCost returns the cost in seconds of sending a request from the locality to a target.
 func (l Locality) networkCost(target *Target) float64 {
 	switch {
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -226,6 +226,9 @@
 		d.assignWaiting(now, s)
 	}
 	d.averageReadSpeeds(now)
+	for _, s := range d.services {
+		s.ownFraction = d.accounts.ownFraction(now, s.nameHash)
+	}
 	var envelopes []message.Envelope
 	lines := d.queueLines()
 	readSpeeds := make(map[string]float64, len(d.services))
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -45,6 +45,9 @@
 	return (r.Build == "" || r.Build == target.Build) && !slices.Contains(r.ExcludedTargets, target.Name)
 }
 
+// SharedParts returns the parts of the prompt that requests of other sessions may share: all but the last one.
+func (r *Request) SharedParts() []Part { return r.Parts[:max(len(r.Parts)-1, 0)] }
+
 // sessionPartID returns the ID of the part that belongs to the request's session, or 0 if there are no parts.
 func (r *Request) sessionPartID() uint64 {
 	if len(r.Parts) == 0 {
@@ -52,3 +55,32 @@
 	}
 	return r.Parts[len(r.Parts)-1].ID
 }
+
+// homePart returns the index of the part by which all routers choose the same target while none has it: the longest one, which saves the
+// most reading. Of equally long ones it is the last. It is -1 if there are no parts.
+func (r *Request) homePart() int {
+	longest := -1
+	for i, part := range r.Parts {
+		if longest < 0 || part.Tokens >= r.Parts[longest].Tokens {
+			longest = i
+		}
+	}
+	return longest
+}
+
+// homePartID returns the ID of the home part, or 0 if there are no parts.
+func (r *Request) homePartID() uint64 {
+	if home := r.homePart(); home >= 0 {
+		return r.Parts[home].ID
+	}
+	return 0
+}
+
+// tokensToHomePart returns the number of tokens from the beginning of the prompt to the end of the home part.
+func (r *Request) tokensToHomePart() int {
+	tokens := 0
+	for _, part := range r.Parts[:r.homePart()+1] {
+		tokens += part.Tokens
+	}
+	return tokens
+}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -11,8 +11,9 @@
 	// tokensBeforeFirstByte is the number of tokens that the target had to read before the first byte of this run's answer: the
 	// unread tokens of earlier runs and those of this run.
 	tokensBeforeFirstByte int
-	// prefillTokens is the number of tokens of this run's prompt that the target had to read.
-	prefillTokens int
+	// prefillTokens is the number of tokens of this run's prompt that the target had to read, fetchTokens that of those that it fetched from
+	// the cache of another target.
+	prefillTokens, fetchTokens int
 	// assignedTokens is the target's assignedTokens after this run's tokens were added.
 	assignedTokens float64
 	// behindAfter is the time after which the target counts as behind if it has not sent the first byte.
--- a/internal/dispatch/sampler.go
+++ b/internal/dispatch/sampler.go
@@ -23,13 +23,13 @@
 )
 
 // candidateSampler selects the targets of a large service that a decision looks at: those that are likely to have parts of the
-// prompt in their cache, the home target of the session, and a random sample. This keeps the cost of a decision independent of
+// prompt in their cache, the home target of the prompt, and a random sample. This keeps the cost of a decision independent of
 // the size of the service.
 type candidateSampler struct {
 	random                                    *rand.Rand
 	zoneTargets, regionTargets, remoteTargets []*targetState
-	// hashRing holds the targets of the router's region that are not leaving, ordered by hash. It maps sessions to home
-	// targets.
+	// hashRing holds the targets of the router's region that are not leaving, ordered by hash. It maps parts of
+	// prompts to home targets.
 	hashRing []*targetState
 	// recentReaders and olderReaders map a part ID to the target that read the part last. When recentReaders is full, it
 	// replaces olderReaders.
@@ -85,12 +85,12 @@
 	return state
 }
 
-// homeTarget returns the target that all routers of the region prefer for a session, or nil if there is none.
-func (c *candidateSampler) homeTarget(session uint64) *targetState {
+// homeTarget returns the target that all routers of the region prefer for a part of a prompt, or nil if there is none.
+func (c *candidateSampler) homeTarget(part uint64) *targetState {
 	if len(c.hashRing) == 0 {
 		return nil
 	}
-	index, _ := slices.BinarySearchFunc(c.hashRing, rendezvous.Weight(session, 0), func(state *targetState, key uint64) int {
+	index, _ := slices.BinarySearchFunc(c.hashRing, rendezvous.Weight(part, 0), func(state *targetState, key uint64) int {
 		return cmp.Compare(state.placementHash, key)
 	})
 	return c.hashRing[index%len(c.hashRing)]
@@ -105,7 +105,7 @@
 			c.selected = append(c.selected, state)
 		}
 	}
-	if home := c.homeTarget(request.sessionPartID()); home != nil {
+	if home := c.homeTarget(request.homePartID()); home != nil {
 		c.selected = append(c.selected, home)
 	}
 	c.appendSample(c.zoneTargets, zoneSamples)
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/chicorydale/chicorydale/internal/engine"
@@ -16,13 +17,13 @@
 	failureCost = 0.6
 	// coldCost is the cost in seconds of a target that has not reached its full speed yet.
 	coldCost = 0.05
-	// homeTargetBonus is the reduction, in seconds, of the cost of a session's home target if no healthy candidate is known to
-	// have the beginning of the prompt in its cache.
+	// homeTargetBonus is the reduction, in seconds, of the cost of a prompt's home target if no healthy candidate is known to
+	// have the prompt's longest part in its cache.
 	homeTargetBonus = 0.015
-	// minFetchTokens is the minimum number of tokens for which a fetch from another target's cache is worthwhile. fetchSpeedup
-	// is the ratio of the fetch speed to the read speed.
+	// displacementCost is the part of the displaced tokens that are expected to be read again.
+	displacementCost = 1
+	// minFetchTokens is the minimum number of tokens for which a fetch from another target's cache is worthwhile.
 	minFetchTokens = 64
-	fetchSpeedup   = 2
 	// maxQueueDelay is the time within which queued requests should get a target. It limits the length of the queue.
 	maxQueueDelay = 200 * time.Millisecond
 	// maxRetryWait limits the time for which a retry or a resumed request may wait.
@@ -55,6 +56,12 @@
 	queue   *requestQueue
 	// latency predicts the time to the first byte from the answers to this router.
 	latency engine.LatencyModel
+	// fetches predicts how long targets take to fetch tokens from each other's caches.
+	fetches engine.FetchModel
+	// ownFraction is the fraction of the fleet's demand that reaches this router.
+	ownFraction float64
+	// demand measures how often parts of prompts are asked for.
+	demand *partDemand
 	// readSpeed is the number of prompt tokens that a target reads per second, averaged over this router and its peers.
 	readSpeed float64
 	// kvCapacity is the KV capacity of each target in tokens, 0 if it is not known.
@@ -75,7 +82,7 @@
 func newService(name string, random *rand.Rand) *service {
 	return &service{
 		name: name, nameHash: hashName(name), queue: newRequestQueue(), readSpeed: engine.LatencyModel{}.TokensPerSecond(),
-		sampler: newCandidateSampler(random), activities: make(map[string]*activity),
+		sampler: newCandidateSampler(random), demand: newPartDemand(), ownFraction: 1, activities: make(map[string]*activity),
 	}
 }
 
@@ -136,10 +143,10 @@
 type selection struct {
 	target *targetState
 	cost   float64
-	// prefillTokens is the number of tokens that the target has to read; a fetched token counts as 1/fetchSpeedup. cacheSource
-	// is the address of a target that has more of the prompt in its cache, empty if there is none.
-	prefillTokens int
-	cacheSource   string
+	// prefillTokens is the number of tokens that the target has to read. fetchTokens is the number of those that it can fetch instead from
+	// cacheSource, the address of a target that has more of the prompt in its cache; zero and empty if there is none.
+	prefillTokens, fetchTokens int
+	cacheSource                string
 	// eligible is the number of targets that could have been selected.
 	eligible int
 }
@@ -149,6 +156,9 @@
 func (s *service) selectTarget(now time.Time, own Locality, request *Request, extra headroom) (selection, bool) {
 	candidates := s.candidates(request)
 	eligible := s.eligibleTargets(now, candidates, request, extra)
+	if s.hasEnoughCopies(now, candidates, request) {
+		eligible = slices.DeleteFunc(eligible, func(state *targetState) bool { return !state.hasHomePart(now, request) })
+	}
 	if len(eligible) == 0 {
 		return selection{}, false
 	}
@@ -160,14 +170,8 @@
 		if home != nil {
 			holder = s.cacheHolderFor(now, own, state.Build, candidates, request)
 		}
-		candidate := selection{target: state, prefillTokens: request.PromptTokens - state.cachedTokens(now, request.Parts)}
-		if extraTokens := holder.tokens - (request.PromptTokens - candidate.prefillTokens); extraTokens >= minFetchTokens {
-			candidate.prefillTokens -= extraTokens - extraTokens/fetchSpeedup
-			candidate.cacheSource = holder.target.Address
-		}
-		candidate.prefillTokens = max(candidate.prefillTokens, 0)
-		candidate.cost = s.targetCost(now, own, state, candidate.prefillTokens)
-		if holder.tokens == 0 && state == home {
+		candidate := s.evaluate(now, own, state, request, holder)
+		if state == home && holder.tokens < request.tokensToHomePart() {
 			candidate.cost -= homeTargetBonus
 		}
 		if candidate.cost < best.cost {
@@ -178,12 +182,47 @@
 	return best, best.target != nil
 }
 
+// hasEnoughCopies reports whether a request has to go to one of the targets that have the home part of its prompt, because requests compete
+// for capacity and these targets are as many as the demand for the part needs. A further copy would push out parts that other requests
+// need, so that the targets would read more and serve less.
+func (s *service) hasEnoughCopies(now time.Time, candidates []*targetState, request *Request) bool {
+	home := request.homePart()
+	if home < 0 || home == len(request.Parts)-1 || !s.isContended(now) {
+		return false
+	}
+	copies := 0
+	for _, state := range candidates {
+		if !state.Leaving && request.allows(&state.Target) && state.isHealthy(now) && state.hasHomePart(now, request) {
+			copies++
+		}
+	}
+	return copies > 0 && copies >= s.demand.copiesWanted(now, request.Parts[home].ID, s.ownFraction, s.readSpeed)
+}
+
+// evaluate returns the predictions for a request at a target, and the cost. In the cost, a token that the target fetches from the cache of
+// the holder counts like one that it reads: it saves engine time, but a further copy takes up the link and pushes other parts out of the
+// target's memory. So a request goes to a target that has its parts unless that one is busy for longer than the parts take to read.
+func (s *service) evaluate(
+	now time.Time, own Locality, state *targetState, request *Request, holder cacheHolder,
+) selection {
+	cachedTokens := state.cachedTokens(now, request.Parts)
+	uncachedTokens := max(request.PromptTokens-cachedTokens, 0)
+	candidate := selection{target: state, prefillTokens: uncachedTokens}
+	candidate.cost = s.targetCost(now, own, state, uncachedTokens)
+	candidate.cost += displacementCost * state.cache.displacedTokens(now, request.SharedParts()) / s.readSpeed
+	if fetchable := min(holder.tokens-cachedTokens, uncachedTokens); fetchable >= minFetchTokens {
+		candidate.prefillTokens, candidate.fetchTokens = uncachedTokens-fetchable, fetchable
+		candidate.cacheSource = holder.target.Address
+	}
+	return candidate
+}
+
 // eligibleTargets returns the candidates that a request may go to now. The result is valid until the next call.
 func (s *service) eligibleTargets(now time.Time, candidates []*targetState, request *Request, extra headroom) []*targetState {
 	s.eligible = s.eligible[:0]
 	healthyOnly := anyHealthy(now, candidates, request)
 	for _, state := range candidates {
-		if state.Leaving || !state.hasFreeSlot(now, extra) || !s.hasShortBacklog(now, state, extra) || !state.rateLimit.allows(now) {
+		if state.Leaving || !state.hasFreeSlot(now, extra) || !state.rateLimit.allows(now) || !s.canRead(now, state, request, extra) {
 			continue
 		}
 		if request.allows(&state.Target) && (!healthyOnly || state.isHealthy(now)) {
@@ -225,8 +264,22 @@
 }
 
 // expectedFirstByte returns the predicted time to the first byte at a selected target.
-func (s *service) expectedFirstByte(now time.Time, selected *selection) time.Duration {
-	return s.latency.PredictFirstByte(selected.target.backlog(now, s.readSpeed) + float64(selected.prefillTokens))
+func (s *service) expectedFirstByte(now time.Time, own Locality, selected *selection) time.Duration {
+	return s.latency.PredictFirstByte(selected.target.backlog(now, s.readSpeed)+float64(selected.prefillTokens)) +
+		s.fetches.Predict(selected.fetchTokens) + own.networkDelay(&selected.target.Target)
+}
+
+// recordLatency records the time to the first byte of a run's answer. A run that fetched tokens shows how long the fetch took, since the
+// rest of its time is predicted by those that fetched none.
+func (s *service) recordLatency(answered *run, elapsed time.Duration) {
+	if answered.fetchTokens > 0 {
+		expected := s.latency.PredictFirstByte(float64(answered.tokensBeforeFirstByte))
+		s.fetches = s.fetches.WithObservation(answered.fetchTokens, elapsed-expected)
+		return
+	}
+	s.latency = s.latency.WithObservation(engine.Observation{
+		PromptTokens: answered.prefillTokens, TokensBefore: answered.tokensBeforeFirstByte, Elapsed: elapsed,
+	})
 }
 
 // isContended reports whether requests compete for capacity: some wait, or few targets are available.
@@ -239,11 +292,18 @@
 	return state.backlog(now, s.readSpeed) <= extra.backlogLimit(maxBacklogSeconds*s.readSpeed)
 }
 
+// canRead reports whether a target is expected to read a request's prompt soon enough: its backlog is short, or longer by no more than the
+// part of the prompt that it need not read because it has it in its cache.
+func (s *service) canRead(now time.Time, state *targetState, request *Request, extra headroom) bool {
+	excess := state.backlog(now, s.readSpeed) - extra.backlogLimit(maxBacklogSeconds*s.readSpeed)
+	return excess <= 0 || excess <= float64(state.cachedTokens(now, request.Parts))
+}
+
 // targetCost returns the cost of a target in seconds: the predicted time to the first byte, the network cost, and penalties
 // for failures, occupied slots and a cold start.
 func (s *service) targetCost(now time.Time, own Locality, state *targetState, prefillTokens int) float64 {
 	firstByteIn := s.latency.PredictFirstByte(state.backlog(now, s.readSpeed)+float64(prefillTokens)).Seconds() *
-		max(state.latencyRatio, 0.5)
+		max(state.latencyRatio, 1)
 	cost := firstByteIn + own.networkCost(&state.Target) + state.decayedFailureRatio(now)*failureCost
 	cost += occupancyCost * state.occupiedSlots(now) / float64(max(state.Slots, 1))
 	if now.Before(state.WarmAt) {
@@ -252,15 +312,15 @@
 	return cost
 }
 
-// homeTarget returns the target in this router's region that all routers of the region prefer for the request's session. It is
-// nil if the request has no session or there is no such target.
+// homeTarget returns the target in this router's region that all routers of the region prefer for the request's prompt while no target
+// has its longest part. It is nil if the prompt has no parts or there is no such target.
 func (s *service) homeTarget(own Locality, request *Request) *targetState {
-	session := request.sessionPartID()
-	if session == 0 {
+	part := request.homePartID()
+	if part == 0 {
 		return nil
 	}
 	if s.usesSampling() {
-		return s.sampler.homeTarget(session)
+		return s.sampler.homeTarget(part)
 	}
 	var best *targetState
 	var highest uint64
@@ -268,7 +328,7 @@
 		if state.Leaving || state.Region != own.Region {
 			continue
 		}
-		if weight := rendezvous.Weight(state.placementHash, session); best == nil || weight > highest {
+		if weight := rendezvous.Weight(state.placementHash, part); best == nil || weight > highest {
 			best, highest = state, weight
 		}
 	}
--- a/internal/dispatch/targetstate.go
+++ b/internal/dispatch/targetstate.go
@@ -16,7 +16,7 @@
 	// failureWeight is the weight of one outcome in the failure ratio.
 	failureWeight = 0.15
 	// latencyRatioWeight is the weight of one answer in the latency ratio of a target.
-	latencyRatioWeight = 0.2
+	latencyRatioWeight = 0.1
 	// maxLatencyRatio bounds the latency ratio of an answer, so that a target that was slow is tried again.
 	maxLatencyRatio = 20.0
 	// minConnectBackoff is how long a target that accepts no connection gets no requests. It doubles with each further failure
@@ -73,8 +73,10 @@
 	// failureRatio is the exponentially weighted ratio of failed runs at failureRatioAt.
 	failureRatio   float64
 	failureRatioAt time.Time
-	// latencyRatio is the exponentially weighted ratio of observed to predicted times to the first byte.
-	latencyRatio float64
+	// latencyRatio is the ratio of observed to predicted times to the first byte, which are both averaged with exponential weights, in
+	// seconds. Averages of ratios would rise with the errors of the predictions.
+	latencyRatio                      float64
+	observedLatency, predictedLatency float64
 	// blockedUntil is the time until which the target counts as unhealthy. connectFailures is the number of consecutive
 	// attempts at which it accepted no connection.
 	blockedUntil    time.Time
@@ -182,6 +184,12 @@
 	return tokens
 }
 
+// hasHomePart reports whether the target has the home part of a prompt in its cache, and all before it.
+func (t *targetState) hasHomePart(now time.Time, request *Request) bool {
+	home := request.homePart()
+	return home >= 0 && t.cachedTokens(now, request.Parts[:home+1]) == request.tokensToHomePart()
+}
+
 // dropSessionPart removes the session's part from the cache model because the target has not read it.
 func (t *targetState) dropSessionPart(request *Request) { t.cache.remove(request.sessionPartID()) }
 
@@ -199,16 +207,26 @@
 	}
 }
 
-// recordFirstByte records the first byte of a run. predicted is the predicted time to the first byte, without regard to the
-// target's latency ratio.
-func (t *targetState) recordFirstByte(now time.Time, answered *run, predicted time.Duration) {
+// recordFirstByte records the first byte of a run. elapsed and predicted are the observed and the predicted time to it without the delay of
+// the network; the prediction has no regard to the target's latency ratio.
+func (t *targetState) recordFirstByte(now time.Time, answered *run, elapsed, predicted time.Duration) {
 	t.lastData = now
 	t.connectFailures = 0
 	// Prompts are read in the order of arrival, so only the tokens assigned after this run can still be unread.
 	t.unreadTokens = min(t.unreadTokens, t.assignedTokens-answered.assignedTokens)
 	t.unanswered = slices.DeleteFunc(t.unanswered, func(r *run) bool { return r == answered })
-	ratio := float64(now.Sub(answered.assignedAt)) / float64(max(predicted, time.Millisecond))
-	t.latencyRatio += (min(ratio, maxLatencyRatio) - t.latencyRatio) * latencyRatioWeight
+	t.recordLatency(elapsed, max(predicted, time.Millisecond))
+}
+
+// recordLatency updates the latency ratio with the observed and the predicted time to the first byte of an answer.
+func (t *targetState) recordLatency(observed, predicted time.Duration) {
+	if t.predictedLatency == 0 {
+		t.observedLatency, t.predictedLatency = predicted.Seconds(), predicted.Seconds()
+	}
+	observed = min(observed, maxLatencyRatio*predicted)
+	t.observedLatency += (observed.Seconds() - t.observedLatency) * latencyRatioWeight
+	t.predictedLatency += (predicted.Seconds() - t.predictedLatency) * latencyRatioWeight
+	t.latencyRatio = t.observedLatency / t.predictedLatency
 }
 
 // blockUnreachable blocks the target for a time that doubles with each consecutive attempt at which it accepted no connection.
--- a/internal/engine/latency.go
+++ b/internal/engine/latency.go
@@ -14,30 +14,43 @@
 	// maxBaseSeconds bounds the plausible time to the first byte of an answer to an empty prompt.
 	maxBaseSeconds = 1.0
 	// observationDecay is the factor by which the weight of all observations falls when another one is added.
-	observationDecay = 0.98
+	observationDecay = 0.995
 	// minPromptVariance is the minimum variance of the prompt lengths, in tokens squared, at which the speed is estimated.
 	minPromptVariance = 250_000.0
 	// minWeight is the total weight of the observations at which they replace the priors.
 	minWeight = 8.0
 )
 
-// LatencyModel is a weighted linear regression of the time to the first byte on the number of prompt tokens that were read
-// before it. Recent observations weigh more. The zero value predicts from the priors.
+// Observation is the time to the first byte of one answer of a target.
+type Observation struct {
+	// PromptTokens is the number of tokens of the request's own prompt that the target read. It is known exactly.
+	PromptTokens int
+	// TokensBefore is the estimated number of tokens that the target read before the first byte, those of the prompt included.
+	TokensBefore int
+	// Elapsed is the time from the sending of the request to the first byte.
+	Elapsed time.Duration
+}
+
+// LatencyModel is a weighted linear regression of the time to the first byte on the number of tokens that were read before it. Recent
+// observations weigh more. The number of tokens that wait at a target is a rough estimate, whose errors would make the targets look faster
+// than they are, so the speed is taken from the length of the prompts, which does not depend on those errors (an instrumental variable).
+// The zero value predicts from the priors.
 type LatencyModel struct {
-	// The sums are weighted. X is the number of tokens, Y the time in seconds.
-	weight, sumX, sumY, sumXX, sumXY float64
+	// The sums are weighted. X is TokensBefore, Y the time in seconds, and Z PromptTokens.
+	weight, sumX, sumY, sumZ, sumZZ, sumZX, sumZY float64
 }
 
-// WithObservation returns the model with one more observation: the number of tokens that were read before the first byte and
-// the time that this took.
-func (m LatencyModel) WithObservation(tokens int, elapsed time.Duration) LatencyModel {
-	x, y := float64(tokens), elapsed.Seconds()
+// WithObservation returns the model with one more observation.
+func (m LatencyModel) WithObservation(o Observation) LatencyModel {
+	x, y, z := float64(o.TokensBefore), o.Elapsed.Seconds(), float64(o.PromptTokens)
 	return LatencyModel{
 		weight: m.weight*observationDecay + 1,
 		sumX:   m.sumX*observationDecay + x,
 		sumY:   m.sumY*observationDecay + y,
-		sumXX:  m.sumXX*observationDecay + x*x,
-		sumXY:  m.sumXY*observationDecay + x*y,
+		sumZ:   m.sumZ*observationDecay + z,
+		sumZZ:  m.sumZZ*observationDecay + z*z,
+		sumZX:  m.sumZX*observationDecay + z*x,
+		sumZY:  m.sumZY*observationDecay + z*y,
 	}
 }
 
@@ -46,13 +59,14 @@
 	if m.weight < minWeight {
 		return priorSpeed
 	}
-	meanX, meanY := m.sumX/m.weight, m.sumY/m.weight
-	variance := m.sumXX/m.weight - meanX*meanX
-	covariance := m.sumXY/m.weight - meanX*meanY
-	if variance < minPromptVariance || covariance <= 0 {
-		return priorSpeed
+	meanZ := m.sumZ / m.weight
+	variance := m.sumZZ/m.weight - meanZ*meanZ
+	tokens := m.sumZX/m.weight - meanZ*m.sumX/m.weight
+	seconds := m.sumZY/m.weight - meanZ*m.sumY/m.weight
+	if variance < minPromptVariance || tokens <= 0 || seconds*maxSpeed <= tokens {
+		return priorSpeed // The time does not depend on the length, or not plausibly.
 	}
-	return min(max(variance/covariance, minSpeed), maxSpeed)
+	return max(tokens/seconds, minSpeed)
 }
 
 // PredictFirstByte returns the expected time to the first byte if the given number of tokens has to be read before it.
--- a/internal/engine/latency_test.go
+++ b/internal/engine/latency_test.go
@@ -17,7 +17,10 @@
 	for range answers {
 		tokens := random.IntN(8000)
 		noise := time.Duration(random.IntN(10)) * time.Millisecond
-		model = model.WithObservation(tokens, base+noise+time.Duration(float64(tokens)/speed*float64(time.Second)))
+		model = model.WithObservation(engine.Observation{
+			PromptTokens: tokens, TokensBefore: tokens,
+			Elapsed: base + noise + time.Duration(float64(tokens)/speed*float64(time.Second)),
+		})
 	}
 	return model
 }
@@ -38,7 +41,7 @@
 // TestModelFollowsSpeedChange guards against predictions that keep the speed of targets that have been replaced.
 func TestModelFollowsSpeedChange(t *testing.T) {
 	model := addObservations(addObservations(engine.LatencyModel{}, 500, 26*time.Millisecond, 100_000),
-		300, 26*time.Millisecond, 50_000)
+		1000, 26*time.Millisecond, 50_000)
 	qt.Check(t, model.TokensPerSecond() > 45_000 && model.TokensPerSecond() < 55_000, qt.IsTrue,
 		qt.Commentf("%.0f", model.TokensPerSecond()))
 }
@@ -49,9 +52,10 @@
 	prior := engine.LatencyModel{}.TokensPerSecond()
 	model := engine.LatencyModel{}
 	for range 50 {
-		model = model.WithObservation(500, 300*time.Millisecond)
+		model = model.WithObservation(engine.Observation{PromptTokens: 500, TokensBefore: 500, Elapsed: 300 * time.Millisecond})
 	}
 	qt.Check(t, model.TokensPerSecond(), qt.Equals, prior)
 	qt.Check(t, model.PredictFirstByte(500) > 250*time.Millisecond, qt.IsTrue)
-	qt.Check(t, engine.LatencyModel{}.WithObservation(8000, time.Nanosecond).TokensPerSecond(), qt.Equals, prior)
+	single := engine.LatencyModel{}.WithObservation(engine.Observation{PromptTokens: 8000, TokensBefore: 8000, Elapsed: time.Nanosecond})
+	qt.Check(t, single.TokensPerSecond(), qt.Equals, prior)
 }
