--- a/internal/dispatch/cache.go
+++ b/internal/dispatch/cache.go
@@ -73,22 +73,26 @@
 	c.remove(entry.partID)
 }
 
-// displacedTokens returns the number of tokens of other parts that are expected to be evicted earlier because the target uses the parts of
-// a prompt. A part that is not in the cache displaces as many tokens as it has. One that is extends its stay by the time since its last use,
-// which is a fraction of the lifetime of a part.
-func (c *promptCache) displacedTokens(now time.Time, parts []Part) float64 {
-	if c.lifetime <= 0 {
-		return 0 // Nothing has been evicted yet.
-	}
-	displaced := 0.0
-	for _, part := range parts {
-		fraction := 1.0
+// match compares a prompt with the cache. cachedTokens is the number of tokens at its beginning that are in the cache. displacedTokens is the
+// number of tokens of other parts that are expected to be evicted earlier because the target uses the shared parts of the prompt, all but
+// the last: a part that is not in the cache displaces as many tokens as it has, and one that is extends its stay by the time since its
+// last use, which is a fraction of the lifetime of a part.
+func (c *promptCache) match(now time.Time, parts []Part) (cachedTokens int, displacedTokens float64) {
+	isPrefix := true
+	for i, part := range parts {
+		unused := cacheEntryTTL + 1 // Longer than any part stays.
 		if found, ok := c.entries[part.ID]; ok {
-			fraction = min(float64(now.Sub(entryOf(found).lastUsed))/float64(c.lifetime), 1)
+			unused = now.Sub(entryOf(found).lastUsed)
+		}
+		isPrefix = isPrefix && unused <= cacheEntryTTL
+		if isPrefix {
+			cachedTokens += part.Tokens
+		}
+		if i < len(parts)-1 && c.lifetime > 0 { // Nothing is displaced as long as nothing has been evicted.
+			displacedTokens += min(float64(unused)/float64(c.lifetime), 1) * float64(part.Tokens)
 		}
-		displaced += fraction * float64(part.Tokens)
 	}
-	return displaced
+	return cachedTokens, displacedTokens
 }
 
 // remove removes a part from the cache.
--- a/internal/dispatch/cacheholder.go
+++ b/internal/dispatch/cacheholder.go
@@ -35,7 +35,7 @@
 			continue
 		}
 		cachedTokens := state.cachedTokens(now, request.Parts)
-		if cachedTokens == 0 || !state.isHealthy(now) {
+		if cachedTokens == 0 || !state.isHealthy(now) || state.notice.isPaused(now) {
 			continue
 		}
 		if cost := own.networkCost(&state.Target); cachedTokens > best.tokens || cachedTokens == best.tokens && cost < bestCost {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -284,17 +284,17 @@
 	d := dispatch.New(routerLocality, 1)
 	d.SetTargets(startTime, newTargets(1, 1))
 	chosen := submitOne(t, d, startTime, newRequest(startTime, "c", 9)).Target
-	qt.Check(t, d.Accepts(chosen), qt.IsTrue)
+	qt.Check(t, d.Accepts(startTime, chosen), qt.IsTrue)
 	leaving := newTargets(1, 1)
 	leaving[0].Leaving = true
 	d.SetTargets(startTime, leaving)
-	qt.Check(t, d.Accepts(chosen), qt.IsFalse)
+	qt.Check(t, d.Accepts(startTime, chosen), qt.IsFalse)
 	restarted := newTargets(1, 1)
 	restarted[0].StartUnixMilli = chosen.StartUnixMilli + 1
 	d.SetTargets(startTime, restarted)
-	qt.Check(t, d.Accepts(chosen), qt.IsFalse)
+	qt.Check(t, d.Accepts(startTime, chosen), qt.IsFalse)
 	d.SetTargets(startTime, nil)
-	qt.Check(t, d.Accepts(chosen), qt.IsFalse)
+	qt.Check(t, d.Accepts(startTime, chosen), qt.IsFalse)
 }
 
 // TestTargetBehindScheduleGetsNoMorePrompts guards against more prompts for a target that reads slower than predicted. They
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -2,12 +2,9 @@
 
 import (
 	"cmp"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
-
-	"github.com/chicorydale/chicorydale/internal/refusal"
 )
 
 const (
@@ -43,8 +40,10 @@
 	targetsByHash map[uint32]*targetState
 	// announcedAt is the time at which each prompt part at a target was last announced to the peers.
 	announcedAt map[announcementKey]time.Time
-	decisions   []Decision
-	lastID      uint64
+	// notices holds what targets have said in their answers, also of targets that are not listed.
+	notices   map[startKey]*notice
+	decisions []Decision
+	lastID    uint64
 }
 
 // New returns a dispatcher without targets for a router at a locality. The seed determines the retry delays of refused
@@ -60,6 +59,7 @@
 		accounts:      newCustomerAccounts(),
 		peers:         make(map[string]*peer),
 		targetsByHash: make(map[uint32]*targetState),
+		notices:       make(map[startKey]*notice),
 
 		announcedAt: make(map[announcementKey]time.Time),
 	}
@@ -87,6 +87,7 @@
 			d.markChanged(state)
 		}
 		state.Target, state.kvCapacity = target, d.getOrCreateService(target.Service).kvCapacity
+		d.applyNotice(state)
 		current[target.Name] = state
 		d.targetsByHash[state.nameHash] = state
 		s := d.getOrCreateService(target.Service)
@@ -129,8 +130,7 @@
 // assignOrQueue gives a request a target, queues it, or refuses it.
 func (d *Dispatcher) assignOrQueue(now time.Time, qr *queuedRequest) {
 	s := d.getOrCreateService(qr.request.Service)
-	if !s.hasTargetFor(&qr.request) {
-		refused := refusal.Newf(refusal.NoTarget, "no target serves %q", s.name).WithRetryAt(now.Add(noTargetRetryDelay))
+	if refused := d.unservable(now, s, qr); refused != nil {
 		d.refuse(now, qr, refused)
 		return
 	}
@@ -245,14 +245,23 @@
 	d.assignWaiting(now, s)
 }
 
-// Accepts reports whether a target of an earlier decision still takes new requests: it is listed, has not started again, and is not leaving.
-func (d *Dispatcher) Accepts(chosen Target) bool {
+// Accepts reports whether a target of an earlier decision still takes new requests: it is listed, has not started again, and neither leaves
+// nor pauses.
+func (d *Dispatcher) Accepts(now time.Time, chosen Target) bool {
 	state, listed := d.targets[chosen.Name]
-	return listed && !state.Leaving && state.StartUnixMilli == chosen.StartUnixMilli
+	return listed && !state.Leaving && !state.notice.isPaused(now) && state.StartUnixMilli == chosen.StartUnixMilli
 }
 
-// TargetNames returns the names of all listed targets, in no particular order.
-func (d *Dispatcher) TargetNames() []string { return slices.Collect(maps.Keys(d.targets)) }
+// OpenTargetNames returns the names of the listed targets that do not leave, in no particular order.
+func (d *Dispatcher) OpenTargetNames() []string {
+	names := make([]string, 0, len(d.targets))
+	for name, state := range d.targets {
+		if !state.Leaving {
+			names = append(names, name)
+		}
+	}
+	return names
+}
 
 // NumWaiting returns the number of requests that wait for a target.
 func (d *Dispatcher) NumWaiting() int { return len(d.queued) }
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -83,6 +83,8 @@
 	unreportedStarts map[uint32]uint32
 	// unreportedLimits are the rate limits of targets, by target hash, to send with the next message.
 	unreportedLimits map[uint32]float64
+	// unreportedLeft are the starts of targets that leave, by target hash, to send with the next message.
+	unreportedLeft map[uint32]int64
 	// unreportedReadings and unreportedUsage are sent with the next message. unreportedUsage is by customer key.
 	unreportedReadings []*fleetpb.Reading
 	unreportedUsage    map[uint32]usageDelta
@@ -101,7 +103,7 @@
 		changedTargets: make(map[uint32]struct{}),
 		reportedRuns:   make(map[uint32]uint32), runs: make(map[uint32]uint32),
 		unreportedTokens: make(map[uint32]uint32), unreportedStarts: make(map[uint32]uint32),
-		unreportedLimits: make(map[uint32]float64), unreportedUsage: make(map[uint32]usageDelta),
+		unreportedLimits: make(map[uint32]float64), unreportedLeft: make(map[uint32]int64), unreportedUsage: make(map[uint32]usageDelta),
 		queueReports: make(map[uint32]queueReport), reportedWaiting: make(map[uint32]bool),
 	}
 }
@@ -144,7 +146,8 @@
 		}
 		running, added := uint32(state.running), p.unreportedTokens[targetHash]
 		limit, named := p.unreportedLimits[targetHash]
-		if p.reportedRuns[targetHash] == running && added == 0 && !named {
+		left, leaves := p.unreportedLeft[targetHash]
+		if p.reportedRuns[targetHash] == running && added == 0 && !named && !leaves {
 			continue
 		}
 		p.reportedRuns[state.nameHash] = running
@@ -155,6 +158,9 @@
 		if named {
 			use.Limit = &limit
 		}
+		if leaves {
+			use.Left = &left
+		}
 		activity.Targets = append(activity.Targets, use)
 	}
 	for customer, delta := range p.unreportedUsage {
@@ -167,6 +173,7 @@
 	clear(p.unreportedTokens)
 	clear(p.unreportedStarts)
 	clear(p.unreportedLimits)
+	clear(p.unreportedLeft)
 	clear(p.changedTargets)
 	if len(activity.GetTargets())+len(activity.GetReadings())+len(activity.GetCustomers())+len(activity.GetLines()) == 0 {
 		return nil
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -25,6 +25,10 @@
 			p.changedTargets[targetHash] = struct{}{}
 			p.unreportedLimits[targetHash] = state.rateLimit.perSecond
 		}
+		if state.notice.leaving {
+			p.changedTargets[targetHash] = struct{}{}
+			p.unreportedLeft[targetHash] = state.StartUnixMilli
+		}
 	}
 	if remote.Region != d.locality.Region {
 		return
@@ -86,6 +90,9 @@
 // receiveTargetUse takes a peer's figures of its runs at a target and of the prompts that the target has to read.
 func (d *Dispatcher) receiveTargetUse(now time.Time, sender *peer, use *fleetpb.TargetUse) {
 	d.setPeerRuns(sender, use.GetTarget(), use.GetRunning())
+	if use.Left != nil {
+		d.markLeaving(now, startKey{use.GetTarget(), use.GetLeft()})
+	}
 	state := d.targetsByHash[use.GetTarget()]
 	if state == nil {
 		return
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -109,6 +109,15 @@
 	return urgent
 }
 
+// all returns the waiting requests, in no particular order.
+func (q *requestQueue) all() []*queuedRequest {
+	waiting := make([]*queuedRequest, 0, q.length)
+	for _, requests := range q.byCustomer {
+		waiting = append(waiting, requests...)
+	}
+	return waiting
+}
+
 // newestFor returns the newest request of a customer whose caller has no part of the answer, or nil if it has none.
 func (q *requestQueue) newestFor(customer string) *queuedRequest {
 	for _, qr := range slices.Backward(q.byCustomer[customer]) {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -45,9 +45,6 @@
 	return (r.Build == "" || r.Build == target.Build) && !slices.Contains(r.ExcludedTargets, target.Name)
 }
 
-// SharedParts returns the parts of the prompt that requests of other sessions may share: all but the last one.
-func (r *Request) SharedParts() []Part { return r.Parts[:max(len(r.Parts)-1, 0)] }
-
 // sessionPartID returns the ID of the part that belongs to the request's session, or 0 if there are no parts.
 func (r *Request) sessionPartID() uint64 {
 	if len(r.Parts) == 0 {
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -105,17 +105,6 @@
 	}
 }
 
-// hasTargetFor reports whether the service has a target that accepts requests and that this one may go to, even if that target
-// is full or unhealthy.
-func (s *service) hasTargetFor(request *Request) bool {
-	for _, state := range s.targets {
-		if !state.Leaving && request.allows(&state.Target) {
-			return true
-		}
-	}
-	return false
-}
-
 // waitDeadline returns the time until which a request may wait and still meet its objective. It assumes that the request's
 // shared parts are cached. The wait is at least minWaitFraction and at most maxWaitFraction of the time to the objective. A
 // request whose caller may have a part of the answer may wait for maxRetryWait regardless of its objective, up to its deadline.
@@ -143,6 +132,8 @@
 type selection struct {
 	target *targetState
 	cost   float64
+	// cachedTokens is the number of tokens at the beginning of the prompt that the target has in its cache.
+	cachedTokens int
 	// prefillTokens is the number of tokens that the target has to read. fetchTokens is the number of those that it can fetch instead from
 	// cacheSource, the address of a target that has more of the prompt in its cache; zero and empty if there is none.
 	prefillTokens, fetchTokens int
@@ -156,13 +147,25 @@
 func (s *service) selectTarget(now time.Time, own Locality, request *Request, extra headroom) (selection, bool) {
 	candidates := s.candidates(request)
 	eligible := s.eligibleTargets(now, candidates, request, extra)
-	if s.hasEnoughCopies(now, candidates, request) {
-		eligible = slices.DeleteFunc(eligible, func(state *targetState) bool { return !state.hasHomePart(now, request) })
-	}
 	if len(eligible) == 0 {
 		return selection{}, false
 	}
-	home := s.homeTarget(own, request)
+	best := s.cheapest(now, own, candidates, eligible, request)
+	if best.cachedTokens < request.tokensToHomePart() && s.hasEnoughCopies(now, candidates, request) {
+		holders := slices.DeleteFunc(eligible, func(state *targetState) bool { return !state.hasHomePart(now, request) })
+		if len(holders) == 0 {
+			return selection{}, false
+		}
+		best = s.cheapest(now, own, candidates, holders, request)
+	}
+	return best, best.target != nil
+}
+
+// cheapest returns the one of the eligible targets with the lowest cost for a request.
+func (s *service) cheapest(
+	now time.Time, own Locality, candidates, eligible []*targetState, request *Request,
+) selection {
+	home, homeTokens := s.homeTarget(own, request), request.tokensToHomePart()
 	s.holders = s.holders[:0]
 	best := selection{cost: math.Inf(1)}
 	for _, state := range eligible {
@@ -171,7 +174,7 @@
 			holder = s.cacheHolderFor(now, own, state.Build, candidates, request)
 		}
 		candidate := s.evaluate(now, own, state, request, holder)
-		if state == home && holder.tokens < request.tokensToHomePart() {
+		if state == home && holder.tokens < homeTokens {
 			candidate.cost -= homeTargetBonus
 		}
 		if candidate.cost < best.cost {
@@ -179,7 +182,7 @@
 		}
 	}
 	best.eligible = len(eligible)
-	return best, best.target != nil
+	return best
 }
 
 // hasEnoughCopies reports whether a request has to go to one of the targets that have the home part of its prompt, because requests compete
@@ -187,16 +190,17 @@
 // need, so that the targets would read more and serve less.
 func (s *service) hasEnoughCopies(now time.Time, candidates []*targetState, request *Request) bool {
 	home := request.homePart()
-	if home < 0 || home == len(request.Parts)-1 || !s.isContended(now) {
+	if home < 0 || home == len(request.Parts)-1 {
 		return false
 	}
 	copies := 0
 	for _, state := range candidates {
-		if !state.Leaving && request.allows(&state.Target) && state.isHealthy(now) && state.hasHomePart(now, request) {
+		if state.hasHomePart(now, request) && !state.Leaving && !state.notice.isPaused(now) && request.allows(&state.Target) &&
+			state.isHealthy(now) {
 			copies++
 		}
 	}
-	return copies > 0 && copies >= s.demand.copiesWanted(now, request.Parts[home].ID, s.ownFraction, s.readSpeed)
+	return copies > 0 && copies >= s.demand.copiesWanted(now, request.Parts[home].ID, s.ownFraction, s.readSpeed) && s.isContended(now)
 }
 
 // evaluate returns the predictions for a request at a target, and the cost. In the cost, a token that the target fetches from the cache of
@@ -205,11 +209,10 @@
 func (s *service) evaluate(
 	now time.Time, own Locality, state *targetState, request *Request, holder cacheHolder,
 ) selection {
-	cachedTokens := state.cachedTokens(now, request.Parts)
+	cachedTokens, displacedTokens := state.cache.match(now, request.Parts)
 	uncachedTokens := max(request.PromptTokens-cachedTokens, 0)
-	candidate := selection{target: state, prefillTokens: uncachedTokens}
-	candidate.cost = s.targetCost(now, own, state, uncachedTokens)
-	candidate.cost += displacementCost * state.cache.displacedTokens(now, request.SharedParts()) / s.readSpeed
+	candidate := selection{target: state, cachedTokens: cachedTokens, prefillTokens: uncachedTokens}
+	candidate.cost = s.targetCost(now, own, state, uncachedTokens) + displacementCost*displacedTokens/s.readSpeed
 	if fetchable := min(holder.tokens-cachedTokens, uncachedTokens); fetchable >= minFetchTokens {
 		candidate.prefillTokens, candidate.fetchTokens = uncachedTokens-fetchable, fetchable
 		candidate.cacheSource = holder.target.Address
@@ -222,7 +225,7 @@
 	s.eligible = s.eligible[:0]
 	healthyOnly := anyHealthy(now, candidates, request)
 	for _, state := range candidates {
-		if state.Leaving || !state.hasFreeSlot(now, extra) || !state.rateLimit.allows(now) || !s.canRead(now, state, request, extra) {
+		if !state.takesRequests(now) || !state.hasFreeSlot(now, extra) || !s.canRead(now, state, request, extra) {
 			continue
 		}
 		if request.allows(&state.Target) && (!healthyOnly || state.isHealthy(now)) {
@@ -235,7 +238,7 @@
 // anyHealthy reports whether any of the targets that a request may go to is healthy.
 func anyHealthy(now time.Time, candidates []*targetState, request *Request) bool {
 	for _, state := range candidates {
-		if !state.Leaving && request.allows(&state.Target) && state.isHealthy(now) {
+		if !state.Leaving && !state.notice.isPaused(now) && request.allows(&state.Target) && state.isHealthy(now) {
 			return true
 		}
 	}
@@ -252,8 +255,8 @@
 	count := 0
 	for i := range checked {
 		state := s.targets[(s.sampleOffset+i*step)%len(s.targets)]
-		if !state.Leaving && state.hasFreeSlot(now, noHeadroom) && s.hasShortBacklog(now, state, noHeadroom) && state.isHealthy(now) &&
-			state.rateLimit.allows(now) {
+		if state.takesRequests(now) && state.hasFreeSlot(now, noHeadroom) && s.hasShortBacklog(now, state, noHeadroom) &&
+			state.isHealthy(now) {
 			count++
 		}
 	}
@@ -296,7 +299,7 @@
 // part of the prompt that it need not read because it has it in its cache.
 func (s *service) canRead(now time.Time, state *targetState, request *Request, extra headroom) bool {
 	excess := state.backlog(now, s.readSpeed) - extra.backlogLimit(maxBacklogSeconds*s.readSpeed)
-	return excess <= 0 || excess <= float64(state.cachedTokens(now, request.Parts))
+	return excess <= 0 || excess <= float64(request.PromptTokens) && excess <= float64(state.cachedTokens(now, request.Parts))
 }
 
 // targetCost returns the cost of a target in seconds: the predicted time to the first byte, the network cost, and penalties
--- a/internal/dispatch/targetstate.go
+++ b/internal/dispatch/targetstate.go
@@ -82,6 +82,8 @@
 	blockedUntil    time.Time
 	connectFailures int
 	rateLimit       rateLimit
+	// notice is what this start of the target has said in its answers.
+	notice *notice
 	// removed is set if the target is no longer listed.
 	removed bool
 }
@@ -90,10 +92,19 @@
 func newTargetState(target Target) *targetState {
 	return &targetState{
 		Target: target, placementHash: xxhash.Sum64String(target.Name), nameHash: hashName(target.Name), cache: newPromptCache(),
-		latencyRatio: 1,
+		latencyRatio: 1, notice: &notice{},
 	}
 }
 
+// startKey identifies this start of the target.
+func (t *targetState) startKey() startKey { return startKey{t.nameHash, t.StartUnixMilli} }
+
+// takesRequests reports whether the target takes requests of this router now: it neither leaves nor pauses, its limit allows one more, and
+// it has its load back after a pause as far as it should.
+func (t *targetState) takesRequests(now time.Time) bool {
+	return !t.Leaving && t.notice.allowsRun(now, t.running, t.Slots) && t.rateLimit.allows(now)
+}
+
 // occupiedSlots returns the number of runs at the target, of all routers as far as known. The target's own report is the only
 // source for routers that are not connected, and it soon goes out of date.
 func (t *targetState) occupiedSlots(now time.Time) float64 {
--- a/internal/emulator/targetserver/server.go
+++ b/internal/emulator/targetserver/server.go
@@ -71,6 +71,8 @@
 	mu      sync.Mutex
 	runs    []Run
 	running int
+	// arrivals is the number of requests that reached the target, run or not.
+	arrivals int
 	// crashPart is the part of a prompt on which the target crashes, crashMode the mode of its last response, crash what ends the
 	// target then.
 	crashPart string
@@ -80,6 +82,8 @@
 	eventSuffix string
 	// rateLimit is the value of the header Server-Limit, empty for none.
 	rateLimit string
+	// leaving holds the values of the header Server-Leaving of all answers, pause those of Retry-After of the refusals.
+	leaving, pause []string
 	// endlessBytes is the number of bytes that were sent in the mode EndlessEvent.
 	endlessBytes int
 	// abandonedStreams counts the streams that ended because the caller disconnected.
@@ -118,6 +122,35 @@
 	s.rateLimit = limit
 }
 
+// SetLeaving sets the values of the header Server-Leaving of all answers; none to leave it out.
+func (s *Server) SetLeaving(values ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = values
+}
+
+// SetPause sets the values of the header Retry-After, in seconds, of the answers with status 503; none to leave it out.
+func (s *Server) SetPause(values ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pause = values
+}
+
+// startAnswer counts a request and sets the headers that the target says about itself; refused adds those of refusals and counts nothing.
+func (s *Server) startAnswer(header http.Header, refused bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !refused {
+		s.arrivals++
+	}
+	if len(s.leaving) > 0 {
+		header["Server-Leaving"] = s.leaving
+	}
+	if refused && len(s.pause) > 0 {
+		header["Retry-After"] = s.pause
+	}
+}
+
 // rateLimitHeader returns the value of the header Server-Limit, empty for none.
 func (s *Server) rateLimitHeader() string {
 	s.mu.Lock()
@@ -142,6 +175,13 @@
 	return append([]Run(nil), s.runs...)
 }
 
+// Arrivals returns the number of requests that reached the target, run or not.
+func (s *Server) Arrivals() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.arrivals
+}
+
 // AbandonedStreams returns the number of streams that ended because the caller disconnected.
 func (s *Server) AbandonedStreams() int {
 	s.mu.Lock()
@@ -153,6 +193,7 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
 	w.Header().Set("X-Replica-Id", s.name)
+	s.startAnswer(w.Header(), false)
 	if expected := r.Header.Get("X-Expect-Replica"); expected != "" && expected != s.name {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -164,6 +205,7 @@
 	}
 	mode := Mode(s.mode.Load())
 	if !s.startRun(r, string(body), mode) {
+		s.startAnswer(w.Header(), true)
 		w.Header().Set("X-Not-Run", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -82,6 +82,11 @@
 	TargetGone    = Event{503, levelInfo, "target_gone", []string{"target"}}
 	TargetCrashed = Event{504, levelWarn, "target_crashed", []string{"target", "error"}}
 	TargetLimited = Event{505, levelInfo, "target_limited", []string{"target", "limit"}}
+	TargetNotice  = Event{506, levelInfo, "target_notice", []string{"target"}}
+	TargetPaused  = Event{507, levelInfo, "target_paused", []string{"target", "pause_ms"}}
+	TargetResumed = Event{508, levelInfo, "target_resumed", []string{"target"}}
+
+	TargetHeaderInvalid = Event{509, levelWarn, "target_header_invalid", []string{"target", "error"}}
 )
 
 // Events of requests.
@@ -146,6 +151,7 @@
 		LinkUp, LinkDown, PeerUp, PeerDown, PeerLeaving, RoleGained, RoleLost, Isolated, Rejoined, AnnounceFailed,
 		StoreShared, StoreUnshared,
 		TargetAdded, TargetLeaving, TargetGone, TargetCrashed, TargetLimited,
+		TargetNotice, TargetPaused, TargetResumed, TargetHeaderInvalid,
 		Refused, Retried, Resumed, Abandoned,
 		RequestAnswered, RequestRefused, AttemptFailed, CallerLeft, StreamBroken, ServiceState, RefusalsSummed, CustomerState, RequestCut,
 		ClaimLost, ClaimUnknown,
--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/chicorydale/chicorydale/internal/dispatch"
 )
@@ -24,6 +25,12 @@
 	Signed bool
 	// RateLimit is the number of requests per second that the target takes from all routers together, 0 if it names no limit.
 	RateLimit float64
+	// Leaving is set if the target says that it leaves.
+	Leaving bool
+	// PausedUntil is the time until which the target wants no requests from this router, zero if it asks for no pause.
+	PausedUntil time.Time
+	// HeaderErr is not nil if a header about the target has no valid value. It is then ignored.
+	HeaderErr error
 	// Load is the load that the target reported, nil if it reported none.
 	Load *dispatch.Load
 }
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -79,13 +79,13 @@
 }
 
 // Close ends the attempt. The connection is kept for reuse if the complete request was written, the complete response was read,
-// and nothing follows it. Otherwise it is closed, so that the target can stop working on the request. Further calls do nothing.
+// nothing follows it, and the target does not leave. Otherwise it is closed, so that the target can stop working on the request. Further calls do nothing.
 func (r *Response) Close() {
 	if r.closed {
 		return
 	}
 	r.closed = true
-	if !r.bodyComplete || r.connectionClose || !r.conn.requestWritten() || r.conn.reader.Buffered() > 0 || !r.stopCancel() {
+	if !r.bodyComplete || r.connectionClose || r.Info.Leaving || !r.conn.requestWritten() || r.conn.reader.Buffered() > 0 || !r.stopCancel() {
 		r.abort()
 		return
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -217,6 +217,7 @@
 	x.endProbe()
 	x.framing = response.Framing
 	x.recordRateLimit(decision, response)
+	x.gateway.notices.record(decision.Target, &response.Info)
 	if response.Info.NotRun {
 		return x.handleRejection(decision, response)
 	}
@@ -225,6 +226,9 @@
 	if !response.Info.Signed && response.StatusCode/100 == 2 {
 		return x.handleBrokenAttempt(decision, &unsignedError{status: response.StatusCode})
 	}
+	if response.StatusCode/100 == 2 {
+		x.gateway.scheduler.recordSuccess(decision.ID)
+	}
 	switch {
 	case x.route.Kind.Streaming() && response.StatusCode/100 == 2:
 		return x.relayStream(decision, response)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,6 +64,7 @@
 	originStore     *originStore
 	quarantines     *quarantineStore
 	crashes         *crashDetector
+	notices         *targetNotices
 	retryBudgets    *retryBudgets
 	callerConns     *callerConns
 	peers           *peerLinks
@@ -120,6 +121,7 @@
 		quarantines:  &quarantineStore{topic: adapters.QuarantineTopic, claims: claims, suspects: suspects, logger: logger},
 		buildMarks:   newBuildMarks(adapters.BuildTopic, origins, logger),
 		crashes:      newCrashDetector(client, logger, suspects.recordCrash),
+		notices:      newTargetNotices(scheduler, logger),
 		retryBudgets: budgets,
 		callerConns:  newCallerConns(settings.MaxOpenFiles),
 		lateness:     lateness,
--- a/internal/gateway/maintenance.go
+++ b/internal/gateway/maintenance.go
@@ -33,7 +33,7 @@
 			return
 		case now := <-ticker.C:
 			g.callerConns.closeIdle(now, g.idleTimeout())
-			g.client.Prune(now, g.targetNames())
+			g.client.Prune(now, g.openTargetNames())
 			g.updateGauges()
 			g.logProcessState()
 			g.refusalLog.logSuppressed()
@@ -51,11 +51,11 @@
 	return defaultIdleTimeout
 }
 
-// targetNames returns the names of the known targets as a set.
-func (g *Gateway) targetNames() map[string]bool {
+// openTargetNames returns the names of the known targets that do not leave as a set. Idle connections to others are of no use.
+func (g *Gateway) openTargetNames() map[string]bool {
 	names := make(map[string]bool)
 	g.scheduler.withDispatcher(func(dispatcher *dispatch.Dispatcher, _ time.Time) {
-		for _, name := range dispatcher.TargetNames() {
+		for _, name := range dispatcher.OpenTargetNames() {
 			names[name] = true
 		}
 	})
@@ -68,13 +68,16 @@
 	g.maintenanceRuns++
 	var statuses []dispatch.Status
 	var customers []dispatch.CustomerStatus
+	var notices []dispatch.TargetNotice
 	g.scheduler.withDispatcher(func(dispatcher *dispatch.Dispatcher, now time.Time) {
 		waiting, running = dispatcher.NumWaiting(), dispatcher.NumRunning()
 		customers = dispatcher.TakeCustomerStatuses(now, maxCustomerLines)
+		notices = dispatcher.Notices(now)
 		if g.maintenanceRuns%runsPerStateLog == 0 {
 			statuses = dispatcher.Status(now)
 		}
 	})
+	g.notices.update(time.Now(), notices, g.metrics)
 	g.logServiceStates(statuses)
 	g.logCustomerStates(customers)
 	g.metrics.SetGauge(metric.RequestsWaiting, float64(waiting))
--- /dev/null
+++ b/internal/gateway/notices.go
@@ -0,0 +1,93 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/chicorydale/chicorydale/internal/dispatch"
+	"github.com/chicorydale/chicorydale/internal/event"
+	"github.com/chicorydale/chicorydale/internal/forward"
+	"github.com/chicorydale/chicorydale/internal/metric"
+)
+
+// headerLogInterval is the minimum time between log lines about invalid headers of one target.
+const headerLogInterval = time.Second
+
+// targetNotices passes what targets say about themselves in their answers on to the scheduler, and logs the changes. It is safe for
+// concurrent use.
+type targetNotices struct {
+	scheduler *scheduler
+	logger    zerolog.Logger
+
+	mu sync.Mutex
+	// headerLoggedAt holds the time of the last log line about an invalid header, by target.
+	headerLoggedAt map[string]time.Time
+	// paused holds the targets with a pause.
+	paused map[string]time.Time
+	// pausedTime is the sum of all pauses that have ended or run, up to accountedAt.
+	pausedTime  time.Duration
+	accountedAt time.Time
+}
+
+// newTargetNotices returns notices without targets.
+func newTargetNotices(scheduler *scheduler, logger zerolog.Logger) *targetNotices {
+	return &targetNotices{
+		scheduler: scheduler, logger: logger, headerLoggedAt: make(map[string]time.Time), paused: make(map[string]time.Time),
+		accountedAt: time.Now(),
+	}
+}
+
+// record takes what the head of a target's response says about the target. A response of another target at the address says nothing.
+func (n *targetNotices) record(target dispatch.Target, info *forward.ResponseInfo) {
+	if info.Misdirected {
+		return
+	}
+	if info.HeaderErr != nil {
+		n.logHeaderError(time.Now(), target.Name, info.HeaderErr)
+	}
+	if info.Leaving && n.scheduler.recordLeaving(target) {
+		event.TargetNotice.Log(n.logger, target.Name)
+	}
+	if !info.PausedUntil.IsZero() && n.scheduler.recordPause(target, info.PausedUntil) {
+		event.TargetPaused.Log(n.logger, target.Name, time.Until(info.PausedUntil).Milliseconds())
+	}
+}
+
+// logHeaderError logs an invalid header, unless there was a line about the target within headerLogInterval.
+func (n *targetNotices) logHeaderError(now time.Time, target string, err error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if now.Sub(n.headerLoggedAt[target]) >= headerLogInterval {
+		n.headerLoggedAt[target] = now
+		event.TargetHeaderInvalid.Log(n.logger, target, err)
+	}
+}
+
+// update logs the pauses that have ended and updates the gauges. It is called periodically.
+func (n *targetNotices) update(now time.Time, notices []dispatch.TargetNotice, metrics *metric.Set) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	leaving := 0
+	paused := make(map[string]time.Time)
+	for _, said := range notices {
+		if said.Leaving {
+			leaving++
+		}
+		if !said.PausedUntil.IsZero() {
+			paused[said.Target] = said.PausedUntil
+		}
+	}
+	for name := range n.paused {
+		if _, still := paused[name]; !still {
+			event.TargetResumed.Log(n.logger, name)
+			delete(n.headerLoggedAt, name)
+		}
+	}
+	n.pausedTime += time.Duration(len(paused)) * now.Sub(n.accountedAt)
+	n.paused, n.accountedAt = paused, now
+	metrics.SetGauge(metric.TargetsLeaving, float64(leaving))
+	metrics.SetGauge(metric.TargetsPaused, float64(len(paused)))
+	metrics.SetGauge(metric.TargetPauseSeconds, n.pausedTime.Seconds())
+}
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -100,7 +100,7 @@
 func (s *scheduler) accepts(target dispatch.Target) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.dispatcher.Accepts(target)
+	return s.dispatcher.Accepts(time.Now(), target)
 }
 
 // firstByteReceived records the first byte of a response. load is the load that the target reported, or nil.
@@ -115,6 +115,25 @@
 	return s.dispatcher.RecordRateLimit(time.Now(), target, perSecond)
 }
 
+// recordLeaving records that a target said that it leaves, and reports whether that is new. Waiting requests may be decided by it.
+func (s *scheduler) recordLeaving(target dispatch.Target) (changed bool) {
+	s.withDispatcher(func(dispatcher *dispatch.Dispatcher, now time.Time) { changed = dispatcher.RecordLeaving(now, target) })
+	return changed
+}
+
+// recordPause records that a target wants no requests until a time, and reports whether that is new.
+func (s *scheduler) recordPause(target dispatch.Target, until time.Time) (changed bool) {
+	s.withDispatcher(func(dispatcher *dispatch.Dispatcher, now time.Time) {
+		changed = dispatcher.RecordPause(now, target, until)
+	})
+	return changed
+}
+
+// recordSuccess records that a target has answered an attempt with success.
+func (s *scheduler) recordSuccess(id uint64) {
+	s.withDispatcher(func(dispatcher *dispatch.Dispatcher, now time.Time) { dispatcher.RecordSuccess(now, id) })
+}
+
 // dataReceived records that a target sent further data of a response.
 func (s *scheduler) dataReceived(id uint64) {
 	s.mu.Lock()
--- a/internal/metric/family.go
+++ b/internal/metric/family.go
@@ -21,6 +21,9 @@
 	RequestsRunning         Family = "chicorydale_requests_running"
 	ScheduledPools          Family = "chicorydale_pools_scheduled"
 	Quarantined             Family = "chicorydale_quarantined"
+	TargetsLeaving          Family = "chicorydale_targets_leaving"
+	TargetsPaused           Family = "chicorydale_targets_paused"
+	TargetPauseSeconds      Family = "chicorydale_target_pause_seconds"
 	Ready                   Family = "chicorydale_ready"
 	Isolated                Family = "chicorydale_isolated"
 	ZoneHeardRatio          Family = "chicorydale_zone_heard_ratio"
@@ -45,6 +48,9 @@
 	RequestsRunning:         "Requests of this router's callers that run on a target.",
 	ScheduledPools:          "Pools that this router schedules.",
 	Quarantined:             "Requests and parts of prompts that are refused because they crash targets.",
+	TargetsLeaving:          "Targets that leave, by their records or by their answers.",
+	TargetsPaused:           "Targets that want no requests from this router for a while.",
+	TargetPauseSeconds:      "Sum over all targets of the seconds of pauses since the start of this router.",
 	Ready:                   "1 if the router accepts new requests, else 0.",
 	Isolated:                "1 if the router has reached neither the log nor another router for 15 s, else 0.",
 	ZoneHeardRatio:          "Part of the listed routers of its availability zone that the router hears, 0 to 1.",
