Measure the progress of streams by whole events, and the time that callers wait by their routes

Cause: the time after which another target continues a stream began anew with each byte, so a target that was stuck inside an event and sent a byte now and then held its stream until the deadline; and it was 1.2 s for each route, so a sound stream with longer pauses, which its route allows, was cut and begun again elsewhere. Streams that nobody can continue had no bound but the deadline, also after their callers had left, and were begun for callers that had left.

Ruled out: ending a stream before its caller leaves.

--- a/internal/emulator/targetserver/server.go
+++ b/internal/emulator/targetserver/server.go
@@ -50,12 +50,17 @@
 	// EndlessEvent runs requests and sends streams whose first event has no end, until the caller closes the connection. It is not for
 	// other responses.
 	EndlessEvent
+	// Dripping runs requests and sends streams that stop inside their third event, of which one more byte comes every 100 ms until the caller
+	// closes the connection.
+	Dripping
 )
 
 // Run records one run of a request.
 type Run struct {
 	// ID is the attempt id; the others are the method, request URI, body and customer of the request as it arrived.
 	ID, Method, URI, Body, Customer string
+	// DeadlineMS is the time that the caller still waits, in milliseconds.
+	DeadlineMS string
 	// LastEventID is the id of the last event that the caller already has; empty for a new stream.
 	LastEventID string
 }
@@ -256,6 +261,7 @@
 	s.runs = append(s.runs, Run{
 		ID: r.Header.Get("X-Attempt-Id"), Method: r.Method, URI: r.RequestURI, Body: body,
 		Customer: r.Header.Get("X-Tenant"), LastEventID: r.Header.Get("Last-Event-Id"),
+		DeadlineMS: r.Header.Get("X-Deadline-Ms"),
 	})
 	return true
 }
@@ -308,7 +314,7 @@
 	case EndlessEvent:
 		s.sendEndlessEvent(w)
 		return
-	case Normal, Refusing, Truncating, RestartingStreams:
+	case Normal, Refusing, Truncating, RestartingStreams, Dripping:
 	}
 	w.Header().Set("X-Replica-Seal", "seal")
 	if s.eventCount > 0 {
@@ -336,6 +342,10 @@
 	controller := http.NewResponseController(w)
 	for number := lastEvent + 1; number <= s.eventCount; number++ {
 		text := s.eventText(number)
+		if mode == Dripping && number == drippingEvent {
+			drip(w, r)
+			return
+		}
 		if mode == Truncating && number > s.eventCount/2 {
 			_, _ = io.WriteString(w, text[:len(text)/2])
 			_ = controller.Flush()
@@ -351,6 +361,21 @@
 	}
 }
 
+// drippingEvent is the number of the event that does not end in the mode Dripping, dripInterval the time between its bytes.
+const (
+	drippingEvent = 3
+	dripInterval  = 100 * time.Millisecond
+)
+
+// drip sends an event without an end, byte by byte, until the caller disconnects.
+func drip(w http.ResponseWriter, r *http.Request) {
+	controller := http.NewResponseController(w)
+	_, _ = io.WriteString(w, "data: ")
+	for controller.Flush() == nil && sleep(r, dripInterval) {
+		_, _ = io.WriteString(w, "x")
+	}
+}
+
 // lastEventNumber returns the number of the last event that the caller already has, 0 for a new stream.
 func lastEventNumber(r *http.Request) int {
 	number, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
--- a/internal/gateway/eventboundary.go
+++ b/internal/gateway/eventboundary.go
@@ -14,8 +14,8 @@
 	eventBytes int
 	// isComment is set if the last line is a comment. Comments belong to no event.
 	isComment bool
-	// eventEnded is set once an event has ended.
-	eventEnded bool
+	// endedEvents is the number of events that have ended.
+	endedEvents int
 	// afterCR is set if the last byte was a CR, so that a following LF belongs to the same end of line.
 	afterCR bool
 }
@@ -45,7 +45,9 @@
 func (b *eventBoundary) endLine() {
 	switch {
 	case !b.lineOpen:
-		b.eventEnded = b.eventEnded || b.eventOpen
+		if b.eventOpen {
+			b.endedEvents++
+		}
 		b.eventOpen, b.eventBytes = false, 0
 	case !b.isComment:
 		b.eventOpen = true
@@ -59,7 +61,7 @@
 // checkEnd returns a *streamEndError if a stream with the given framing was broken off, as far as its bytes show: it ended inside an
 // event, or its connection ended before the first one.
 func (b *eventBoundary) checkEnd(framing forward.Framing) error {
-	if b.inside() || framing == forward.FramedByConnection && !b.eventEnded {
+	if b.inside() || framing == forward.FramedByConnection && b.endedEvents == 0 {
 		return &streamEndError{framing: framing, insideEvent: b.inside()}
 	}
 	return nil
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/chicorydale/chicorydale/internal/dispatch"
 	"github.com/chicorydale/chicorydale/internal/event"
 	"github.com/chicorydale/chicorydale/internal/forward"
+	"github.com/chicorydale/chicorydale/internal/refusal"
 	"github.com/chicorydale/chicorydale/internal/route"
 )
 
@@ -57,6 +58,8 @@
 	endUncertain bool
 	// framing is what ends the response to the last attempt. It is empty if the head of none has arrived.
 	framing forward.Framing
+	// lastEventAt is the time of the last event of the stream, and that of the arrival of the request before the first one.
+	lastEventAt time.Time
 	// events tells whether the stream of the last attempt has ended inside an event.
 	events eventBoundary
 	// failedResponse is a server error of a target, which is relayed if no other target responds.
@@ -195,6 +198,11 @@
 		x.abortDisconnected()
 		return false
 	}
+	if left := x.callerLeavesAt(); !left.IsZero() && time.Now().After(left) {
+		x.finishAttempt(decision, dispatch.Cancelled)
+		x.failRequest(refusal.New(refusal.Expired, "callers do not wait so long for an event"))
+		return false
+	}
 	if !x.recordOrigin(ctx, decision) {
 		return x.handleUnsent(decision, dispatch.Delayed, &unmarkedBuildError{})
 	}
@@ -271,12 +279,25 @@
 		Target: decision.Target.Name, Customer: x.customer, CacheSource: decision.CacheSource, TimeLeft: timeLeft,
 		LastEventID: x.splitter.lastID,
 	})
+	attempt.HeaderDeadline = x.callerLeavesAt()
 	if x.route.Kind.Retryable() && x.sentAttempts+1 < x.route.MaxAttempts {
-		attempt.HeaderDeadline = now.Add(firstByteTimeoutSlack + firstByteTimeoutFactor*max(decision.ExpectedFirstByte.Sub(now), 0))
+		timeout := firstByteTimeoutSlack + firstByteTimeoutFactor*max(decision.ExpectedFirstByte.Sub(now), 0)
+		attempt.HeaderDeadline = earlier(attempt.HeaderDeadline, now.Add(timeout))
 	}
 	return attempt
 }
 
+// callerLeavesAt returns the time at which the caller of a stream has left unless an event comes before, zero if that is not known.
+func (x *exchange) callerLeavesAt() time.Time { return leavesAt(x.route, x.lastEventAt) }
+
+// earlier returns the earlier one of a time that may be zero, for none, and another one.
+func earlier(optional, other time.Time) time.Time {
+	if !optional.IsZero() && optional.Before(other) {
+		return optional
+	}
+	return other
+}
+
 // finishAttempt reports the outcome of an attempt to the scheduler.
 func (x *exchange) finishAttempt(decision dispatch.Decision, outcome dispatch.Outcome) {
 	x.gateway.scheduler.finishAttempt(decision.ID, outcome)
--- a/internal/gateway/failedattempt.go
+++ b/internal/gateway/failedattempt.go
@@ -100,7 +100,7 @@
 		x.gateway.metrics.CountRetry(metric.RetryCrashed)
 		return true
 	}
-	if !x.beforeDeadline() {
+	if outcome == dispatch.Stalled {
 		x.failRequest(refusal.New(refusal.Expired, "the target did not answer in time").WithExecutionUnknown())
 	} else {
 		x.failRequest(refusal.New(refusal.TargetFailed, "the target broke off the request").WithExecutionUnknown())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -295,7 +295,10 @@
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	g.openRequests.Add(1)
 	defer g.openRequests.Add(-1)
-	x := &exchange{gateway: g, w: w, r: r, controller: http.NewResponseController(w), arrivedAt: time.Now()}
+	arrivedAt := time.Now()
+	x := &exchange{
+		gateway: g, w: w, r: r, controller: http.NewResponseController(w), arrivedAt: arrivedAt, lastEventAt: arrivedAt,
+	}
 	defer x.recoverPanic()
 	if g.draining.Load() || len(r.TransferEncoding) > 0 || wasHandedOver(r.Context()) {
 		// A request with both Content-Length and Transfer-Encoding is ambiguous. The server uses the chunked encoding.
@@ -303,8 +306,8 @@
 		// the next request.
 		w.Header().Set("Connection", "close")
 	}
-	if g.refusesNewRequests(x.arrivedAt) {
-		x.refuse(refusal.New(refusal.ShuttingDown, "the router is about to end").WithRetryAt(x.arrivedAt.Add(retryAfter)))
+	if now := time.Now(); g.refusesNewRequests(now) {
+		x.refuse(refusal.New(refusal.ShuttingDown, "the router is about to end").WithRetryAt(now.Add(retryAfter)))
 		return
 	}
 	x.serve()
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -23,8 +23,6 @@
 	streamBufferBytes = 4 << 10
 	// maxDiscardedBytes limits how much of an unused response body is read.
 	maxDiscardedBytes = 16 << 10
-	// maxEventGap is how long a resumable stream may send nothing before another target continues it.
-	maxEventGap = 1200 * time.Millisecond
 )
 
 // errCallerGone says that the head of a response could not be sent to the caller.
@@ -202,10 +200,9 @@
 	load := response.Info.Load
 	resumable := x.route.MaxAttempts > 1 && x.route.Kind.Retryable()
 	first := true
+	progress := newStreamProgress(time.Now(), x.lastEventAt, x.route, resumable)
 	for {
-		if resumable {
-			response.SetReadDeadline(time.Now().Add(maxEventGap), x.deadline)
-		}
+		response.SetReadDeadline(progress.readDeadline(), x.deadline)
 		n, err := response.Read(*buffer)
 		if n > 0 {
 			x.recordStreamData(decision, load, first)
@@ -216,6 +213,10 @@
 			if forwardErr := x.forwardChunk((*buffer)[:n], response, resumable); forwardErr != nil {
 				return x.handleForwardError(decision, forwardErr)
 			}
+			if x.events.endedEvents > progress.events {
+				x.lastEventAt = time.Now()
+				progress.recordEvents(x.lastEventAt, x.events.endedEvents)
+			}
 		}
 		if errors.Is(err, io.EOF) {
 			if err = x.checkStreamEnd(decision, response); err == nil {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -32,6 +32,8 @@
 	Timeout time.Duration
 	// LatencyObjective is the time within which the response, or its first event, has its full value for the caller.
 	LatencyObjective time.Duration
+	// EventTimeout is the time without an event of a stream, also before the first one, after which callers leave. It is 0 if it is not known.
+	EventTimeout time.Duration
 }
 
 // SelectService returns the name of the service that handles a request, or "" if no split has a positive weight. Requests with
