Count the deadline of a request from the time at which its caller may have sent it

A request that was there before the process read its connection counts from the accept. A router that hands a connection over tells the wait in five bytes before the first of the caller, if the peer's reports say that it reads them (ReadsWait); the first byte is 0, which no request begins with, so routers of earlier versions are understood.

TestHandoverTellsHowLongCallerWaited reads the bytes.

Ruled out: to count from the accept in any case, since callers may open connections in advance.

--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -32,6 +32,10 @@
 	received      int
 	receivedSince time.Time
 	answered      bool
+	// sentBefore is set if the first request was there before this process read the connection. waitingSince is then the time from which its
+	// caller may have waited.
+	sentBefore   bool
+	waitingSince time.Time
 	// endingSince is the time of the last call that made the connection end unless data has arrived. It is zero if data has arrived.
 	endingSince time.Time
 	// readErr is the error of the last read.
@@ -45,6 +49,9 @@
 	if !c.readStarted {
 		c.readStarted = true
 		c.started(c.acceptedAt)
+		if err := c.recordWait(); err != nil {
+			return 0, err
+		}
 		if c.shedder.connStarted(c.acceptedAt) && c.shedder.refuseFirstRequest(c.TCPConn) {
 			return 0, io.EOF
 		}
@@ -54,6 +61,43 @@
 	return n, err
 }
 
+// recordWait records from when on the caller of the first request may have waited: a late process reads requests that came long before.
+// The router that has handed the connection over tells how long that was there.
+func (c *callerConn) recordWait() error {
+	early := hasData(c.TCPConn)
+	waited := time.Duration(0)
+	if c.handedOver {
+		var err error
+		if waited, err = readWait(c.TCPConn); err != nil {
+			return err
+		}
+	}
+	if !early && waited == 0 {
+		return nil // The caller may open a connection long before it sends a request.
+	}
+	since := time.Now()
+	if early {
+		since = c.acceptedAt
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sentBefore, c.waitingSince = true, since.Add(-waited)
+	return nil
+}
+
+// requestStart returns the time from which the caller of the current request may have waited, zero if nothing of it was read.
+func (c *callerConn) requestStart() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sentBefore {
+		return c.waitingSince
+	}
+	if c.received == 0 {
+		return time.Time{}
+	}
+	return c.receivedSince
+}
+
 // recordRead records the outcome of a read.
 func (c *callerConn) recordRead(n int, err error) {
 	c.mu.Lock()
@@ -81,7 +125,7 @@
 func (c *callerConn) awaitRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.received, c.answered = 0, false
+	c.received, c.answered, c.sentBefore = 0, false, false
 }
 
 // endRepeatInterval is the minimum time between attempts to end a connection.
--- a/internal/gateway/disconnect.go
+++ b/internal/gateway/disconnect.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"syscall"
+	"time"
 )
 
 // connContextKey is the context key of a caller's connection.
@@ -20,6 +21,30 @@
 	return ok && conn.handedOver
 }
 
+// requestSince returns the time from which the caller of a request may have waited, given the request's context, and now if that is not
+// known.
+func requestSince(ctx context.Context, now time.Time) time.Time {
+	conn, ok := ctx.Value(connContextKey{}).(*callerConn)
+	if !ok {
+		return now
+	}
+	return earlier(conn.requestStart(), now)
+}
+
+// hasData reports whether data has arrived on a connection that was not read yet.
+func hasData(conn syscall.Conn) bool {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		var buf [1]byte
+		n, _, _ = syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && n > 0
+}
+
 // callerDisconnected reports whether the caller has closed the connection of a request, given the request's context. The
 // HTTP server detects this too, but later: an overloaded host reads requests whose callers have already left, and would
 // send them to targets before the server cancels them.
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -354,10 +354,10 @@
 
 // NewHandovers returns the handovers of a late router with one peer that has processor time, and a listener for the connections that it
 // keeps.
-func NewHandovers(peer, address string) (Handovers, net.Listener) {
+func NewHandovers(peer, address string, readsWait bool) (Handovers, net.Listener) {
 	kept := newConnQueue(func(conn *net.TCPConn, _ time.Time) net.Conn { return conn })
 	h := newHandovers(1000, 1, kept)
-	h.setPeer(time.Now(), peer, address, time.Second)
+	h.setPeer(time.Now(), peer, handoverPeer{address: address, readsWait: readsWait}, time.Second)
 	return Handovers{h}, kept
 }
 
@@ -369,6 +369,17 @@
 	return h.take(conn, time.Now())
 }
 
+// TakeAcceptedAt is like Take for a connection that was accepted at a time in the past, at which the peer had processor time.
+func (h Handovers) TakeAcceptedAt(conn *net.TCPConn, acceptedAt time.Time) bool {
+	h.mu.Lock()
+	h.policy.RecordStartDelay(acceptedAt, time.Second)
+	for name := range h.peers {
+		h.policy.RecordPeer(acceptedAt, name, time.Second)
+	}
+	h.mu.Unlock()
+	return h.take(conn, acceptedAt)
+}
+
 // LosePeer records that the link to a peer has ended, and lets the given time pass.
 func (h Handovers) LosePeer(name string, elapsed time.Duration) {
 	now := time.Now()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -295,7 +295,7 @@
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	g.openRequests.Add(1)
 	defer g.openRequests.Add(-1)
-	arrivedAt := time.Now()
+	arrivedAt := requestSince(r.Context(), time.Now())
 	x := &exchange{
 		gateway: g, w: w, r: r, controller: http.NewResponseController(w), arrivedAt: arrivedAt, lastEventAt: arrivedAt,
 	}
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -16,6 +16,10 @@
 	handovers *handovers
 	peer      string
 	caller    *net.TCPConn
+	// acceptedAt is the time at which this router accepted the connection.
+	acceptedAt time.Time
+	// tellsWait is set if the peer is to be told how long the caller has waited.
+	tellsWait bool
 	// used is set once bytes of the caller have arrived.
 	used atomic.Bool
 
@@ -25,9 +29,9 @@
 }
 
 // run connects to the peer and passes bytes on in both directions until one side ends.
-func (p *handover) run(address string, acceptedAt time.Time) {
+func (p *handover) run(address string) {
 	defer p.handovers.remove(p)
-	p.handovers.connStarted(acceptedAt)
+	p.handovers.connStarted(p.acceptedAt)
 	if isDisconnected(p.caller) {
 		_ = p.caller.Close()
 		return
@@ -38,7 +42,7 @@
 		if !isTimeout(err) { // A late process does not see that the peer has accepted. The links tell if it is gone.
 			p.handovers.peerFailed(p.peer)
 		}
-		p.handovers.keep(p.caller, acceptedAt)
+		p.handovers.keep(p.caller, p.acceptedAt)
 		return
 	}
 	p.setTarget(target)
@@ -56,14 +60,33 @@
 
 // passRequest passes the bytes of the caller on. Their end means that the caller has left.
 func (p *handover) passRequest() {
+	since := time.Time{}
+	if hasData(p.caller) {
+		since = p.acceptedAt
+	}
 	arrived := func() bool {
-		p.used.Store(true)
-		return !isDisconnected(p.caller) // A late process reads requests of callers that have left.
+		if isDisconnected(p.caller) { // A late process reads requests of callers that have left.
+			return false
+		}
+		return p.used.Swap(true) || p.tellWait(since) == nil
 	}
 	_ = p.pass(p.target, p.caller, arrived) // Any end is handled in the same way.
 	_ = p.target.Close()                    // The peer learns that the caller has left.
 }
 
+// tellWait tells the peer how long the caller has waited, if it takes that: since a time, or since now if that is zero.
+func (p *handover) tellWait(since time.Time) error {
+	if !p.tellsWait {
+		return nil
+	}
+	waited := time.Duration(0)
+	if !since.IsZero() {
+		waited = time.Since(since)
+	}
+	_, err := p.target.Write(encodeWait(waited))
+	return err
+}
+
 // passResponse passes the bytes of the peer on. A connection that the peer resets is reset, so that a part of a response does not look
 // complete.
 func (p *handover) passResponse() {
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"encoding/binary"
 	"errors"
 	"io"
 	"net"
@@ -52,7 +53,7 @@
 func handOver(t *testing.T) (handovers gateway.Handovers, caller, atPeer *net.TCPConn) {
 	t.Helper()
 	peer := listen(t)
-	handovers, _ = gateway.NewHandovers("peer", peer.Addr().String())
+	handovers, _ = gateway.NewHandovers("peer", peer.Addr().String(), false)
 	caller, accepted := newPair(t)
 	qt.Assert(t, handovers.Take(accepted), qt.IsTrue)
 	return handovers, caller, accept(t, peer)
@@ -91,6 +92,25 @@
 	awaitNoneOpen(t, handovers)
 }
 
+// TestHandoverTellsHowLongCallerWaited guards against a peer that counts the deadline of a request from the moment at which it reads it,
+// although its caller has waited at a late router.
+func TestHandoverTellsHowLongCallerWaited(t *testing.T) {
+	peer := listen(t)
+	handovers, _ := gateway.NewHandovers("peer", peer.Addr().String(), true)
+	caller, accepted := newPair(t)
+	_, err := io.WriteString(caller, "request")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, handovers.TakeAcceptedAt(accepted, time.Now().Add(-1500*time.Millisecond)), qt.IsTrue)
+	atPeer := accept(t, peer)
+	preamble := make([]byte, 5)
+	_, err = io.ReadFull(atPeer, preamble)
+	qt.Assert(t, err, qt.IsNil)
+	waited := time.Duration(binary.BigEndian.Uint32(preamble[1:])) * time.Millisecond
+	qt.Check(t, preamble[0], qt.Equals, byte(0))
+	qt.Check(t, waited >= 1500*time.Millisecond && waited < 5*time.Second, qt.IsTrue, qt.Commentf("%v", waited))
+	readText(t, atPeer, "request")
+}
+
 // TestHandoverResetIsPassedOn guards against a response that looks complete although the peer has broken it off.
 func TestHandoverResetIsPassedOn(t *testing.T) {
 	handovers, caller, atPeer := handOver(t)
@@ -117,7 +137,7 @@
 // was too late to see that.
 func TestHandoverOfCallerThatLeftIsNotPassedOn(t *testing.T) {
 	peer := listen(t)
-	handovers, _ := gateway.NewHandovers("peer", peer.Addr().String())
+	handovers, _ := gateway.NewHandovers("peer", peer.Addr().String(), false)
 	caller, accepted := newPair(t)
 	_, err := io.WriteString(caller, "request")
 	qt.Assert(t, err, qt.IsNil)
@@ -178,7 +198,7 @@
 func TestHandoverToClosedPortIsKept(t *testing.T) {
 	closed := listen(t)
 	qt.Assert(t, closed.Close(), qt.IsNil)
-	handovers, kept := gateway.NewHandovers("peer", closed.Addr().String())
+	handovers, kept := gateway.NewHandovers("peer", closed.Addr().String(), false)
 	caller, accepted := newPair(t)
 	_, err := io.WriteString(caller, "request")
 	qt.Assert(t, err, qt.IsNil)
--- a/internal/gateway/handovers.go
+++ b/internal/gateway/handovers.go
@@ -48,9 +48,9 @@
 
 	mu     sync.Mutex
 	policy *overload.Handover
-	// addresses holds the addresses at which peers accept connections, failedUntil the time until which a peer gets none, and checkAt the
+	// peers holds where peers accept connections, failedUntil the time until which a peer gets none, and checkAt the
 	// time at which the connections of a peer without a link are checked.
-	addresses   map[string]string
+	peers       map[string]handoverPeer
 	failedUntil map[string]time.Time
 	checkAt     map[string]time.Time
 	open        map[*handover]struct{}
@@ -66,7 +66,7 @@
 		buffers:     sync.Pool{New: func() any { return new(make([]byte, handoverBufferBytes)) }},
 		kept:        kept,
 		policy:      overload.NewHandover(seed),
-		addresses:   make(map[string]string),
+		peers:       make(map[string]handoverPeer),
 		failedUntil: make(map[string]time.Time),
 		checkAt:     make(map[string]time.Time),
 		open:        make(map[*handover]struct{}),
@@ -82,15 +82,23 @@
 	return errors.Join(err, sockErr)
 }
 
+// handoverPeer is a peer that takes connections.
+type handoverPeer struct {
+	// address is where it accepts them.
+	address string
+	// readsWait is set if it reads how long a caller has waited.
+	readsWait bool
+}
+
 // setPeer records the processor time that a peer has left per second, and where it accepts connections.
-func (h *handovers) setPeer(now time.Time, name, address string, spare time.Duration) {
+func (h *handovers) setPeer(now time.Time, name string, at handoverPeer, spare time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.checkAt, name)
 	if now.Before(h.failedUntil[name]) {
 		return
 	}
-	h.addresses[name] = address
+	h.peers[name] = at
 	h.policy.RecordPeer(now, name, spare)
 }
 
@@ -99,7 +107,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.policy.RemovePeer(name)
-	delete(h.addresses, name)
+	delete(h.peers, name)
 	delete(h.failedUntil, name)
 	h.checkAt[name] = now.Add(lostPeerGrace)
 }
@@ -161,10 +169,10 @@
 		return false
 	}
 	h.connAccepted(false)
-	passed := &handover{handovers: h, peer: peer, caller: conn}
+	at := h.peers[peer]
+	passed := &handover{handovers: h, peer: peer, caller: conn, acceptedAt: acceptedAt, tellsWait: at.readsWait}
 	h.open[passed] = struct{}{}
-	address := h.addresses[peer]
-	go passed.run(address, acceptedAt)
+	go passed.run(at.address)
 	return true
 }
 
--- a/internal/gateway/loadreports.go
+++ b/internal/gateway/loadreports.go
@@ -78,7 +78,7 @@
 		spare = 0
 	}
 	l.rotation.RecordPeer(from, report.GetAbsent())
-	l.handovers.setPeer(time.Now(), from, report.GetAddress(), spare)
+	l.handovers.setPeer(time.Now(), from, handoverPeer{report.GetAddress(), report.GetReadsWait()}, spare)
 }
 
 // tick measures the processor time and returns the reports that are due.
@@ -94,7 +94,7 @@
 		return nil
 	}
 	l.sentAt, l.sentSpare, l.sentAbsent = now, l.spare, l.absent.Load()
-	report := &fleetpb.ProcessorLoad{SpareUs: uint32(l.spare.Microseconds()), Address: l.address, Absent: l.sentAbsent}
+	report := &fleetpb.ProcessorLoad{SpareUs: uint32(l.spare.Microseconds()), Address: l.address, Absent: l.sentAbsent, ReadsWait: true}
 	envelopes := make([]message.Envelope, 0, len(l.zonePeers))
 	for peer := range l.zonePeers {
 		envelopes = append(envelopes, message.Envelope{To: peer, Body: &fleetpb.Body{Kind: &fleetpb.Body_ProcessorLoad{ProcessorLoad: report}}})
