--- a/internal/dispatch/fairshare_test.go
+++ b/internal/dispatch/fairshare_test.go
@@ -103,6 +103,32 @@
 	}
 }
 
+// arriveLong submits a request with a prompt that takes a target most of the objective to read, and schedules the next one.
+func (f *simFleet) arriveLong(customer string, every time.Duration) {
+	request := newRequest(f.now, customer, uint64(1_000_000+f.numbers))
+	request.PromptTokens = 60_000
+	f.submit(f.routers[f.random.IntN(len(f.routers))], simRequest{Request: request})
+	f.after(every, func() { f.arriveLong(customer, every) })
+}
+
+// TestCustomerWithLongPromptsIsNotStarved guards against a customer far below its share whose requests are refused one after the other, since
+// no target can answer them in time while another customer floods the fleet with short ones.
+func TestCustomerWithLongPromptsIsNotStarved(t *testing.T) {
+	const length = 12 * time.Second
+	for seed := range uint64(3) {
+		f := newSimFleet(seed, 4, 3, 8)
+		f.after(0, func() { f.arriveLong("long", 250*time.Millisecond) })
+		f.run(length, append(smallLoads(f, 5, length), load{customer: "flood", perSecond: f.capacity() * 2.5, until: length}))
+		got, asked := 0.0, 0.0
+		for second := 2; second < int(length/time.Second)-1; second++ {
+			got += f.seen["long"].started[second]
+			asked += f.seen["long"].asked[second]
+		}
+		t.Logf("seed %d: got %.2f of what it asked for", seed, got/asked)
+		qt.Check(t, got >= asked/2, qt.IsTrue)
+	}
+}
+
 // TestQueueIsNotPacedByWaitingPeers guards against a router that leaves each free slot to its peers for a while as long as a
 // request waits at any of them. Its own customers then start a few requests per second, however many slots become free.
 func TestQueueIsNotPacedByWaitingPeers(t *testing.T) {
