--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -302,8 +302,8 @@
 // tryAssign gives a request a target if one has capacity, and reports whether a decision was made. If none has, a customer below its
 // share and a request whose caller may have a part of the answer may use the headroom, so that they do not depend on which router learns
 // first of a free slot. While requests compete for capacity, a request whose answer would miss its objective is refused instead. This
-// does not apply if the caller may have a part of the answer, or a target has already worked on it, nor to a customer below its share, which
-// would starve if its requests are the longest ones.
+// does not apply if the caller may have a part of the answer, or a target has already worked on it, nor to a customer far below its share,
+// which would starve if its requests are the longest ones.
 func (d *Dispatcher) tryAssign(now time.Time, s *service, qr *queuedRequest) bool {
 	selected, found := s.selectTarget(now, d.locality, &qr.request, noHeadroom)
 	if !found && (qr.mayHavePart() || d.isBelowShare(now, s, qr.request.Customer)) &&
@@ -316,7 +316,7 @@
 	d.dequeue(s, qr)
 	firstByteIn := s.expectedFirstByte(now, d.locality, &selected)
 	if !qr.mayHavePart() && now.Add(firstByteIn).After(qr.request.Objective) && s.isContended(now) &&
-		!d.isBelowShare(now, s, qr.request.Customer) {
+		!d.isFarBelowShare(now, s, qr.request.Customer) {
 		d.refuse(now, qr, d.overloadRefusal(now, &qr.request, "no target can answer in time"))
 		return true
 	}
--- a/internal/dispatch/fairness.go
+++ b/internal/dispatch/fairness.go
@@ -26,6 +26,14 @@
 	return d.accounts.usage(now, s, customer) < d.accounts.fairShare(now, s.nameHash)
 }
 
+// farBelowShare is the fraction of its share below which a customer counts as starving.
+const farBelowShare = 0.5
+
+// isFarBelowShare reports whether a customer has got less than farBelowShare of its share.
+func (d *Dispatcher) isFarBelowShare(now time.Time, s *service, customer string) bool {
+	return d.accounts.usage(now, s, customer) < d.accounts.fairShare(now, s.nameHash)*farBelowShare
+}
+
 // hasContention reports whether requests compete for the capacity of a service, at this router or at a peer. Requests that wait at
 // a peer do not count while many targets are available here, since that peer may be cut off from them.
 func (d *Dispatcher) hasContention(now time.Time, s *service) bool {
