Share the reads of the topics of routers, quarantines and builds within an availability zone

Calls are billed.

They are read through the reader of the zone now, which holds reads for 5 s and answers at once when there is news. Its reads are held by the store for 20 s, so their age says little; a reader whose read has failed says so at once, and the peers read elsewhere.

TestRareTopicSharing: with the failure not told, no peer of a reader without the store hears of a change within 2.5 s. Before the change there is no such sharing.

Ruled out: fewer confirmations of the configuration: a wait of 1.2 s instead of 0.7 s would leave 0.75 s to the bound of revocation (arithmetic).

--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -99,6 +99,11 @@
 	return s.shareTopic("topic", storeTopic)
 }
 
+// ShareRareTopic is like ShareTopic for a topic that seldom changes.
+func (s TopicSharing) ShareRareTopic(storeTopic topiclog.Topic) topiclog.Topic {
+	return s.shareRareTopic("topic", storeTopic)
+}
+
 // ConnectPeer adds a linked peer of the same availability zone.
 func (s TopicSharing) ConnectPeer(peer string) { s.peerConnected(peer, true) }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -223,19 +223,20 @@
 	}
 	var tasks sync.WaitGroup
 	configTopic, targetTopic := g.topicsToFollow()
+	routerTopic := g.peers.sharing.shareRareTopic("routers", topiclog.WithReadTimeout(g.adapters.RouterTopic))
+	quarantineTopic := g.peers.sharing.shareRareTopic("quarantines", topiclog.WithReadTimeout(g.adapters.QuarantineTopic))
+	buildTopic := g.peers.sharing.shareRareTopic("builds", topiclog.WithReadTimeout(g.adapters.BuildTopic))
 	tasks.Go(func() { topiclog.NewFollower(configTopic, g.config, configPollWait, 0).Run(runCtx) })
 	tasks.Go(func() { topiclog.NewFollower(targetTopic, g.targets, 0, targetPollInterval).Run(runCtx) })
 	tasks.Go(func() {
-		topiclog.NewFollower(topiclog.WithReadTimeout(g.adapters.RouterTopic), g.peers, routerPollWait, routerPollInterval).Run(runCtx)
+		topiclog.NewFollower(routerTopic, g.peers, routerPollWait, routerPollInterval).Run(runCtx)
 	})
 	tasks.Go(func() {
-		topic := topiclog.WithReadTimeout(g.adapters.QuarantineTopic)
-		topiclog.NewFollower(topic, g.quarantines, routerPollWait, routerPollInterval).Run(runCtx)
+		topiclog.NewFollower(quarantineTopic, g.quarantines, routerPollWait, routerPollInterval).Run(runCtx)
 	})
 	tasks.Go(func() { g.quarantines.writeUnsaved(runCtx) })
 	tasks.Go(func() {
-		topic := topiclog.WithReadTimeout(g.adapters.BuildTopic)
-		topiclog.NewFollower(topic, g.buildMarks, routerPollWait, markPollInterval).Run(runCtx)
+		topiclog.NewFollower(buildTopic, g.buildMarks, routerPollWait, markPollInterval).Run(runCtx)
 	})
 	tasks.Go(func() { g.buildMarks.write(runCtx) })
 	tasks.Go(func() { g.originStore.load(runCtx) })
--- a/internal/gateway/topicsharing.go
+++ b/internal/gateway/topicsharing.go
@@ -17,13 +17,18 @@
 )
 
 const (
-	// readHoldTime is how long a router holds a peer's TopicRead when there are no new records.
-	readHoldTime = time.Second
-	// replySlack is how much longer than readHoldTime a router waits for the reply.
+	// readHoldTime is how long a router holds a peer's TopicRead when there are no new records, rareReadHoldTime the same for topics that
+	// seldom change.
+	readHoldTime     = time.Second
+	rareReadHoldTime = 5 * time.Second
+	// replySlack is how much longer than the hold time a router waits for the reply.
 	replySlack = 400 * time.Millisecond
 	// maxRelayedAge is the maximum age of records from a peer that are used. While the store works, the peer's
 	// confirmations are up to two poll waits old.
 	maxRelayedAge = 2*configPollWait + 300*time.Millisecond
+	// maxRareRelayedAge is the same for topics that seldom change, whose reads the store holds for routerPollWait. A reader that is cut off
+	// from the store is avoided earlier, since its reads fail, or those of the other topics do.
+	maxRareRelayedAge = 2*routerPollWait + 5*time.Second
 	// readerAvoidTime is how long the zone's reader is not asked after a bad reply. fallbackAvoidTime is the same for
 	// other peers; it is shorter, because such a peer may have lost its own reader a moment ago.
 	readerAvoidTime   = 5 * time.Second
@@ -100,8 +105,18 @@
 // shareTopic returns a topic that is read through a peer if possible, and otherwise from storeTopic. All calls must
 // precede the first message of a peer.
 func (s *topicSharing) shareTopic(name string, storeTopic topiclog.Topic) topiclog.Topic {
-	shared := &sharedTopic{Topic: storeTopic, name: name, sharing: s, cache: topiclog.NewCache()}
-	s.topics[name] = shared
+	return s.addTopic(&sharedTopic{Topic: storeTopic, name: name, holdTime: readHoldTime, maxAge: maxRelayedAge})
+}
+
+// shareRareTopic is like shareTopic for a topic that seldom changes. News come as soon, but the peer confirms less often that there are none.
+func (s *topicSharing) shareRareTopic(name string, storeTopic topiclog.Topic) topiclog.Topic {
+	return s.addTopic(&sharedTopic{Topic: storeTopic, name: name, holdTime: rareReadHoldTime, maxAge: maxRareRelayedAge})
+}
+
+// addTopic adds a topic without records.
+func (s *topicSharing) addTopic(shared *sharedTopic) topiclog.Topic {
+	shared.sharing, shared.cache = s, topiclog.NewCache()
+	s.topics[shared.name] = shared
 	return shared
 }
 
@@ -200,7 +215,7 @@
 		s.sendReply(from, &fleetpb.TopicPage{Number: read.GetNumber(), Unknown: true})
 		return
 	}
-	held := heldRead{peer: from, topic: topic, read: read, receivedAt: boottime.Now(), holdUntil: now.Add(readHoldTime)}
+	held := heldRead{peer: from, topic: topic, read: read, receivedAt: boottime.Now(), holdUntil: now.Add(topic.holdTime)}
 	if !s.tryAnswer(now, &held) {
 		s.held = append(s.held, held)
 	}
@@ -229,7 +244,7 @@
 // the cached records are too old, so that the peer reads the store itself. The caller must hold s.mu.
 func (s *topicSharing) tryAnswer(now time.Time, held *heldRead) bool {
 	cache := held.topic.cache
-	stale := boottime.Now().Sub(cache.CompleteAsOf()) > maxRelayedAge
+	stale := held.topic.failing || boottime.Now().Sub(cache.CompleteAsOf()) > held.topic.maxAge
 	newest := held.read.GetNewest()
 	sameEra := held.read.GetEra() == cache.Era()
 	if !newest && !stale && sameEra && cache.NextOffset() <= held.read.GetFrom() && now.Before(held.holdUntil) {
@@ -239,6 +254,7 @@
 	if newest {
 		page, known = cache.Newest()
 	}
+	known = known && !held.topic.failing
 	reply := &fleetpb.TopicPage{Number: held.read.GetNumber(), Unknown: !known, Era: page.Era}
 	if known {
 		reply.Next = page.NextOffset
@@ -265,8 +281,12 @@
 
 	name    string
 	sharing *topicSharing
-	// cache holds the newest records for replies to peers. It is guarded by sharing.mu.
-	cache *topiclog.Cache
+	// holdTime is how long reads of peers are held without news, maxAge the age of records from a peer up to which they are used.
+	holdTime, maxAge time.Duration
+	// cache holds the newest records for replies to peers. failing is set if the last read of the store failed. Both are guarded by
+	// sharing.mu.
+	cache   *topiclog.Cache
+	failing bool
 	// currentPeer is the peer that was asked last, or "" if the store was read.
 	currentPeer string
 	// preferPeersUntil is the time until which peers are asked before the store, because the store did not reply.
@@ -308,20 +328,36 @@
 		peer, avoidTime = t.sharing.fallbackPeer(now), fallbackAvoidTime
 	}
 	if page, ok := t.readFromPeer(ctx, peer, avoidTime, read); ok {
+		t.setFailing(false)
 		return page, nil
 	}
 	page, err := readStore()
 	var expired *topiclog.ExpiredError
 	if err == nil || errors.As(err, &expired) || ctx.Err() != nil {
+		t.setFailing(false)
 		return page, err
 	}
+	t.setFailing(true)
 	t.preferPeersUntil = time.Now().Add(preferPeersTime)
 	if page, ok := t.readFromPeer(ctx, t.sharing.fallbackPeer(time.Now()), fallbackAvoidTime, read); ok {
+		t.setFailing(false)
 		return page, nil
 	}
 	return page, err
 }
 
+// setFailing records whether the records of the topic cannot be read now, and answers the held reads if so, so that the peers read them
+// elsewhere.
+func (t *sharedTopic) setFailing(failing bool) {
+	t.sharing.mu.Lock()
+	defer t.sharing.mu.Unlock()
+	if t.failing == failing {
+		return
+	}
+	t.failing = failing
+	t.sharing.answerHeld(time.Now())
+}
+
 // updateCache stores a page in the cache and answers the held reads of peers that wait for it.
 func (t *sharedTopic) updateCache(page topiclog.Page, askedAt boottime.Instant, apply func(topiclog.Page, boottime.Instant)) {
 	t.sharing.mu.Lock()
@@ -353,7 +389,7 @@
 	reply, err := t.awaitReply(ctx, peer, read)
 	if err == nil {
 		known := time.Duration(reply.GetKnown()) * time.Microsecond
-		if reply.GetEra() >= t.era() && boottime.Now().Sub(askedAt.Add(known)) <= maxRelayedAge {
+		if reply.GetEra() >= t.era() && boottime.Now().Sub(askedAt.Add(known)) <= t.maxAge {
 			return pageFromReply(reply, known), true
 		}
 		err = errRecordsStale
@@ -368,7 +404,7 @@
 func (t *sharedTopic) awaitReply(ctx context.Context, peer string, read *fleetpb.TopicRead) (*fleetpb.TopicPage, error) {
 	number, replies := t.sharing.sendRead(peer, read)
 	defer t.sharing.forgetRead(number)
-	timer := time.NewTimer(readHoldTime + replySlack)
+	timer := time.NewTimer(t.holdTime + replySlack)
 	defer timer.Stop()
 	select {
 	case reply, open := <-replies:
--- a/internal/gateway/topicsharing_test.go
+++ b/internal/gateway/topicsharing_test.go
@@ -144,13 +144,18 @@
 
 // newTestZone starts linked routers that follow a topic until ctx ends.
 func newTestZone(ctx context.Context, count int) *testZone {
+	return newTestZoneOf(ctx, count, gateway.TopicSharing.ShareTopic)
+}
+
+// newTestZoneOf starts linked routers that follow a topic, shared by the given method, until ctx ends.
+func newTestZoneOf(ctx context.Context, count int, share func(gateway.TopicSharing, topiclog.Topic) topiclog.Topic) *testZone {
 	z := &testZone{store: &memoryStore{}, routers: make(map[string]*testRouter), silent: make(map[string]bool)}
 	z.store.appendRecord("0")
 	for i := range count {
 		name := fmt.Sprint("r", i)
 		router := &testRouter{client: &storeClient{memoryStore: z.store}, values: make(map[string]string)}
 		router.TopicSharing = gateway.NewTopicSharing(name, func(to string, body *fleetpb.Body) { go z.deliver(name, to, body) })
-		router.topic = router.ShareTopic(router.client)
+		router.topic = share(router.TopicSharing, router.client)
 		z.routers[name] = router
 	}
 	for name, router := range z.routers {
@@ -219,6 +224,34 @@
 	})
 }
 
+// TestRareTopicSharing guards against calls to the store by each router for topics that seldom change, and against routers that hear of no
+// change while the router that reads the topic has lost the store.
+func TestRareTopicSharing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		z := newTestZoneOf(ctx, 5, gateway.TopicSharing.ShareRareTopic)
+		time.Sleep(30 * time.Second)
+		z.store.appendRecord("changed")
+		time.Sleep(1100 * time.Millisecond)
+		synctest.Wait()
+		for name, router := range z.routers {
+			qt.Check(t, router.value("a"), qt.Equals, "changed", qt.Commentf("%s", name))
+		}
+		reader, otherCalls := z.busiestReader()
+		qt.Check(t, otherCalls <= 2*len(z.routers), qt.IsTrue, qt.Commentf("%d calls by routers other than %s", otherCalls, reader))
+		z.routers[reader].client.disconnected.Store(true)
+		time.Sleep(2 * time.Second)
+		z.store.appendRecord("later")
+		time.Sleep(2500 * time.Millisecond)
+		synctest.Wait()
+		for name, router := range z.routers {
+			qt.Check(t, router.value("a"), qt.Equals, "later", qt.Commentf("%s", name))
+		}
+		stop()
+		time.Sleep(6 * time.Second)
+	})
+}
+
 // TestTopicSharingReaderLost guards against routers that get no new records after the router that reads the store has gone
 // silent or its links have ended.
 func TestTopicSharingReaderLost(t *testing.T) {
