Count callers as gone 50 ms after they leave a stream, not 250 ms

Cause: a run of a caller that has left counts half a second after that.

Ruled out: no slack at all, since a caller may open its connection a moment before it sends.

--- a/internal/gateway/streamprogress.go
+++ b/internal/gateway/streamprogress.go
@@ -13,7 +13,7 @@
 	// broken off, and callers are still there when the stream goes on.
 	resumeGapFraction = 0.6
 	// leaveSlack is how much longer than its timeout a caller counts as waiting, since its request was read after it had been sent.
-	leaveSlack = 250 * time.Millisecond
+	leaveSlack = 50 * time.Millisecond
 )
 
 // streamProgress tells how long a target may take for the next event of a stream. Only whole events count: a target that is stuck may still
