Count kept, fetched and read prompt tokens, and report what targets say of themselves

Cause: an operator could not see whether prompts are read again, nor which targets leave by their own word or pause.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -99,7 +99,7 @@
 	RequestAnswered = Event{605, levelInfo, "request_answered", []string{
 		"id", "customer", "route", "target", "status", "sent", "waited_ms", "first_ms", "took_ms", "bytes", "prompt",
 		"missing", "version", "expected_ms", "target_ms", "framing", "partial", "build",
-		"resumes",
+		"resumes", "fetched",
 	}}
 	RequestRefused = Event{606, levelInfo, "request_refused", []string{
 		"id", "customer", "route", "code", "reason", "ran", "status", "retry_ms", "waited_ms", "took_ms", "sent", "version",
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/chicorydale/chicorydale/internal/dispatch"
 	"github.com/chicorydale/chicorydale/internal/event"
 	"github.com/chicorydale/chicorydale/internal/forward"
+	"github.com/chicorydale/chicorydale/internal/metric"
 	"github.com/chicorydale/chicorydale/internal/refusal"
 	"github.com/chicorydale/chicorydale/internal/route"
 )
@@ -92,6 +93,8 @@
 	// uncachedTokens is the number of prompt tokens that the target is expected to process because they are not in its
 	// cache.
 	uncachedTokens int
+	// fetchedTokens is the number of prompt tokens that the target fetches from the cache of another one.
+	fetchedTokens int
 }
 
 // serve handles the request until it is answered or given up.
@@ -184,12 +187,23 @@
 func (x *exchange) recordDecision(decision dispatch.Decision) dispatch.Decision {
 	x.stats.queueTime += decision.Waited
 	x.stats.targetName, x.stats.targetBuild = decision.Target.Name, decision.Target.Build
-	x.stats.uncachedTokens = decision.PrefillTokens
+	x.stats.uncachedTokens, x.stats.fetchedTokens = decision.PrefillTokens, decision.FetchTokens
+	if decision.Refusal == nil {
+		x.countPromptTokens(decision)
+	}
 	x.stats.decidedAt = time.Now()
 	x.stats.expectedTargetLatency = decision.ExpectedFirstByte.Sub(x.stats.decidedAt)
 	return decision
 }
 
+// countPromptTokens counts how the target of a decision is expected to get the prompt.
+func (x *exchange) countPromptTokens(decision dispatch.Decision) {
+	metrics := x.gateway.metrics
+	metrics.CountPromptTokens(metric.TokensRead, decision.PrefillTokens)
+	metrics.CountPromptTokens(metric.TokensFetched, decision.FetchTokens)
+	metrics.CountPromptTokens(metric.TokensKept, max(x.info.PromptTokens-decision.PrefillTokens-decision.FetchTokens, 0))
+}
+
 // attempt sends the request to a target and handles the response. It reports whether the request should be sent to another
 // target.
 func (x *exchange) attempt(ctx context.Context, decision dispatch.Decision) (retry bool) {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -345,5 +345,6 @@
 	event.RequestAnswered.Log(x.gateway.logger, x.info.ID, x.customer, x.routeName(), x.stats.targetName, x.stats.status,
 		x.sentAttempts, x.stats.queueTime.Milliseconds(), x.stats.timeToFirstByte.Milliseconds(), duration.Milliseconds(),
 		x.stats.bodyBytes, x.info.PromptTokens, x.stats.uncachedTokens, x.stats.configVersion,
-		x.stats.expectedTargetLatency.Milliseconds(), x.stats.targetLatency.Milliseconds(), string(x.framing), x.events.inside(), x.stats.targetBuild, x.info.ResumedID)
+		x.stats.expectedTargetLatency.Milliseconds(), x.stats.targetLatency.Milliseconds(), string(x.framing), x.events.inside(), x.stats.targetBuild, x.info.ResumedID,
+		x.stats.fetchedTokens)
 }
--- a/internal/metric/family.go
+++ b/internal/metric/family.go
@@ -17,6 +17,7 @@
 	ControlBytesByKind      Family = "chicorydale_control_kind_bytes_total"
 	RefusalsTotal           Family = "chicorydale_refusals_total"
 	RetriesTotal            Family = "chicorydale_retries_total"
+	PromptTokensTotal       Family = "chicorydale_prompt_tokens_total"
 	RequestsWaiting         Family = "chicorydale_requests_waiting"
 	RequestsRunning         Family = "chicorydale_requests_running"
 	ScheduledPools          Family = "chicorydale_pools_scheduled"
@@ -44,6 +45,7 @@
 	ControlBytesByKind:      "Bytes of control messages sent, by kind of message and region of the receiver.",
 	RefusalsTotal:           "Refused requests by code.",
 	RetriesTotal:            "Retries by reason.",
+	PromptTokensTotal:       "Prompt tokens of requests that got a target, by how the target is expected to get them.",
 	RequestsWaiting:         "Requests of this router's callers that wait for a slot.",
 	RequestsRunning:         "Requests of this router's callers that run on a target.",
 	ScheduledPools:          "Pools that this router schedules.",
--- a/internal/metric/set.go
+++ b/internal/metric/set.go
@@ -28,6 +28,7 @@
 	registry         metrics.Registry
 	refusals         map[refusal.Code]metrics.Counter
 	retries          map[RetryReason]metrics.Counter
+	promptTokens     map[TokenSource]metrics.Counter
 	controlBytes     metrics.Counter
 	crossRegionBytes metrics.Counter
 	// bytesByKind has a counter for each kind of control message followed by sameRegion or otherRegion.
@@ -40,12 +41,14 @@
 // compute a rate from the first scrape on.
 func New() *Set {
 	set := &Set{
-		registry:    metrics.NewRegistry(),
-		refusals:    make(map[refusal.Code]metrics.Counter),
-		retries:     make(map[RetryReason]metrics.Counter),
-		bytesByKind: make(map[string]metrics.Counter),
-		gauges:      make(map[Family]metrics.GaugeFloat64),
-		histograms:  make(map[Family]metrics.Histogram),
+		registry: metrics.NewRegistry(),
+		refusals: make(map[refusal.Code]metrics.Counter),
+		retries:  make(map[RetryReason]metrics.Counter),
+
+		promptTokens: make(map[TokenSource]metrics.Counter),
+		bytesByKind:  make(map[string]metrics.Counter),
+		gauges:       make(map[Family]metrics.GaugeFloat64),
+		histograms:   make(map[Family]metrics.Histogram),
 	}
 	for code := range refusal.Codes() {
 		set.refusals[code] = set.newCounter(fmt.Sprintf("%s{code=%q}", RefusalsTotal, code))
@@ -53,6 +56,9 @@
 	for _, reason := range RetryReasons() {
 		set.retries[reason] = set.newCounter(fmt.Sprintf("%s{reason=%q}", RetriesTotal, reason))
 	}
+	for _, source := range TokenSources() {
+		set.promptTokens[source] = set.newCounter(fmt.Sprintf("%s{source=%q}", PromptTokensTotal, source))
+	}
 	set.controlBytes = set.newCounter(string(ControlBytes))
 	set.crossRegionBytes = set.newCounter(string(ControlCrossRegionBytes))
 	for _, kind := range MessageKinds() {
--- a/internal/report/line.go
+++ b/internal/report/line.go
@@ -21,6 +21,8 @@
 	ExpectedTargetLatencyMS int    `json:"expected_ms"`
 	TargetLatencyMS         *int   `json:"target_ms"`
 	Count                   int    `json:"count"`
+	Target                  string `json:"target"`
+	PauseMS                 int    `json:"pause_ms"`
 }
 
 // parseLine decodes a log line and reports whether it is valid. It ignores text before the first brace, such as the host
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -32,6 +32,12 @@
 	latencyErrors, absLatencyErrors []int
 }
 
+// noticeStats accumulates what a target said of itself. pauseMS is the sum of the pauses that it asked for, in milliseconds.
+type noticeStats struct {
+	leaves          int
+	pauses, pauseMS int
+}
+
 // refusalKind identifies refusals with the same code and reason.
 type refusalKind struct {
 	code, reason string
@@ -42,6 +48,7 @@
 	groupBy        GroupBy
 	groups         map[string]*groupStats
 	refusalCounts  map[refusalKind]int
+	notices        map[string]*noticeStats
 	callersLeft    int
 	brokenStreams  int
 	malformedLines int
@@ -49,7 +56,7 @@
 
 // New returns an empty report with one row for each value of groupBy.
 func New(groupBy GroupBy) *Report {
-	return &Report{groupBy: groupBy, groups: make(map[string]*groupStats), refusalCounts: make(map[refusalKind]int)}
+	return &Report{groupBy: groupBy, groups: make(map[string]*groupStats), refusalCounts: make(map[refusalKind]int), notices: make(map[string]*noticeStats)}
 }
 
 // AddLog adds the lines of a log. Malformed lines are counted and skipped. It returns an error if reading fails or a line
@@ -80,7 +87,23 @@
 		r.callersLeft++
 	case l.isEvent(event.StreamBroken):
 		r.brokenStreams++
+	case l.isEvent(event.TargetNotice):
+		r.notice(l).leaves++
+	case l.isEvent(event.TargetPaused):
+		said := r.notice(l)
+		said.pauses++
+		said.pauseMS += l.PauseMS
+	}
+}
+
+// notice returns the notices of the target of a line, which it creates if needed.
+func (r *Report) notice(l *logLine) *noticeStats {
+	said, ok := r.notices[l.Target]
+	if !ok {
+		said = &noticeStats{}
+		r.notices[l.Target] = said
 	}
+	return said
 }
 
 // addAnswered adds an answered request. A status of 500 or above counts as failed and adds no times.
@@ -141,6 +164,13 @@
 	for _, kind := range kinds {
 		printf("%s\t%s\t%d\n", kind.code, kind.reason, r.refusalCounts[kind])
 	}
+	if len(r.notices) > 0 {
+		printf("\ntarget\tsaid that it leaves\tpauses\tms in all\n")
+	}
+	for _, name := range slices.Sorted(maps.Keys(r.notices)) {
+		said := r.notices[name]
+		printf("%s\t%d\t%d\t%d\n", name, said.leaves, said.pauses, said.pauseMS)
+	}
 	printf("\ncallers left %d, streams broken %d, lines that cannot be read %d\n", r.callersLeft, r.brokenStreams, r.malformedLines)
 	return table.Flush()
 }
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -54,3 +54,20 @@
 		qt.Check(t, "\n"+out.String(), qt.Equals, want)
 	}
 }
+
+// TestReportListsTargetNotices guards against targets that leave by their own word, or pause, and that operators do not see.
+func TestReportListsTargetNotices(t *testing.T) {
+	const log = `{"event":506,"target":"t2"}
+{"event":507,"target":"t1","pause_ms":1500}
+{"event":507,"target":"t1","pause_ms":500}
+`
+	summary := report.New(report.ByRoute)
+	qt.Assert(t, summary.AddLog(strings.NewReader(log)), qt.IsNil)
+	var out strings.Builder
+	qt.Assert(t, summary.WriteText(&out), qt.IsNil)
+	qt.Check(t, out.String(), qt.Contains, `
+target  said that it leaves  pauses  ms in all
+t1      0                    2       2000
+t2      1                    0       0
+`)
+}
