Do not overfill targets of regions whose routers are not heard

Cause: in fleets of more than 128 routers links stop at the region, so the routers of each region count only their own requests at a target, and those of all others by a load report that fades in 0.5 s.

In such fleets the routers of a region use an eighth of the slots of a target in another region, or half of the slots that its report of the last 3 s leaves free. Smaller fleets are not changed.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -34,6 +34,8 @@
 	// next average.
 	readSpeedsOutdated bool
 	averageSpeedsAt    time.Time
+	// regional is set if routers are linked within their regions only.
+	regional bool
 	// routersByZone holds the number of routers in each availability zone, by the records in the store.
 	routersByZone map[string]int
 	// targetsByHash holds the targets by the hash that identifies them in messages to peers.
@@ -88,6 +90,7 @@
 		}
 		state.Target, state.kvCapacity = target, d.getOrCreateService(target.Service).kvCapacity
 		d.applyNotice(state)
+		state.unheard = d.isUnheard(target.Region)
 		current[target.Name] = state
 		d.targetsByHash[state.nameHash] = state
 		s := d.getOrCreateService(target.Service)
--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -111,10 +111,17 @@
 	seconds int
 	seen    map[string]*customerSeconds
 	prompts promptFigures
+	// reportsLoad makes targets report their load in their answers.
+	reportsLoad bool
 }
 
 // newSimFleet returns a fleet of three regions with two availability zones each, "r0a" to "r2b".
 func newSimFleet(seed uint64, routersPerZone, targetsPerZone, slots int) *simFleet {
+	return newLinkedSimFleet(seed, routersPerZone, targetsPerZone, slots, false)
+}
+
+// newLinkedSimFleet is like newSimFleet; regional links the routers within their regions only.
+func newLinkedSimFleet(seed uint64, routersPerZone, targetsPerZone, slots int, regional bool) *simFleet {
 	f := &simFleet{
 		seed: seed, now: startTime, random: rand.New(rand.NewPCG(seed, 17)), byName: make(map[string]*simRouter),
 		targets: make(map[string]*simTarget), seen: make(map[string]*customerSeconds),
@@ -141,10 +148,11 @@
 	}
 	for i, router := range f.routers {
 		for _, other := range f.routers {
-			if other != router {
+			if other != router && (!regional || other.Region == router.Region) {
 				router.dispatcher.AddPeer(f.now, dispatch.Peer{Name: other.name, Region: other.Region, Zone: other.Zone})
 			}
 		}
+		router.dispatcher.SetRegional(regional)
 		f.after(tickPeriod*time.Duration(i)/time.Duration(len(f.routers)), func() { f.tick(router) })
 	}
 	return f
@@ -282,9 +290,13 @@
 			f.prompts.inTime++
 		}
 		named := target.rateLimit
+		var reported *dispatch.Load
+		if f.reportsLoad {
+			reported = &dispatch.Load{Running: target.running, Waiting: len(target.waiting), Slots: target.Slots}
+		}
 		f.after(back, func() {
 			router.dispatcher.RecordRateLimit(f.now, target.Name, named)
-			router.dispatcher.RecordFirstByte(f.now, id, nil)
+			router.dispatcher.RecordFirstByte(f.now, id, reported)
 			f.takeDecisions(router)
 		})
 	})
--- a/internal/dispatch/targetstate.go
+++ b/internal/dispatch/targetstate.go
@@ -82,6 +82,8 @@
 	blockedUntil    time.Time
 	connectFailures int
 	rateLimit       rateLimit
+	// unheard is set if this router is linked with no router of the target's region, because the fleet is too large for that.
+	unheard bool
 	// notice is what this start of the target has said in its answers.
 	notice *notice
 	// removed is set if the target is no longer listed.
@@ -138,6 +140,9 @@
 
 // hasFreeSlot reports whether the target has a free slot, or room in the headroom.
 func (t *targetState) hasFreeSlot(now time.Time, extra headroom) bool {
+	if t.unheard && float64(t.running+t.peerRuns)+0.5 >= t.foreignSlotLimit(now) {
+		return false
+	}
 	return t.occupiedSlots(now)+0.5 < extra.slotLimit(t.Slots)
 }
 
--- a/internal/gateway/peerlinks.go
+++ b/internal/gateway/peerlinks.go
@@ -148,6 +148,7 @@
 		p.budgets.setRouterCount(len(p.routers))
 		p.scheduler.withDispatcher(func(dispatcher *dispatch.Dispatcher, now time.Time) {
 			dispatcher.SetRouters(now, p.routersByZone())
+			dispatcher.SetRegional(len(p.routers) > maxFullMesh)
 		})
 	}
 }
