--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -34,6 +34,8 @@
 	// next average.
 	readSpeedsOutdated bool
 	averageSpeedsAt    time.Time
+	// ownFractionsAt is the earliest time of the next update of the fractions of demand.
+	ownFractionsAt time.Time
 	// regional is set if routers are linked within their regions only.
 	regional bool
 	// routersByZone holds the number of routers in each availability zone, by the records in the store.
--- a/internal/dispatch/locality.go
+++ b/internal/dispatch/locality.go
@@ -10,40 +10,33 @@
 	Region string
 }
 
-const (
-	// crossZoneCost is the cost in seconds of sending a request to another availability zone of the region.
-	crossZoneCost = 0.004
-	// crossRegionCost is the cost in seconds of sending a request to another region. It covers the round trip and the bytes on
-	// billed links.
-	crossRegionCost = 0.06
-)
+// path is what it takes to send a request to a target: the typical round-trip time, and the cost in seconds, which also covers the bytes on
+// billed links.
+type path struct {
+	delay time.Duration
+	cost  float64
+}
 
-const (
-	// crossZoneDelay and crossRegionDelay are the typical round-trip times to another availability zone of the region and to another region.
-	crossZoneDelay   = 2 * time.Millisecond
-	crossRegionDelay = 25 * time.Millisecond
+// Paths to targets in another availability zone of the region and in another region. The path within a zone is the zero path.
+var (
+	crossZonePath   = path{delay: 2 * time.Millisecond, cost: 0.004}
+	crossRegionPath = path{delay: 25 * time.Millisecond, cost: 0.06}
 )
 
-// networkDelay returns the typical round-trip time from the locality to a target.
-func (l Locality) networkDelay(target *Target) time.Duration {
+// pathTo returns the path from the locality to a target.
+func (l Locality) pathTo(target *Target) path {
 	switch {
 	case target.Zone == l.Zone:
-		return 0
+		return path{}
 	case target.Region == l.Region:
-		return crossZoneDelay
+		return crossZonePath
 	default:
-		return crossRegionDelay
+		return crossRegionPath
 	}
 }
 
+// networkDelay returns the typical round-trip time from the locality to a target.
+func (l Locality) networkDelay(target *Target) time.Duration { return l.pathTo(target).delay }
+
 // networkCost returns the cost in seconds of sending a request from the locality to a target.
-func (l Locality) networkCost(target *Target) float64 {
-	switch {
-	case target.Zone == l.Zone:
-		return 0
-	case target.Region == l.Region:
-		return crossZoneCost
-	default:
-		return crossRegionCost
-	}
-}
+func (l Locality) networkCost(target *Target) float64 { return l.pathTo(target).cost }
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -120,6 +120,17 @@
 	}
 }
 
+// updateOwnFractions sets the fraction of each service's demand that reaches this router, from time to time.
+func (d *Dispatcher) updateOwnFractions(now time.Time) {
+	if now.Before(d.ownFractionsAt) {
+		return
+	}
+	d.ownFractionsAt = now.Add(averageSpeedsPeriod)
+	for _, s := range d.services {
+		s.ownFraction = d.accounts.ownFraction(now, s.nameHash)
+	}
+}
+
 // averageReadSpeeds sets the read speed of each service to the mean of the estimates of this router and its peers, if there are new ones.
 func (d *Dispatcher) averageReadSpeeds(now time.Time) {
 	if !d.readSpeedsOutdated || now.Before(d.averageSpeedsAt) {
@@ -233,9 +244,7 @@
 		d.assignWaiting(now, s)
 	}
 	d.averageReadSpeeds(now)
-	for _, s := range d.services {
-		s.ownFraction = d.accounts.ownFraction(now, s.nameHash)
-	}
+	d.updateOwnFractions(now)
 	var envelopes []message.Envelope
 	lines := d.queueLines()
 	readSpeeds := make(map[string]float64, len(d.services))
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -82,9 +83,9 @@
 	for name := range n.paused {
 		if _, still := paused[name]; !still {
 			event.TargetResumed.Log(n.logger, name)
-			delete(n.headerLoggedAt, name)
 		}
 	}
+	maps.DeleteFunc(n.headerLoggedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= headerLogInterval })
 	n.pausedTime += time.Duration(len(paused)) * now.Sub(n.accountedAt)
 	n.paused, n.accountedAt = paused, now
 	metrics.SetGauge(metric.TargetsLeaving, float64(leaving))
