Log the end of short pauses, and keep deadlines out of the emulated runs that a test compares

The pause is remembered when it begins and its end is logged whenever it was; its length counts as asked for. TestEndOfShortPauseIsLogged. The emulated target keeps deadlines by request apart; TestForwardsUnchanged is unchanged.

--- a/internal/emulator/targetserver/server.go
+++ b/internal/emulator/targetserver/server.go
@@ -59,8 +59,6 @@
 type Run struct {
 	// ID is the attempt id; the others are the method, request URI, body and customer of the request as it arrived.
 	ID, Method, URI, Body, Customer string
-	// DeadlineMS is the time that the caller still waits, in milliseconds.
-	DeadlineMS string
 	// LastEventID is the id of the last event that the caller already has; empty for a new stream.
 	LastEventID string
 }
@@ -76,6 +74,8 @@
 	mu      sync.Mutex
 	runs    []Run
 	running int
+	// deadlines holds the values of the header X-Deadline-Ms of the requests that ran, by attempt id.
+	deadlines map[string]string
 	// arrivals is the number of requests that reached the target, run or not.
 	arrivals int
 	// crashPart is the part of a prompt on which the target crashes, crashMode the mode of its last response, crash what ends the
@@ -98,7 +98,7 @@
 // New returns a target that runs up to slots requests at the same time and refuses more. Each stream has eventCount events
 // with eventInterval between them; with an event count of zero the target is a plain service.
 func New(name string, slots, eventCount int, eventInterval time.Duration) *Server {
-	return &Server{name: name, slots: slots, eventCount: eventCount, eventInterval: eventInterval}
+	return &Server{name: name, slots: slots, eventCount: eventCount, eventInterval: eventInterval, deadlines: make(map[string]string)}
 }
 
 // NameBuild makes the target name a version of its software in each event.
@@ -180,6 +180,14 @@
 	return append([]Run(nil), s.runs...)
 }
 
+// Deadline returns how long the caller of a request that ran still waited, in milliseconds as in the header X-Deadline-Ms, and whether it ran.
+func (s *Server) Deadline(id string) (deadline string, ran bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	deadline, ran = s.deadlines[id]
+	return deadline, ran
+}
+
 // Arrivals returns the number of requests that reached the target, run or not.
 func (s *Server) Arrivals() int {
 	s.mu.Lock()
@@ -261,8 +269,8 @@
 	s.runs = append(s.runs, Run{
 		ID: r.Header.Get("X-Attempt-Id"), Method: r.Method, URI: r.RequestURI, Body: body,
 		Customer: r.Header.Get("X-Tenant"), LastEventID: r.Header.Get("Last-Event-Id"),
-		DeadlineMS: r.Header.Get("X-Deadline-Ms"),
 	})
+	s.deadlines[r.Header.Get("X-Attempt-Id")] = r.Header.Get("X-Deadline-Ms")
 	return true
 }
 
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"time"
 
+	"github.com/chicorydale/chicorydale/internal/forward"
+
 	"github.com/rs/zerolog"
 	"golang.org/x/sys/unix"
 
@@ -416,3 +418,11 @@
 
 // EndUnused ends the connections on which nothing has arrived, and returns the number of open ones.
 func (h Handovers) EndUnused() int { return h.endUnused() }
+
+// LogShortPause records a pause of a target that ends before the next periodic update, and runs that update.
+func LogShortPause(logger zerolog.Logger, pause time.Duration) {
+	notices := newTargetNotices(newScheduler(dispatch.New(dispatch.Locality{}, 1)), logger)
+	target := dispatch.Target{Name: "t"}
+	notices.record(target, &forward.ResponseInfo{PausedUntil: time.Now().Add(pause)})
+	notices.update(time.Now().Add(time.Second), nil, metric.New())
+}
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -25,18 +25,16 @@
 	mu sync.Mutex
 	// headerLoggedAt holds the time of the last log line about an invalid header, by target.
 	headerLoggedAt map[string]time.Time
-	// paused holds the targets with a pause.
+	// paused holds the ends of the pauses whose end was not logged yet, by target.
 	paused map[string]time.Time
-	// pausedTime is the sum of all pauses that have ended or run, up to accountedAt.
-	pausedTime  time.Duration
-	accountedAt time.Time
+	// pausedTime is the sum of all pauses that targets have asked for.
+	pausedTime time.Duration
 }
 
 // newTargetNotices returns notices without targets.
 func newTargetNotices(scheduler *scheduler, logger zerolog.Logger) *targetNotices {
 	return &targetNotices{
 		scheduler: scheduler, logger: logger, headerLoggedAt: make(map[string]time.Time), paused: make(map[string]time.Time),
-		accountedAt: time.Now(),
 	}
 }
 
@@ -52,10 +50,23 @@
 		event.TargetNotice.Log(n.logger, target.Name)
 	}
 	if !info.PausedUntil.IsZero() && n.scheduler.recordPause(target, info.PausedUntil) {
-		event.TargetPaused.Log(n.logger, target.Name, time.Until(info.PausedUntil).Milliseconds())
+		n.pauseBegan(time.Now(), target.Name, info.PausedUntil)
 	}
 }
 
+// pauseBegan logs a pause that is new or longer than before. It is kept until its end was logged, however short it is.
+func (n *targetNotices) pauseBegan(now time.Time, target string, until time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	from := now
+	if known, paused := n.paused[target]; paused && known.After(now) {
+		from = known
+	}
+	n.pausedTime += max(until.Sub(from), 0)
+	n.paused[target] = until
+	event.TargetPaused.Log(n.logger, target, until.Sub(now).Milliseconds())
+}
+
 // logHeaderError logs an invalid header, unless there was a line about the target within headerLogInterval.
 func (n *targetNotices) logHeaderError(now time.Time, target string, err error) {
 	n.mu.Lock()
@@ -71,23 +82,22 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	leaving := 0
-	paused := make(map[string]time.Time)
+	paused := make(map[string]bool)
 	for _, said := range notices {
 		if said.Leaving {
 			leaving++
 		}
 		if !said.PausedUntil.IsZero() {
-			paused[said.Target] = said.PausedUntil
+			paused[said.Target] = true
 		}
 	}
 	for name := range n.paused {
-		if _, still := paused[name]; !still {
+		if !paused[name] {
 			event.TargetResumed.Log(n.logger, name)
+			delete(n.paused, name)
 		}
 	}
 	maps.DeleteFunc(n.headerLoggedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= headerLogInterval })
-	n.pausedTime += time.Duration(len(paused)) * now.Sub(n.accountedAt)
-	n.paused, n.accountedAt = paused, now
 	metrics.SetGauge(metric.TargetsLeaving, float64(leaving))
 	metrics.SetGauge(metric.TargetsPaused, float64(len(paused)))
 	metrics.SetGauge(metric.TargetPauseSeconds, n.pausedTime.Seconds())
