--- a/review/standin/case_memory.go
+++ b/review/standin/case_memory.go
@@ -22,6 +22,8 @@
 	scanWork = 300 * time.Millisecond
 	bookWork = time.Second
 	bookers  = 20
+	// stableWindow is a little longer than stable_window_ms: from then on the machine is in touch.
+	stableWindow = 4500 * time.Millisecond
 	// memoryPoll is the time between looks of the platform at the memory of the process.
 	memoryPoll = 20 * time.Millisecond
 )
@@ -96,7 +98,7 @@
 			}
 		})
 	}
-	time.Sleep(2 * time.Second)
+	time.Sleep(stableWindow)
 	w.logf("the large requests begin, %d MB are resident", edge.residentMB())
 	body := make([]byte, largeBody)
 	atOnce := make(chan struct{}, uploads)
