--- a/review/standin/case_freeze.go
+++ b/review/standin/case_freeze.go
@@ -10,14 +10,18 @@
 func init() { cases["freeze"] = playFreeze }
 
 const (
-	// freezeTime is how long the other machine stands still, crowd the number of clients that come at once.
+	// freezeTime is how long the other machine stands still. crowd clients come at once, waves times, waveGap apart.
 	freezeTime = 4 * time.Second
-	crowd      = 40
+	crowd      = 60
+	waves      = 5
+	waveGap    = 120 * time.Millisecond
 	// routeTimeout is the timeout_ms of the route, answerSlack the time after it in which the rule still takes an answer.
 	routeTimeout = 2 * time.Second
 	answerSlack  = 500 * time.Millisecond
 	// clientDeadline is how long a client waits.
 	clientDeadline = 3 * time.Second
+	// oneCore makes a process see one core, as the machines of the deployment have.
+	oneCore = "GOMAXPROCS=1"
 	// minUnanswered is the number of requests without an answer from which the rule counts them.
 	minUnanswered = 8
 )
@@ -33,34 +37,37 @@
 		r.start()
 		replicas = append(replicas, r)
 	}
-	a, b := w.newRouter(11, "kochi-a", storeAddress), w.newRouter(12, "kochi-a", storeAddress)
+	a, b := w.newRouter(11, "kochi-a", storeAddress, oneCore), w.newRouter(12, "kochi-a", storeAddress, oneCore)
 	a.start()
 	b.start()
 	a.awaitReady()
 	b.awaitReady()
 	time.Sleep(5 * time.Second)
+	frozenAt := time.Now()
 	if w.trouble {
 		b.signal(syscall.SIGSTOP)
 	}
-	time.Sleep(300 * time.Millisecond)
 	var mu sync.Mutex
 	var attempts []attempt
 	var clients sync.WaitGroup
-	for range crowd {
-		clients.Go(func() {
-			c := &client{w: w, address: a.front}
-			defer c.close()
-			at := c.do(request{method: "POST", path: "/book/2f", key: keyA, deadline: clientDeadline, body: []byte("booking")})
-			mu.Lock()
-			attempts = append(attempts, at)
-			mu.Unlock()
-		})
+	for range waves {
+		time.Sleep(waveGap)
+		for range crowd {
+			clients.Go(func() {
+				c := &client{w: w, address: a.front}
+				defer c.close()
+				at := c.do(request{method: "POST", path: "/book/2f", key: keyA, deadline: clientDeadline, body: []byte("booking")})
+				mu.Lock()
+				attempts = append(attempts, at)
+				mu.Unlock()
+			})
+		}
 	}
-	clients.Wait()
-	time.Sleep(freezeTime)
+	time.Sleep(time.Until(frozenAt.Add(freezeTime)))
 	if w.trouble {
 		b.signal(syscall.SIGCONT)
 	}
+	clients.Wait()
 	time.Sleep(time.Second)
 	ran := make(map[string]runRecord)
 	for _, r := range replicas {
