Don't take a part of a backlog for all of it

Cause: the store limits the size of a response and names the end of the topic in it. The client ignored the end, and Follower confirmed after each page that all records were known. Ruled out: time in suspension (boottime is used), records of a peer (the router has none).

The emulated store limits its responses, so that tests see parts.

--- a/internal/emulator/storeserver/server.go
+++ b/internal/emulator/storeserver/server.go
@@ -20,6 +20,9 @@
 	keyedPrefix = "keyed."
 	// maxReadWait bounds the time for which a read waits for a record.
 	maxReadWait = 30 * time.Second
+	// defaultReadKB is the size limit of a response to a read that names none, in units of kilobyteBytes.
+	defaultReadKB = 1024
+	kilobyteBytes = 1024
 	// maxPageItems bounds the number of records in a page of the newest records.
 	maxPageItems = 50
 )
@@ -151,8 +154,8 @@
 }
 
 // handleRead serves GET /chicorydale/log-read. The response holds the end offset and the first offset, eight bytes each, and
-// then the records, each after its length of four bytes, all big-endian. It responds with status 410 and the first offset if
-// from is an offset before the first offset.
+// then the records, each after its length of four bytes, all big-endian. The records are at most max_kb long, but at least one record is
+// returned if there is any. It responds with status 410 and the first offset if from is an offset before the first offset.
 func (s *Server) handleRead(w http.ResponseWriter, r *http.Request) {
 	from, err := strconv.ParseUint(r.FormValue("from"), 10, 64)
 	if err != nil {
@@ -163,10 +166,14 @@
 	if err != nil {
 		waitMS = 0
 	}
+	maxKB, err := strconv.Atoi(r.FormValue("max_kb"))
+	if err != nil {
+		maxKB = defaultReadKB
+	}
 	timer := time.NewTimer(min(time.Duration(waitMS)*time.Millisecond, maxReadWait))
 	defer timer.Stop()
 	for mayWait := true; ; {
-		response, changed := s.readRecords(r.FormValue("topic"), from)
+		response, changed := s.readRecords(r.FormValue("topic"), from, maxKB*kilobyteBytes)
 		if response == nil {
 			jsonhttp.WriteJSON(w, http.StatusGone, map[string]uint64{"first_offset": s.firstOffset(r.FormValue("topic"))})
 			return
@@ -192,9 +199,9 @@
 	return s.getOrCreateTopic(name).firstOffset
 }
 
-// readRecords returns the response to a read of the named topic from an offset on, and a channel that is closed at the next
-// change of the topic. The response is nil if the offset is before the first offset.
-func (s *Server) readRecords(name string, from uint64) ([]byte, <-chan struct{}) {
+// readRecords returns the response to a read of at most maxBytes of the named topic from an offset on, and a channel that is closed at the
+// next change of the topic. The response is nil if the offset is before the first offset.
+func (s *Server) readRecords(name string, from uint64, maxBytes int) ([]byte, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.getOrCreateTopic(name)
@@ -205,6 +212,9 @@
 	response = binary.BigEndian.AppendUint64(response, t.firstOffset)
 	for offset := from; offset < t.endOffset(); offset++ {
 		record := t.records[offset-t.firstOffset]
+		if offset > from && len(response)+len(record) > maxBytes {
+			break
+		}
 		response = binary.BigEndian.AppendUint32(response, uint32(len(record)))
 		response = append(response, record...)
 	}
--- a/internal/topiclog/cache.go
+++ b/internal/topiclog/cache.go
@@ -40,7 +40,7 @@
 	}
 }
 
-// Apply adds records that were written later, complete as of an instant. Records that are older than the cached one are ignored. A page of
+// Apply adds records that were written later, complete as of an instant unless the page is partial. Records that are older than the cached one are ignored. A page of
 // another era of the store is ignored too; if the era is newer, the cache is not loaded until Reset is called.
 func (c *Cache) Apply(page Page, asOf boottime.Instant) {
 	sameEra := checkEra(c.era, page) == nil
@@ -63,7 +63,9 @@
 		c.records[record.Key] = record
 	}
 	c.nextOffset = max(c.nextOffset, page.NextOffset)
-	c.completeAsOf = max(c.completeAsOf, asOf)
+	if !page.Partial {
+		c.completeAsOf = max(c.completeAsOf, asOf)
+	}
 	if c.tombstones > maxTombstones {
 		c.dropTombstones()
 	}
--- a/internal/topiclog/cache_test.go
+++ b/internal/topiclog/cache_test.go
@@ -74,3 +74,15 @@
 	qt.Check(t, known, qt.IsTrue)
 	qt.Check(t, page.Records, qt.HasLen, 500)
 }
+
+// TestPartialPageDoesNotRefreshCache guards against a router that tells its peers that its records are complete as of a read that the store
+// has cut short.
+func TestPartialPageDoesNotRefreshCache(t *testing.T) {
+	cache := topiclog.NewCache()
+	cache.Reset(topiclog.Page{NextOffset: 5}, 10)
+	cache.Apply(topiclog.Page{Records: []topiclog.Record{{Key: "a", Value: []byte("x"), Offset: 5}}, NextOffset: 6, Partial: true}, 20)
+	qt.Check(t, cache.CompleteAsOf(), qt.Equals, boottime.Instant(10))
+	qt.Check(t, cache.NextOffset(), qt.Equals, uint64(6))
+	cache.Apply(topiclog.Page{NextOffset: 6}, 30)
+	qt.Check(t, cache.CompleteAsOf(), qt.Equals, boottime.Instant(30))
+}
--- a/internal/topiclog/follower.go
+++ b/internal/topiclog/follower.go
@@ -23,7 +23,8 @@
 	// Apply receives the records that follow, in the order in which they were written. There may be none. After a Reset, some
 	// of those that it included may come again.
 	Apply(now time.Time, records []Record)
-	// CaughtUp is called after each Reset and Apply: all records that were written before asOf have been received.
+	// CaughtUp is called after each Reset, and after each Apply that was not a part of a page: all records that were written before asOf
+	// have been received.
 	CaughtUp(asOf boottime.Instant)
 	// Failed is called after each read that failed, unless the follower is being stopped. After an *ExpiredError, and after an *EraError of a
 	// restored store, Reset follows the next successful read.
@@ -58,16 +59,30 @@
 			if ctx.Err() == nil {
 				f.handler.Failed(time.Now(), err)
 			}
-			sleep(ctx, minRetryDelay+rand.N(maxRetryDelay-minRetryDelay))
+			sleep(ctx, retryDelay())
 			continue
 		}
 		position = position.after(page)
-		if !page.FromPeer { // A peer paces its own reads of the store and responds when it has read something.
-			sleep(ctx, f.pollInterval)
-		}
+		sleep(ctx, f.pauseAfter(page))
+	}
+}
+
+// pauseAfter returns the pause between a page and the next read.
+func (f *Follower) pauseAfter(page Page) time.Duration {
+	switch {
+	case page.FromPeer: // A peer paces its own reads of the store and responds when it has read something.
+		return 0
+	case page.Partial && len(page.Records) > 0: // The rest can be read at once.
+		return 0
+	case page.Partial:
+		return retryDelay()
 	}
+	return f.pollInterval
 }
 
+// retryDelay returns the random delay after a read that brought nothing.
+func retryDelay() time.Duration { return minRetryDelay + rand.N(maxRetryDelay-minRetryDelay) }
+
 // position is how far a follower has read.
 type position struct {
 	nextOffset, era uint64
@@ -105,11 +120,14 @@
 	if err == nil {
 		err = checkEra(from.era, page)
 	}
-	if err == nil {
-		f.handler.Apply(time.Now(), page.Records)
+	if err != nil {
+		return page, err
+	}
+	f.handler.Apply(time.Now(), page.Records)
+	if !page.Partial {
 		f.handler.CaughtUp(calledAt.Add(page.AsOf))
 	}
-	return page, err
+	return page, nil
 }
 
 // sleep waits for the delay or until ctx is done.
--- a/internal/topiclog/follower_test.go
+++ b/internal/topiclog/follower_test.go
@@ -203,3 +203,32 @@
 		}
 	})
 }
+
+// TestPartialPageConfirmsNothing guards against taking a part of a backlog for all of it: a page that the store has cut short would confirm
+// that no newer records exist. The rest is read without a pause, and a part without records is not asked for in a busy loop.
+func TestPartialPageConfirmsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		records := []topiclog.Record{{Key: "a", Value: []byte("x")}}
+		topic := &scriptedTopic{exhausted: make(chan struct{}), responses: []response{
+			{page: topiclog.Page{Records: records, NextOffset: 5}},
+			{page: topiclog.Page{Records: records, NextOffset: 6, Partial: true}},
+			{page: topiclog.Page{NextOffset: 6, Partial: true}},
+			{page: topiclog.Page{Records: records, NextOffset: 7}},
+		}}
+		handler := &recordingHandler{}
+		ctx, cancel := context.WithCancel(t.Context())
+		startedAt := time.Now()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			topiclog.NewFollower(topic, handler, 0, time.Minute).Run(ctx)
+		}()
+		<-topic.exhausted
+		elapsed := time.Since(startedAt) - 2*time.Minute // The pauses after the first and the last page.
+		cancel()
+		<-done
+		qt.Check(t, handler.events, qt.DeepEquals,
+			[]string{"reset 1", "caught up", "apply 1", "apply 0", "apply 1", "caught up"})
+		qt.Check(t, elapsed > 0 && elapsed < time.Second, qt.IsTrue, qt.Commentf("%v", elapsed))
+	})
+}
--- a/internal/topiclog/topic.go
+++ b/internal/topiclog/topic.go
@@ -25,6 +25,9 @@
 	// AsOf is the instant as of which the page is complete, as the time since the start of the call. It is negative if a peer
 	// read the records before the call, and zero if the page comes from the store itself.
 	AsOf time.Duration
+	// Partial is set if the store ended the page early: the topic already held records from NextOffset on when it was read, so the page says
+	// nothing about the newest records.
+	Partial bool
 	// Era is higher each time that the store came back from an older copy. Offsets of different eras cannot be compared. It is zero if the
 	// store does not name it.
 	Era uint64
@@ -38,7 +41,7 @@
 	// missing, but their offsets are then not below NextOffset of the page.
 	ReadNewest(ctx context.Context) (Page, error)
 	// Read returns the records from an offset on. If there are none, it waits for new ones until the deadline, then returns
-	// an empty page. The error is an *ExpiredError if the store no longer has the record at the offset.
+	// an empty page. A page may be partial, because the store limits its size. The error is an *ExpiredError if the store no longer has the record at the offset.
 	Read(ctx context.Context, from uint64, deadline time.Time) (Page, error)
 	// Put writes a record. A nil value removes the key. After an error, the record may nevertheless have been written, or may
 	// still be written later.
