--- a/internal/topiclog/follower_test.go
+++ b/internal/topiclog/follower_test.go
@@ -232,3 +232,25 @@
 		qt.Check(t, elapsed > 0 && elapsed < time.Second, qt.IsTrue, qt.Commentf("%v", elapsed))
 	})
 }
+
+// contextTopic is a topic whose reads take a while and fail when their context ends.
+type contextTopic struct{ topiclog.Topic }
+
+func (contextTopic) Read(ctx context.Context, from uint64, _ time.Time) (topiclog.Page, error) {
+	select {
+	case <-time.After(10 * time.Millisecond):
+		return topiclog.Page{NextOffset: from}, nil
+	case <-ctx.Done():
+		return topiclog.Page{}, ctx.Err()
+	}
+}
+
+// TestReadAfterItsDeadlineIsSent guards against taking a sound store for down: a read that begins late, for example since a peer was asked
+// in vain before, has the same time for its answer as any other.
+func TestReadAfterItsDeadlineIsSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		page, err := topiclog.WithReadTimeout(contextTopic{}).Read(t.Context(), 3, time.Now().Add(-5*time.Second))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, page.NextOffset, qt.Equals, uint64(3))
+	})
+}
