Don't ask a peer that has been silent for a second

A router whose peers lose power together waits 1.4 s for the first one, reads the store, pauses for 1 s, and waits 1.4 s for the next lost one: 2.4 s pass between two pages of the targets' records, of 2.5 s that the rule allows from a removal to the last request.

Cause: links end after 2 s of silence only, and every linked peer is asked. Each peer sends a heartbeat every 0.5 s, so a peer that has been silent for 1 s is not asked now.

Ruled out: shorter waits, which would take a sound peer without news for a lost one.

--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -88,6 +88,9 @@
 	}
 }
 
+// ReaderWeight exports readerWeight.
+func ReaderWeight(router string) uint64 { return readerWeight(router) }
+
 // TopicSharing exports the topic sharing of one router.
 type TopicSharing struct{ *topicSharing }
 
@@ -114,6 +117,10 @@
 
 // Receive handles a message of a peer.
 func (s TopicSharing) Receive(from string, body *fleetpb.Body) {
+	s.peerHeard(time.Now(), from)
+	if body.GetHeartbeat() != nil {
+		return
+	}
 	if read := body.GetTopicRead(); read != nil {
 		s.handleTopicRead(time.Now(), from, read)
 		return
--- a/internal/gateway/peerlinks.go
+++ b/internal/gateway/peerlinks.go
@@ -299,6 +299,7 @@
 
 // handleMessages handles the messages of a peer. It reuses the array of bodies.
 func (p *peerLinks) handleMessages(from string, bodies []*fleetpb.Body) {
+	p.sharing.peerHeard(time.Now(), from)
 	others := bodies[:0]
 	for _, body := range bodies {
 		switch {
--- a/internal/gateway/topicsharing.go
+++ b/internal/gateway/topicsharing.go
@@ -35,6 +35,9 @@
 	fallbackAvoidTime = time.Second
 	// preferPeersTime is how long a router whose read of the store failed asks peers first.
 	preferPeersTime = 3 * time.Second
+	// maxPeerSilence is how long a peer may send nothing at all before it is not asked. Without messages of their own, peers send a heartbeat
+	// every heartbeatInterval.
+	maxPeerSilence = 2 * heartbeatInterval
 	// minSharedRevocationDelay is the shortest maximum revocation delay with which records from peers can be used. The age
 	// of these records plus the time to the next reply stays well below it.
 	minSharedRevocationDelay = 4 * time.Second
@@ -54,7 +57,7 @@
 // Each router asks the peer of its availability zone with the highest weight, provided that this weight is higher than its
 // own. This order rules out cycles. After a bad reply, a router reads the store itself and avoids the peer for a while. If
 // the store does not reply either, the router asks any other linked peer, because it may be the only one without access to
-// the store.
+// the store. Peers that have been silent for a while are not asked, so that a router does not wait for one lost peer after the other.
 type topicSharing struct {
 	routerName string
 	logger     zerolog.Logger
@@ -66,8 +69,8 @@
 	// zone.
 	linkedWeights map[string]uint64
 	zoneWeights   map[string]uint64
-	// avoidUntil holds the time until which a peer is not asked.
-	avoidUntil map[string]time.Time
+	// avoidUntil holds the time until which a peer is not asked, silentFrom the time from which it is not asked unless it sends something.
+	avoidUntil, silentFrom map[string]time.Time
 	// pending holds the reads that this router has sent, by number.
 	pending map[uint64]pendingRead
 	// held holds the reads of peers that are not answered yet.
@@ -95,7 +98,7 @@
 	return &topicSharing{
 		routerName: routerName, logger: logger, send: send, topics: make(map[string]*sharedTopic),
 		linkedWeights: make(map[string]uint64), zoneWeights: make(map[string]uint64),
-		avoidUntil: make(map[string]time.Time), pending: make(map[uint64]pendingRead),
+		avoidUntil: make(map[string]time.Time), silentFrom: make(map[string]time.Time), pending: make(map[uint64]pendingRead),
 	}
 }
 
@@ -128,6 +131,16 @@
 	if sameZone {
 		s.zoneWeights[peer] = readerWeight(peer)
 	}
+	s.silentFrom[peer] = time.Now().Add(maxPeerSilence)
+}
+
+// peerHeard records that a peer has sent something.
+func (s *topicSharing) peerHeard(now time.Time, peer string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, linked := s.linkedWeights[peer]; linked {
+		s.silentFrom[peer] = now.Add(maxPeerSilence)
+	}
 }
 
 // peerDisconnected removes a linked peer and ends the reads that were sent to it.
@@ -137,6 +150,7 @@
 	delete(s.zoneWeights, peer)
 	delete(s.linkedWeights, peer)
 	delete(s.avoidUntil, peer)
+	delete(s.silentFrom, peer)
 	for number, pending := range s.pending {
 		if pending.peer == peer {
 			delete(s.pending, number)
@@ -155,13 +169,13 @@
 	return s.highestWeightPeer(now, s.linkedWeights, 0)
 }
 
-// highestWeightPeer returns the peer with the highest weight above minWeight that is not avoided, or "" if there is none.
+// highestWeightPeer returns the peer with the highest weight above minWeight that is neither avoided nor silent, or "" if there is none.
 func (s *topicSharing) highestWeightPeer(now time.Time, peers map[string]uint64, minWeight uint64) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	best, bestWeight := "", minWeight
 	for peer, weight := range peers {
-		if weight > bestWeight && !now.Before(s.avoidUntil[peer]) {
+		if weight > bestWeight && !now.Before(s.avoidUntil[peer]) && now.Before(s.silentFrom[peer]) {
 			best, bestWeight = peer, weight
 		}
 	}
--- a/internal/gateway/topicsharing_test.go
+++ b/internal/gateway/topicsharing_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -64,16 +65,19 @@
 	disconnected atomic.Bool
 }
 
-func (c *storeClient) read(offset uint64) (topiclog.Page, error) {
+func (c *storeClient) read(ctx context.Context, offset uint64) (topiclog.Page, error) {
 	c.calls.Add(1)
+	if ctx.Err() != nil {
+		return topiclog.Page{}, ctx.Err()
+	}
 	if c.disconnected.Load() {
 		return topiclog.Page{}, errors.New("the store cannot be reached")
 	}
 	return c.pageFrom(offset)
 }
 
-func (c *storeClient) ReadNewest(context.Context) (topiclog.Page, error) {
-	page, err := c.read(0)
+func (c *storeClient) ReadNewest(ctx context.Context) (topiclog.Page, error) {
+	page, err := c.read(ctx, 0)
 	newest := make(map[string]topiclog.Record)
 	for _, record := range page.Records {
 		newest[record.Key] = record
@@ -83,8 +87,8 @@
 	return page, err
 }
 
-func (c *storeClient) Read(_ context.Context, offset uint64, _ time.Time) (topiclog.Page, error) {
-	return c.read(offset)
+func (c *storeClient) Read(ctx context.Context, offset uint64, _ time.Time) (topiclog.Page, error) {
+	return c.read(ctx, offset)
 }
 
 func (c *storeClient) Put(context.Context, string, []byte) error { return nil }
@@ -98,6 +102,8 @@
 	mu        sync.Mutex
 	values    map[string]string
 	confirmed boottime.Instant
+	// failures counts the reads that have failed.
+	failures int
 }
 
 func (r *testRouter) Reset(now time.Time, records []topiclog.Record) {
@@ -125,7 +131,18 @@
 	r.confirmed = max(r.confirmed, askedAt)
 }
 
-func (r *testRouter) Failed(time.Time, error) {}
+func (r *testRouter) Failed(time.Time, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failures++
+}
+
+// failureCount returns the number of reads that have failed.
+func (r *testRouter) failureCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failures
+}
 
 // value returns the value that the router has read for a key.
 func (r *testRouter) value(key string) string {
@@ -134,11 +151,17 @@
 	return r.values[key]
 }
 
-// testZone is a set of linked routers. Messages to silent routers are lost.
+// heartbeat is what a router sends that has nothing else to say, and heartbeatInterval how often.
+var heartbeat = &fleetpb.Body{Kind: &fleetpb.Body_Heartbeat{Heartbeat: &fleetpb.Heartbeat{}}}
+
+const heartbeatInterval = 500 * time.Millisecond
+
+// testZone is a set of linked routers. Messages to silent routers are lost, and so are those to and from routers that are off.
 type testZone struct {
 	store   *memoryStore
 	routers map[string]*testRouter
 	silent  map[string]bool
+	off     map[string]bool
 	mu      sync.Mutex
 }
 
@@ -149,13 +172,13 @@
 
 // newTestZoneOf starts linked routers that follow a topic, shared by the given method, until ctx ends.
 func newTestZoneOf(ctx context.Context, count int, share func(gateway.TopicSharing, topiclog.Topic) topiclog.Topic) *testZone {
-	z := &testZone{store: &memoryStore{}, routers: make(map[string]*testRouter), silent: make(map[string]bool)}
+	z := &testZone{store: &memoryStore{}, routers: make(map[string]*testRouter), silent: make(map[string]bool), off: make(map[string]bool)}
 	z.store.appendRecord("0")
 	for i := range count {
 		name := fmt.Sprint("r", i)
 		router := &testRouter{client: &storeClient{memoryStore: z.store}, values: make(map[string]string)}
 		router.TopicSharing = gateway.NewTopicSharing(name, func(to string, body *fleetpb.Body) { go z.deliver(name, to, body) })
-		router.topic = share(router.TopicSharing, router.client)
+		router.topic = share(router.TopicSharing, topiclog.WithReadTimeout(router.client))
 		z.routers[name] = router
 	}
 	for name, router := range z.routers {
@@ -173,14 +196,39 @@
 				router.AnswerDue()
 			}
 		}()
+		go z.sendHeartbeats(ctx, name)
 	}
 	return z
 }
 
+// sendHeartbeats sends heartbeats of a router to all others until ctx ends.
+func (z *testZone) sendHeartbeats(ctx context.Context, name string) {
+	ticker := time.NewTicker(heartbeatInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		<-ticker.C
+		for peer := range z.routers {
+			if peer != name {
+				z.deliver(name, peer, heartbeat)
+			}
+		}
+	}
+}
+
+// turnOff loses all messages to and from routers. Their calls to the store fail.
+func (z *testZone) turnOff(names ...string) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	for _, name := range names {
+		z.off[name] = true
+		z.routers[name].client.disconnected.Store(true)
+	}
+}
+
 // deliver passes a message to a router.
 func (z *testZone) deliver(from, to string, body *fleetpb.Body) {
 	z.mu.Lock()
-	drop := z.silent[to]
+	drop := z.silent[to] || z.off[to] || z.off[from]
 	z.mu.Unlock()
 	if !drop {
 		z.routers[to].Receive(from, body)
@@ -253,7 +301,7 @@
 }
 
 // TestTopicSharingReaderLost guards against routers that get no new records after the router that reads the store has gone
-// silent or its links have ended.
+// silent or its links have ended, and against routers that take the store for down then, though only their peer does not reply.
 func TestTopicSharingReaderLost(t *testing.T) {
 	for name, loseReader := range map[string]func(z *testZone, reader string){
 		"silent": func(z *testZone, reader string) {
@@ -281,6 +329,7 @@
 				synctest.Wait()
 				for peer, router := range z.routers {
 					qt.Check(t, router.value("a"), qt.Equals, "new", qt.Commentf("%s", peer))
+					qt.Check(t, router.failureCount(), qt.Equals, 0, qt.Commentf("%s", peer))
 				}
 				stop()
 				time.Sleep(2 * time.Second)
@@ -289,6 +338,40 @@
 	}
 }
 
+// TestPeersThatLosePowerTogether guards against a router that waits for one lost peer after the other, and so learns late that a target has
+// left although the store is sound.
+func TestPeersThatLosePowerTogether(t *testing.T) {
+	const lost, maxDelay = 4, 2 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		z := newTestZone(ctx, lost+1)
+		time.Sleep(5 * time.Second)
+		byWeight := slices.SortedFunc(maps.Keys(z.routers), func(a, b string) int {
+			return cmp.Compare(gateway.ReaderWeight(a), gateway.ReaderWeight(b))
+		})
+		survivor := z.routers[byWeight[0]]
+		z.turnOff(byWeight[1:]...)
+		worst := time.Duration(0)
+		for i := range 100 {
+			key, writtenAt := fmt.Sprint("k", i), time.Now()
+			z.store.appendKeyed(key, []byte("x"))
+			time.Sleep(100 * time.Millisecond)
+			go func() {
+				for survivor.value(key) == "" && ctx.Err() == nil {
+					time.Sleep(10 * time.Millisecond)
+				}
+				survivor.mu.Lock()
+				defer survivor.mu.Unlock()
+				worst = max(worst, time.Since(writtenAt))
+			}()
+		}
+		time.Sleep(5 * time.Second)
+		qt.Check(t, worst <= maxDelay, qt.IsTrue, qt.Commentf("%v", worst))
+		stop()
+		time.Sleep(2 * time.Second)
+	})
+}
+
 // TestTopicSharingReaderWithoutStore guards against records that count as fresh although the router that read them has
 // lost the store, and against that router getting no new records although others reach the store. It takes real time,
 // because testing/synctest does not simulate the boot-time clock.
