Don't count an expired offset as an outage of the store

What callers could see: requests at a target that has left, for 2 to 3 s after the page that showed its removal, if the store dropped its history at about the same time (rule DRAIN).

Cause: targetDirectory.Failed took every error for an outage, in which records of targets may lapse, and so retained the target. A store that answers 410 is up.

--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"syscall"
@@ -21,6 +23,7 @@
 	"github.com/chicorydale/chicorydale/internal/origin"
 	"github.com/chicorydale/chicorydale/internal/quarantine"
 	"github.com/chicorydale/chicorydale/internal/refusal"
+	"github.com/chicorydale/chicorydale/internal/registry"
 	"github.com/chicorydale/chicorydale/internal/route"
 	"github.com/chicorydale/chicorydale/internal/topiclog"
 )
@@ -433,3 +436,20 @@
 	notices.record(target, &forward.ResponseInfo{PausedUntil: time.Now().Add(pause)})
 	notices.update(time.Now().Add(time.Second), nil, metric.New())
 }
+
+// TargetDirectory is the directory of targets of a router.
+type TargetDirectory struct{ *targetDirectory }
+
+// NewTargetDirectory returns a directory whose records hold nothing but the names of targets as their keys.
+func NewTargetDirectory() TargetDirectory {
+	return TargetDirectory{&targetDirectory{
+		logger: zerolog.Nop(), registry: registry.New(), scheduler: newScheduler(dispatch.New(dispatch.Locality{}, 1)),
+		origins: newStreamOrigins(zerolog.Nop()), client: forward.NewClient(nil),
+		decode: func(record topiclog.Record, _ time.Time) (dispatch.Target, error) {
+			return dispatch.Target{Name: record.Key}, nil
+		},
+	}}
+}
+
+// Names returns the names of the usable targets in order.
+func (d TargetDirectory) Names() []string { return slices.Sorted(maps.Keys(d.known)) }
--- a/internal/gateway/targetdirectory.go
+++ b/internal/gateway/targetdirectory.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -118,9 +119,11 @@
 // CaughtUp does nothing, because targets are used regardless of the age of their records.
 func (d *targetDirectory) CaughtUp(boottime.Instant) {}
 
-// Failed records that the store did not reply.
+// Failed records that the store did not reply. A store that no longer has the records has replied: targets that it lacks then are gone, and
+// not only absent because they could not register.
 func (d *targetDirectory) Failed(now time.Time, err error) {
-	if d.registry.Failed() {
+	var expired *topiclog.ExpiredError
+	if !errors.As(err, &expired) && d.registry.Failed() {
 		event.StoreDown.Log(d.logger, "targets", err, int64(0))
 	}
 	d.updateTargets(now)
