Send no request to a target late in a drain

Cause: whether a draining router takes a request was decided once, when its head had been read. Now a router that has refused new requests for 1 s sends nothing to a target unless an answer has begun; such a request has not run and is refused with 503 and a time to come back. The time is compared with the boot-time clock, since a step of the time of day made a draining router accept for longer.

Ruled out: the wait for a target alone, which ends after a fraction of the latency objective.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -5,7 +5,9 @@
 	"runtime/debug"
 	"time"
 
+	"github.com/chicorydale/chicorydale/internal/boottime"
 	"github.com/chicorydale/chicorydale/internal/event"
+	"github.com/chicorydale/chicorydale/internal/refusal"
 )
 
 const (
@@ -16,6 +18,9 @@
 	exitMargin = 400 * time.Millisecond
 	// acceptMargin is how long before the end of the drain the listener is closed at the latest.
 	acceptMargin = 1500 * time.Millisecond
+	// lateStartTime is how long after new requests are refused those that were read before may still be sent to targets: they wait for their
+	// bodies and for targets, and their answers might be cut at the end of the drain.
+	lateStartTime = time.Second
 	// openPollInterval is the time between checks whether all connections have ended.
 	openPollInterval = 50 * time.Millisecond
 	// drainIdleTimeout is how long a connection may have no request at the end of the drain. A request that is on its way arrives
@@ -30,7 +35,7 @@
 	startedAt := time.Now()
 	deadline := startedAt.Add(g.settings.GracePeriod - exitMargin)
 	deregisteredAt := startedAt.Add(min(deregistrationTime, g.settings.GracePeriod/2))
-	g.refuseAfter.Store(deregisteredAt.UnixNano())
+	g.refuseAfter.Store(int64(boottime.Now().Add(time.Until(deregisteredAt))))
 	g.draining.Store(true)
 	g.handovers.stop() // What is passed on now might not end in time.
 	event.Draining.Log(g.logger, g.openRequests.Load())
@@ -54,8 +59,19 @@
 }
 
 // refusesNewRequests reports whether the router is draining and callers have had time to use others.
-func (g *Gateway) refusesNewRequests(now time.Time) bool {
-	return g.draining.Load() && now.UnixNano() > g.refuseAfter.Load()
+func (g *Gateway) refusesNewRequests(now boottime.Instant) bool {
+	return g.draining.Load() && boottime.Instant(g.refuseAfter.Load()).Before(now)
+}
+
+// startsNoRequests reports whether the router has been draining for so long that requests are not sent to targets any more, unless they
+// go on with an answer that has begun.
+func (g *Gateway) startsNoRequests(now boottime.Instant) bool {
+	return g.draining.Load() && boottime.Instant(g.refuseAfter.Load()).Add(lateStartTime).Before(now)
+}
+
+// drainRefusal returns the refusal of a request that a draining router does not send.
+func drainRefusal() *refusal.Error {
+	return refusal.New(refusal.ShuttingDown, "the router is about to end").WithRetryAt(time.Now().Add(retryAfter))
 }
 
 // sleepUntil waits until the given time or until ctx ends.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/chicorydale/chicorydale/internal/boottime"
 	"github.com/chicorydale/chicorydale/internal/dispatch"
 	"github.com/chicorydale/chicorydale/internal/event"
 	"github.com/chicorydale/chicorydale/internal/forward"
@@ -217,6 +218,11 @@
 		x.failRequest(refusal.New(refusal.Expired, "callers do not wait so long for an event"))
 		return false
 	}
+	if !x.responseStarted && x.gateway.startsNoRequests(boottime.Now()) {
+		x.finishAttempt(decision, dispatch.Cancelled)
+		x.failRequest(drainRefusal())
+		return false
+	}
 	if !x.recordOrigin(ctx, decision) {
 		return x.handleUnsent(decision, dispatch.Delayed, &unmarkedBuildError{})
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,13 +15,13 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/chicorydale/chicorydale/internal/boottime"
 	"github.com/chicorydale/chicorydale/internal/dispatch"
 	"github.com/chicorydale/chicorydale/internal/event"
 	"github.com/chicorydale/chicorydale/internal/forward"
 	"github.com/chicorydale/chicorydale/internal/metric"
 	"github.com/chicorydale/chicorydale/internal/overload"
 	"github.com/chicorydale/chicorydale/internal/quarantine"
-	"github.com/chicorydale/chicorydale/internal/refusal"
 	"github.com/chicorydale/chicorydale/internal/registry"
 	"github.com/chicorydale/chicorydale/internal/topiclog"
 )
@@ -81,7 +81,7 @@
 	// openRequests is the number of requests of callers that are being handled.
 	openRequests atomic.Int64
 	draining     atomic.Bool
-	// refuseAfter is the time in Unix nanoseconds after which a draining router refuses new requests.
+	// refuseAfter is the boottime.Instant after which a draining router refuses new requests.
 	refuseAfter atomic.Int64
 	// maintenanceRuns belongs to the goroutine of runMaintenance.
 	maintenanceRuns int
@@ -307,8 +307,8 @@
 		// the next request.
 		w.Header().Set("Connection", "close")
 	}
-	if now := time.Now(); g.refusesNewRequests(now) {
-		x.refuse(refusal.New(refusal.ShuttingDown, "the router is about to end").WithRetryAt(now.Add(retryAfter)))
+	if g.refusesNewRequests(boottime.Now()) {
+		x.refuse(drainRefusal())
 		return
 	}
 	x.serve()
