Have a peer confirm the connections that are handed over to it

Cause: the late router handed new connections to the frozen one, whose kernel accepts and acknowledges them, and nobody watched the requests after that. Ruled out: lack of time at the router that stays; it answers all callers that it keeps.

At most 32 connections to a peer wait for a confirmation. A request that a confirmed peer does not answer by its deadline gets 504, or a reset if its answer has begun. Peers of earlier versions are treated as before.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -73,6 +73,9 @@
 	AnnounceFailed = Event{411, levelWarn, "announce_failed", []string{"error"}}
 	StoreShared    = Event{412, levelInfo, "store_shared", []string{"topic", "peer"}}
 	StoreUnshared  = Event{413, levelInfo, "store_unshared", []string{"topic", "peer", "error"}}
+
+	HandoverFailed  = Event{414, levelWarn, "handover_failed", []string{"peer", "error"}}
+	HandoverOverdue = Event{415, levelWarn, "handover_overdue", []string{"id", "peer", "waited_ms", "status"}}
 )
 
 // Events of the targets.
@@ -149,7 +152,7 @@
 		LogDown, LogUp, LogExpired, LogUnsettled, HostsDown, HostsUp, HostsChanged,
 		StoreDown, StoreUp, RecordInvalid, OriginsLoaded, OriginsUnsaved,
 		LinkUp, LinkDown, PeerUp, PeerDown, PeerLeaving, RoleGained, RoleLost, Isolated, Rejoined, AnnounceFailed,
-		StoreShared, StoreUnshared,
+		StoreShared, StoreUnshared, HandoverFailed, HandoverOverdue,
 		TargetAdded, TargetLeaving, TargetGone, TargetCrashed, TargetLimited,
 		TargetNotice, TargetPaused, TargetResumed, TargetHeaderInvalid,
 		Refused, Retried, Resumed, Abandoned,
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -32,10 +32,7 @@
 	if refusalErr := x.authenticate(table); refusalErr != nil {
 		return refusalErr
 	}
-	x.deadline = x.arrivedAt.Add(matched.Timeout)
-	if !info.Deadline.IsZero() && info.Deadline.Before(x.deadline) {
-		x.deadline = info.Deadline
-	}
+	x.deadline = requestDeadline(matched, info, x.arrivedAt)
 	if refusalErr := x.readBody(table.Limits().MaxBodyBytes); refusalErr != nil {
 		return refusalErr
 	}
@@ -46,6 +43,12 @@
 	return nil
 }
 
+// requestDeadline returns the time by which a request that arrived at the given time must be answered: that of its caller or that of its
+// route, whichever is earlier.
+func requestDeadline(matched *route.Route, info RequestInfo, arrivedAt time.Time) time.Time {
+	return earlier(info.Deadline, arrivedAt.Add(matched.Timeout))
+}
+
 // affinityKey returns the key by which all requests of a session go to the same service: the last shared part of the
 // prompt, which belongs to the session, or the ID of the request.
 func (x *exchange) affinityKey() uint64 {
--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -49,6 +49,11 @@
 	if !c.readStarted {
 		c.readStarted = true
 		c.started(c.acceptedAt)
+		if c.handedOver {
+			if err := confirmHandover(c.TCPConn); err != nil {
+				return 0, err
+			}
+		}
 		if err := c.recordWait(); err != nil {
 			return 0, err
 		}
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -372,12 +372,24 @@
 // NewHandovers returns the handovers of a late router with one peer that has processor time, and a listener for the connections that it
 // keeps.
 func NewHandovers(peer, address string, readsWait bool) (Handovers, net.Listener) {
+	return newTestHandovers(peer, handoverPeer{address: address, readsWait: readsWait}, 0)
+}
+
+// NewConfirmedHandovers is like NewHandovers with a peer that confirms connections. The callers' requests have a deadline after the timeout.
+func NewConfirmedHandovers(peer, address string, timeout time.Duration) (Handovers, net.Listener) {
+	return newTestHandovers(peer, handoverPeer{address: address, confirms: true}, timeout)
+}
+
+func newTestHandovers(peer string, at handoverPeer, timeout time.Duration) (Handovers, net.Listener) {
 	kept := newConnQueue(func(conn *net.TCPConn, _ time.Time) net.Conn { return conn })
-	h := newHandovers(1000, 1, kept)
-	h.setPeer(time.Now(), peer, handoverPeer{address: address, readsWait: readsWait}, time.Second)
+	h := newHandovers(zerolog.Nop(), 1000, 1, kept, func(_ []byte, since time.Time) (string, time.Time) { return "id", since.Add(timeout) })
+	h.setPeer(time.Now(), peer, at, time.Second)
 	return Handovers{h}, kept
 }
 
+// EndOverdue ends the requests that were due at a time and have no complete answer.
+func (h Handovers) EndOverdue(now time.Time) { h.endOverdue(now) }
+
 // Take hands a connection over if a peer has processor time, and reports whether it did.
 func (h Handovers) Take(conn *net.TCPConn) bool {
 	h.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -133,7 +133,7 @@
 	g.kept = newConnQueue(func(conn *net.TCPConn, acceptedAt time.Time) net.Conn {
 		return g.newAcceptor(nil, false).newCallerConn(conn, acceptedAt)
 	})
-	g.handovers = newHandovers(settings.MaxOpenFiles, settings.Seed, g.kept)
+	g.handovers = newHandovers(logger, settings.MaxOpenFiles, settings.Seed, g.kept, g.parseHandedOver)
 	loads := &loadReports{
 		handovers: g.handovers, logger: logger, share: settings.ProcessorShare, zonePeers: make(map[string]bool),
 		rotation:  overload.NewRotation(),
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -20,8 +20,11 @@
 	acceptedAt time.Time
 	// tellsWait is set if the peer is to be told how long the caller has waited.
 	tellsWait bool
+	// isConfirmed is set if the peer is not asked to confirm the connection, or has done so.
+	isConfirmed bool
 	// used is set once bytes of the caller have arrived.
-	used atomic.Bool
+	used    atomic.Bool
+	request handedOverRequest
 
 	mu sync.Mutex
 	// target is the connection to the peer, nil until it is open.
@@ -33,6 +36,7 @@
 	defer p.handovers.remove(p)
 	p.handovers.connStarted(p.acceptedAt)
 	if isDisconnected(p.caller) {
+		p.endConfirmation()
 		_ = p.caller.Close()
 		return
 	}
@@ -40,9 +44,15 @@
 	target, isTCP := conn.(*net.TCPConn)
 	if err != nil || !isTCP {
 		if !isTimeout(err) { // A late process does not see that the peer has accepted. The links tell if it is gone.
-			p.handovers.peerFailed(p.peer)
+			p.handovers.peerFailed(p.peer, err)
 		}
-		p.handovers.keep(p.caller, p.acceptedAt)
+		p.keep()
+		return
+	}
+	if err := p.confirm(target); err != nil {
+		_ = target.Close() // The peer has received nothing of the request, so it cannot run.
+		p.handovers.peerFailed(p.peer, err)
+		p.keep()
 		return
 	}
 	p.setTarget(target)
@@ -51,6 +61,32 @@
 	p.passResponse()
 }
 
+// confirm waits until the peer has confirmed the connection, if it does that.
+func (p *handover) confirm(target *net.TCPConn) error {
+	if p.isConfirmed {
+		return nil
+	}
+	if err := awaitConfirmation(target); err != nil {
+		return err
+	}
+	p.endConfirmation()
+	return nil
+}
+
+// endConfirmation records that the connection no longer waits for a confirmation.
+func (p *handover) endConfirmation() {
+	if !p.isConfirmed {
+		p.isConfirmed = true
+		p.handovers.confirmationEnded(p.peer)
+	}
+}
+
+// keep returns the connection to this router's own server, since the peer has not taken it.
+func (p *handover) keep() {
+	p.endConfirmation()
+	p.handovers.keep(p.caller, p.acceptedAt)
+}
+
 // setTarget records the connection to the peer.
 func (p *handover) setTarget(target *net.TCPConn) {
 	p.mu.Lock()
@@ -64,10 +100,11 @@
 	if hasData(p.caller) {
 		since = p.acceptedAt
 	}
-	arrived := func() bool {
+	arrived := func(part []byte) bool {
 		if isDisconnected(p.caller) { // A late process reads requests of callers that have left.
 			return false
 		}
+		p.request.add(part, since)
 		return p.used.Swap(true) || p.tellWait(since) == nil
 	}
 	_ = p.pass(p.target, p.caller, arrived) // Any end is handled in the same way.
@@ -90,21 +127,21 @@
 // passResponse passes the bytes of the peer on. A connection that the peer resets is reset, so that a part of a response does not look
 // complete.
 func (p *handover) passResponse() {
-	err := p.pass(p.caller, p.target, func() bool { return true })
+	err := p.pass(p.caller, p.target, func([]byte) bool { return p.request.beginAnswer(answerOfPeer) })
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.close(err != nil)
 }
 
-// pass copies bytes until the source ends or arrived, which is called for each part before it is written, returns false. It returns nil
+// pass copies bytes until the source ends or arrived, which is called with each part before it is written, returns false. It returns nil
 // then, and otherwise an error.
-func (p *handover) pass(to, from *net.TCPConn, arrived func() bool) error {
+func (p *handover) pass(to, from *net.TCPConn, arrived func(part []byte) bool) error {
 	buffer, _ := p.handovers.buffers.Get().(*[]byte)
 	defer p.handovers.buffers.Put(buffer)
 	for {
 		n, _, err := latedata.Read(from, *buffer)
 		if n > 0 {
-			if !arrived() {
+			if !arrived((*buffer)[:n]) {
 				return nil
 			}
 			if _, writeErr := to.Write((*buffer)[:n]); writeErr != nil {
--- a/internal/gateway/handovers.go
+++ b/internal/gateway/handovers.go
@@ -2,14 +2,18 @@
 
 import (
 	"errors"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/rs/zerolog"
 	"golang.org/x/sys/unix"
 
+	"github.com/chicorydale/chicorydale/internal/event"
 	"github.com/chicorydale/chicorydale/internal/overload"
 )
 
@@ -27,6 +31,9 @@
 	failedPeerPause = time.Second
 	// lostPeerGrace is the time from the end of the link to a peer until the connections that it has are checked.
 	lostPeerGrace = 2 * time.Second
+	// maxUnconfirmed is the number of connections to one peer that may wait for its confirmation. No others are handed to it meanwhile, so
+	// that few callers wait for a peer that has just frozen.
+	maxUnconfirmed = 32
 	// checkInterval is the time without data after which a connection to such a peer is probed, and between probes.
 	checkInterval = time.Second
 )
@@ -35,6 +42,9 @@
 // time. A connection is passed on unread, and the other router closes it after one response, so a request is read by one router only. It
 // is safe for concurrent use.
 type handovers struct {
+	logger zerolog.Logger
+	// parse returns the ID and the deadline of a request that a peer has. The deadline is zero if the head does not tell it.
+	parse   func(head []byte, since time.Time) (id string, deadline time.Time)
 	dialer  net.Dialer
 	maxOpen int
 	buffers sync.Pool
@@ -54,13 +64,22 @@
 	failedUntil map[string]time.Time
 	checkAt     map[string]time.Time
 	open        map[*handover]struct{}
+	// unconfirmed is the number of connections to each peer that wait for its confirmation.
+	unconfirmed map[string]int
+	// overdueCheckAt is the time of the next check for overdue requests.
+	overdueCheckAt time.Time
 	// stopped is set when no more connections are to be handed over.
 	stopped bool
 }
 
-// newHandovers returns handovers without peers. Connections that cannot be handed over go to kept.
-func newHandovers(maxOpenFiles int, seed uint64, kept *connQueue) *handovers {
+// newHandovers returns handovers without peers. Connections that cannot be handed over go to kept. parse returns the ID and the deadline of a
+// request from its head and the time since which its caller has waited.
+func newHandovers(
+	logger zerolog.Logger, maxOpenFiles int, seed uint64, kept *connQueue, parse func(head []byte, since time.Time) (string, time.Time),
+) *handovers {
 	return &handovers{
+		logger:      logger,
+		parse:       parse,
 		dialer:      net.Dialer{Timeout: handoverDialTimeout, KeepAlive: -1, Control: setHandoverTimeout},
 		maxOpen:     int(float64(maxOpenFiles) * handoverConnFraction / 2),
 		buffers:     sync.Pool{New: func() any { return new(make([]byte, handoverBufferBytes)) }},
@@ -70,6 +89,7 @@
 		failedUntil: make(map[string]time.Time),
 		checkAt:     make(map[string]time.Time),
 		open:        make(map[*handover]struct{}),
+		unconfirmed: make(map[string]int),
 	}
 }
 
@@ -86,8 +106,8 @@
 type handoverPeer struct {
 	// address is where it accepts them.
 	address string
-	// readsWait is set if it reads how long a caller has waited.
-	readsWait bool
+	// readsWait is set if it reads how long a caller has waited, confirms if it confirms connections.
+	readsWait, confirms bool
 }
 
 // setPeer records the processor time that a peer has left per second, and where it accepts connections.
@@ -130,12 +150,23 @@
 	}
 }
 
-// peerFailed records that a peer has accepted no connection.
-func (h *handovers) peerFailed(name string) {
+// peerFailed records that a peer has not taken a connection.
+func (h *handovers) peerFailed(name string, cause error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	now := time.Now()
+	if !now.Before(h.failedUntil[name]) {
+		event.HandoverFailed.Log(h.logger, name, cause)
+	}
 	h.policy.RemovePeer(name)
-	h.failedUntil[name] = time.Now().Add(failedPeerPause)
+	h.failedUntil[name] = now.Add(failedPeerPause)
+}
+
+// confirmationEnded records that a connection no longer waits for the confirmation of a peer.
+func (h *handovers) confirmationEnded(name string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.unconfirmed[name]--
 }
 
 // connStarted records that the process has begun to handle an accepted connection.
@@ -165,12 +196,15 @@
 		return false
 	}
 	peer, picked := h.policy.Pick(acceptedAt, int(h.unstarted.Load()))
-	if !picked {
+	if !picked || h.unconfirmed[peer] >= maxUnconfirmed {
 		return false
 	}
 	h.connAccepted(false)
 	at := h.peers[peer]
-	passed := &handover{handovers: h, peer: peer, caller: conn, acceptedAt: acceptedAt, tellsWait: at.readsWait}
+	passed := &handover{handovers: h, peer: peer, caller: conn, acceptedAt: acceptedAt, tellsWait: at.readsWait, isConfirmed: !at.confirms}
+	if at.confirms {
+		h.unconfirmed[peer]++
+	}
 	h.open[passed] = struct{}{}
 	go passed.run(at.address)
 	return true
@@ -183,6 +217,21 @@
 	delete(h.open, passed)
 }
 
+// endOverdue ends the requests that peers have not answered by their deadlines, overdueCheckInterval after the last call at the earliest.
+func (h *handovers) endOverdue(now time.Time) {
+	h.mu.Lock()
+	if now.Before(h.overdueCheckAt) {
+		h.mu.Unlock()
+		return
+	}
+	h.overdueCheckAt = now.Add(overdueCheckInterval)
+	open := slices.Collect(maps.Keys(h.open))
+	h.mu.Unlock()
+	for _, passed := range open {
+		passed.endIfOverdue(now)
+	}
+}
+
 // stop makes the router keep all further connections.
 func (h *handovers) stop() {
 	h.mu.Lock()
--- a/internal/gateway/loadreports.go
+++ b/internal/gateway/loadreports.go
@@ -78,7 +78,9 @@
 		spare = 0
 	}
 	l.rotation.RecordPeer(from, report.GetAbsent())
-	l.handovers.setPeer(time.Now(), from, handoverPeer{report.GetAddress(), report.GetReadsWait()}, spare)
+	l.handovers.setPeer(time.Now(), from, handoverPeer{
+		address: report.GetAddress(), readsWait: report.GetReadsWait(), confirms: report.GetConfirms(),
+	}, spare)
 }
 
 // tick measures the processor time and returns the reports that are due.
@@ -87,6 +89,7 @@
 	l.rotation.RecordLateness(now, lateness)
 	l.absent.Store(l.rotation.IsAbsent(now))
 	l.handovers.checkLost(now)
+	l.handovers.endOverdue(now)
 	if now.Sub(l.measuredAt) >= loadPeriod {
 		l.measure(now)
 	}
@@ -94,7 +97,9 @@
 		return nil
 	}
 	l.sentAt, l.sentSpare, l.sentAbsent = now, l.spare, l.absent.Load()
-	report := &fleetpb.ProcessorLoad{SpareUs: uint32(l.spare.Microseconds()), Address: l.address, Absent: l.sentAbsent, ReadsWait: true}
+	report := &fleetpb.ProcessorLoad{
+		SpareUs: uint32(l.spare.Microseconds()), Address: l.address, Absent: l.sentAbsent, ReadsWait: true, Confirms: true,
+	}
 	envelopes := make([]message.Envelope, 0, len(l.zonePeers))
 	for peer := range l.zonePeers {
 		envelopes = append(envelopes, message.Envelope{To: peer, Body: &fleetpb.Body{Kind: &fleetpb.Body_ProcessorLoad{ProcessorLoad: report}}})
