Bound the memory that the bodies of requests hold together

Cause: each body was read into a buffer of its announced size before anything decided whether it had a place, and copied once more to be sent. Only the size of one body was limited. Ruled out: a leak, the number of connections.

Large ones wait for it unread and are refused after about a second; small ones find room beside them; no customer holds all of it. A body is sent from where it was read. Metrics show the budget, what is held, and refusals.

--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -61,8 +61,8 @@
 		return nil, &UnsentError{Target: attempt.Target, Cause: err}
 	}
 	buffer, _ := c.buffers.Get().(*[]byte)
-	request := appendRequest((*buffer)[:0], &attempt)
-	written, err := targetConn.send(request, func(encoded []byte) {
+	head := appendHead((*buffer)[:0], &attempt)
+	written, err := targetConn.send(head, attempt.Body, func(encoded []byte) {
 		*buffer = encoded
 		c.buffers.Put(buffer)
 	})
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -92,22 +92,28 @@
 
 // send writes a request and returns the number of bytes written. A request longer than maxSyncWrite is written by a goroutine,
 // and send returns its length at once: a target may respond before it has read a long request, so its response must be read
-// meanwhile. It calls releaseBuffer with the request when the write has ended.
-func (c *conn) send(request []byte, releaseBuffer func([]byte)) (int, error) {
+// meanwhile. The first bytes of the body are appended to the head, and the rest is written from the body itself, so that a large body is not
+// copied. It calls releaseBuffer with the head when the write has ended.
+func (c *conn) send(head, body []byte, releaseBuffer func([]byte)) (int, error) {
 	c.writeDone, c.writeErr = nil, nil
-	if len(request) <= maxSyncWrite {
-		n, err := c.Write(request)
-		releaseBuffer(request)
+	length := len(head) + len(body)
+	joined := min(len(body), max(maxSyncWrite-len(head), 0))
+	first, rest := append(head, body[:joined]...), body[joined:]
+	if length <= maxSyncWrite {
+		n, err := c.Write(first)
+		releaseBuffer(first)
 		return n, err
 	}
 	done := make(chan struct{})
 	c.writeDone = done
 	go func() {
 		defer close(done)
-		_, c.writeErr = c.Write(request)
-		releaseBuffer(request)
+		if _, c.writeErr = c.Write(first); c.writeErr == nil && len(rest) > 0 {
+			_, c.writeErr = c.Write(rest)
+		}
+		releaseBuffer(first)
 	}()
-	return len(request), nil
+	return length, nil
 }
 
 // maxSyncWrite is the size in bytes up to which a request is written synchronously, as it fits into the socket buffers.
--- a/internal/forward/encode.go
+++ b/internal/forward/encode.go
@@ -2,8 +2,8 @@
 
 import "strconv"
 
-// appendRequest appends the HTTP/1.1 form of a request to buf and returns the extended buffer.
-func appendRequest(buf []byte, attempt *Attempt) []byte {
+// appendHead appends the head of a request in its HTTP/1.1 form to buf and returns the extended buffer.
+func appendHead(buf []byte, attempt *Attempt) []byte {
 	buf = append(buf, attempt.Method...)
 	buf = append(buf, ' ')
 	buf = append(buf, attempt.URI...)
@@ -23,6 +23,5 @@
 		buf = strconv.AppendInt(buf, int64(len(attempt.Body)), 10)
 		buf = append(buf, "\r\n"...)
 	}
-	buf = append(buf, "\r\n"...)
-	return append(buf, attempt.Body...)
+	return append(buf, "\r\n"...)
 }
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -1,8 +1,8 @@
 package gateway
 
 import (
+	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -94,11 +94,15 @@
 	if err := x.controller.SetReadDeadline(x.deadline); err != nil {
 		return refusal.New(refusal.Internal, "the connection takes no deadline")
 	}
-	body, err := readComplete(http.MaxBytesReader(x.w, x.r.Body, maxBytes), x.r.ContentLength)
+	ctx, cancel := context.WithDeadline(x.r.Context(), x.bodyMemoryDeadline())
+	defer cancel()
+	body, err := x.bodyReader(maxBytes).readAll(ctx)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return refusal.Newf(refusal.TooLarge, "the body is larger than %d bytes", maxBytes)
+	case errors.Is(err, errNoBodyMemory):
+		return refusal.New(refusal.Overloaded, "there is no memory for the body").WithRetryAt(time.Now().Add(retryAfter))
 	case isTimeout(err):
 		return refusal.New(refusal.BodyLate, "the body did not arrive in time")
 	case err != nil:
@@ -111,20 +115,30 @@
 	return nil
 }
 
-// readComplete reads a body of the given length completely. The length is -1 if it is not known.
-func readComplete(body io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(body)
-	}
-	// The additional byte makes the last read see io.EOF. Only then does the HTTP server start to detect that the caller
-	// disconnects.
-	buffer := make([]byte, length+1)
-	n, err := io.ReadFull(body, buffer)
-	if errors.Is(err, io.ErrUnexpectedEOF) && int64(n) == length {
-		return buffer[:n], nil
-	}
-	if err == nil {
-		err = io.ErrShortBuffer
-	}
-	return nil, err
+// bodyReader returns the reader of the body, which has at most maxBytes.
+func (x *exchange) bodyReader(maxBytes int64) *bodyReader {
+	x.bodyMemory = x.gateway.bodies.Open(x.customer)
+	reader := &bodyReader{source: http.MaxBytesReader(x.w, x.r.Body, maxBytes), maxBytes: maxBytes, reservation: x.bodyMemory}
+	if x.r.ContentLength >= 0 {
+		reader.maxBytes, reader.announced = x.r.ContentLength, true
+	}
+	return reader
+}
+
+// minBodyMemoryWait is how long a body may wait for memory at least, if its request has that much time.
+const minBodyMemoryWait = time.Second
+
+// bodyMemoryDeadline returns the time until which the body may wait for memory: long enough for a burst to pass, with half of the
+// request's time left to serve it.
+func (x *exchange) bodyMemoryDeadline() time.Time {
+	halfway := x.arrivedAt.Add(x.deadline.Sub(x.arrivedAt) / 2)
+	return earlier(halfway, x.arrivedAt.Add(max(x.route.LatencyObjective, minBodyMemoryWait)))
+}
+
+// releaseBody gives the memory of the body back.
+func (x *exchange) releaseBody() {
+	x.body = nil
+	if x.bodyMemory != nil {
+		x.bodyMemory.Release()
+	}
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/chicorydale/chicorydale/internal/event"
 	"github.com/chicorydale/chicorydale/internal/forward"
 	"github.com/chicorydale/chicorydale/internal/metric"
+	"github.com/chicorydale/chicorydale/internal/overload"
 	"github.com/chicorydale/chicorydale/internal/refusal"
 	"github.com/chicorydale/chicorydale/internal/route"
 )
@@ -39,6 +40,8 @@
 	// build is the version of the targets' software at which a stream has to go on, and empty if any target may run the request.
 	build string
 	body  []byte
+	// bodyMemory is what the body holds, nil if there is none.
+	bodyMemory *overload.BodyReservation
 	// fingerprints identify the whole request and the shared parts of its prompt.
 	fingerprints []uint64
 	// probe is set if the next attempt may be a probe, and probeUntil is the time until which the claimed probe may be sent.
@@ -100,6 +103,7 @@
 
 // serve handles the request until it is answered or given up.
 func (x *exchange) serve() {
+	defer x.releaseBody()
 	if refusalErr := x.admit(); refusalErr != nil {
 		x.refuse(refusalErr)
 		return
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"maps"
 	"math/rand/v2"
 	"net"
@@ -21,6 +22,7 @@
 	"github.com/chicorydale/chicorydale/internal/fleetpb"
 	"github.com/chicorydale/chicorydale/internal/metric"
 	"github.com/chicorydale/chicorydale/internal/origin"
+	"github.com/chicorydale/chicorydale/internal/overload"
 	"github.com/chicorydale/chicorydale/internal/quarantine"
 	"github.com/chicorydale/chicorydale/internal/refusal"
 	"github.com/chicorydale/chicorydale/internal/registry"
@@ -465,3 +467,11 @@
 
 // Names returns the names of the usable targets in order.
 func (d TargetDirectory) Names() []string { return slices.Sorted(maps.Keys(d.known)) }
+
+// ReadBody reads a body of maxBytes, or of that size at most unless it is announced, with the memory of a reservation.
+func ReadBody(
+	ctx context.Context, reservation *overload.BodyReservation, source io.Reader, maxBytes int64, announced bool,
+) ([]byte, error) {
+	reader := &bodyReader{source: source, maxBytes: maxBytes, announced: announced, reservation: reservation}
+	return reader.readAll(ctx)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,6 +72,7 @@
 	shedder         *loadShedder
 	handovers       *handovers
 	refusalLog      *refusalLog
+	bodies          *overload.BodyBudget
 	// kept holds connections of callers that could not be handed over to a peer.
 	kept *connQueue
 	// usageAtLastLog belongs to the goroutine of runMaintenance.
@@ -127,6 +128,7 @@
 		lateness:     lateness,
 
 		refusalLog:    newRefusalLog(logger),
+		bodies:        overload.NewBodyBudget(settings.BodyMemory),
 		streamBuffers: sync.Pool{New: func() any { return new(make([]byte, streamBufferBytes)) }},
 	}
 	g.shedder = newLoadShedder(g)
--- a/internal/gateway/maintenance.go
+++ b/internal/gateway/maintenance.go
@@ -82,6 +82,9 @@
 	g.logCustomerStates(customers)
 	g.metrics.SetGauge(metric.RequestsWaiting, float64(waiting))
 	g.metrics.SetGauge(metric.RequestsRunning, float64(running))
+	g.metrics.SetGauge(metric.BodyBudget, float64(g.bodies.Limit()))
+	g.metrics.SetGauge(metric.BodyHeld, float64(g.bodies.Held()))
+	g.metrics.SetGauge(metric.BodyRefused, float64(g.bodies.Refused()))
 	g.metrics.SetGauge(metric.Quarantined, float64(g.suspects.quarantinedCount()))
 	g.metrics.SetGauge(metric.ConfigStaleness, g.config.age().Seconds())
 	if table := g.config.Table(); table != nil {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -32,6 +32,8 @@
 	// MaxOpenFiles is the number of file descriptors available for connections. When callers use more than their fraction
 	// of it, their idle connections are closed sooner.
 	MaxOpenFiles int
+	// BodyMemory is the number of bytes that the bodies of requests may hold together, zero if there is no limit.
+	BodyMemory int64
 	// LogLevel is the lowest level of events that are logged.
 	LogLevel zerolog.Level
 	// Seed initializes the random choices of the dispatcher.
--- a/internal/metric/family.go
+++ b/internal/metric/family.go
@@ -25,6 +25,9 @@
 	TargetsLeaving          Family = "chicorydale_targets_leaving"
 	TargetsPaused           Family = "chicorydale_targets_paused"
 	TargetPauseSeconds      Family = "chicorydale_target_pause_seconds"
+	BodyBudget              Family = "chicorydale_body_budget_bytes"
+	BodyHeld                Family = "chicorydale_body_held_bytes"
+	BodyRefused             Family = "chicorydale_body_refused"
 	Ready                   Family = "chicorydale_ready"
 	Isolated                Family = "chicorydale_isolated"
 	ZoneHeardRatio          Family = "chicorydale_zone_heard_ratio"
@@ -53,6 +56,9 @@
 	TargetsLeaving:          "Targets that leave, by their records or by their answers.",
 	TargetsPaused:           "Targets that want no requests from this router for a while.",
 	TargetPauseSeconds:      "Sum over all targets of the seconds of pauses since the start of this router.",
+	BodyBudget:              "Bytes that the bodies of requests may hold together, 0 if there is no limit.",
+	BodyHeld:                "Bytes that the bodies of requests hold.",
+	BodyRefused:             "Number of bodies since the start of this router that got no memory.",
 	Ready:                   "1 if the router accepts new requests, else 0.",
 	Isolated:                "1 if the router has reached neither the log nor another router for 15 s, else 0.",
 	ZoneHeardRatio:          "Part of the listed routers of its availability zone that the router hears, 0 to 1.",
--- a/internal/metric/set.go
+++ b/internal/metric/set.go
@@ -69,6 +69,7 @@
 	for _, family := range []Family{
 		FairnessGap, Utilisation, RequestsWaiting, RequestsRunning, ScheduledPools, Quarantined, Ready, Isolated, ZoneHeardRatio,
 		ConfigVersion, ConfigStaleness, LogDroppedLines, MaxLateness, TargetsLeaving, TargetsPaused, TargetPauseSeconds,
+		BodyBudget, BodyHeld, BodyRefused,
 	} {
 		set.gauges[family] = metrics.NewRegisteredGaugeFloat64(string(family), set.registry)
 	}
