Bind streams to the start of a target, not to the version in its record

Cause: the version of a target is that of its last record, which is up to a second old, and the record was trusted for whatever process answers at the address. Ruled out: the period of the reads alone, and crashes that a router notices; a router without a connection notices none.

A stream goes on only on a connection on which the target has told the start that its record names, by its report of itself. While a service has several versions, streams begin on such connections too, unless the target tells no start.

--- a/internal/emulator/targetserver/server.go
+++ b/internal/emulator/targetserver/server.go
@@ -10,8 +10,13 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/chicorydale/chicorydale/internal/emulator/jsonhttp"
 )
 
+// reportPath is where a target reports its state.
+const reportPath = "/chicorydale/report"
+
 // Mode determines how a target handles the requests that arrive while the mode is set.
 type Mode int32
 
@@ -70,6 +75,8 @@
 	eventCount    int
 	eventInterval time.Duration
 	mode          atomic.Int32
+	// startUnixMilli is when the target started, by its own report.
+	startUnixMilli atomic.Int64
 
 	mu      sync.Mutex
 	runs    []Run
@@ -98,9 +105,17 @@
 // New returns a target that runs up to slots requests at the same time and refuses more. Each stream has eventCount events
 // with eventInterval between them; with an event count of zero the target is a plain service.
 func New(name string, slots, eventCount int, eventInterval time.Duration) *Server {
-	return &Server{name: name, slots: slots, eventCount: eventCount, eventInterval: eventInterval, deadlines: make(map[string]string)}
+	s := &Server{name: name, slots: slots, eventCount: eventCount, eventInterval: eventInterval, deadlines: make(map[string]string)}
+	s.startUnixMilli.Store(StartUnixMilli)
+	return s
 }
 
+// StartUnixMilli is when a target started, in Unix milliseconds, unless Restart was called.
+const StartUnixMilli = 1000
+
+// Restart makes the target report another start, as after a restart under the same name and address.
+func (s *Server) Restart(startUnixMilli int64) { s.startUnixMilli.Store(startUnixMilli) }
+
 // NameBuild makes the target name a version of its software in each event.
 func (s *Server) NameBuild(build string) {
 	s.mu.Lock()
@@ -207,6 +222,10 @@
 	w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
 	w.Header().Set("X-Replica-Id", s.name)
 	s.startAnswer(w.Header(), false)
+	if r.URL.Path == reportPath {
+		jsonhttp.WriteJSON(w, http.StatusOK, map[string]int64{"born": s.startUnixMilli.Load()})
+		return
+	}
 	if expected := r.Header.Get("X-Expect-Replica"); expected != "" && expected != s.name {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -11,6 +11,10 @@
 	ID string
 	// Target is the name of the target and Address its IP address and port.
 	Target, Address string
+	// StartUnixMilli is the start of the target that must get the request, in Unix milliseconds, and zero for any. A target that does not
+	// tell its start gets the request nevertheless, unless StartRequired is set.
+	StartUnixMilli int64
+	StartRequired  bool
 	// Method and URI form the request line. They are sent unchanged.
 	Method, URI string
 	// Host is the value of the Host header.
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -33,6 +35,8 @@
 
 	mu   sync.Mutex
 	idle map[endpoint][]*conn
+	// startUnknownUntil holds the time until which targets that did not tell their start are not asked again.
+	startUnknownUntil map[endpoint]time.Time
 }
 
 // NewClient returns a client that interprets responses with the codec.
@@ -42,6 +46,8 @@
 		dialer:  newTargetDialer(),
 		buffers: sync.Pool{New: func() any { return new([]byte) }},
 		idle:    make(map[endpoint][]*conn),
+
+		startUnknownUntil: make(map[endpoint]time.Time),
 	}
 }
 
@@ -50,7 +56,7 @@
 // done, the connection is closed, so that the target can stop working on the request.
 func (c *Client) Send(ctx context.Context, attempt Attempt) (*Response, error) {
 	dest := endpoint{target: attempt.Target, address: attempt.Address}
-	targetConn, err := c.acquire(ctx, dest)
+	targetConn, err := c.acquire(ctx, dest, &attempt)
 	if err != nil {
 		return nil, &UnsentError{Target: attempt.Target, Cause: err}
 	}
@@ -101,11 +107,15 @@
 	return second
 }
 
-// acquire returns a reusable idle connection, or opens a new one if there is none.
-func (c *Client) acquire(ctx context.Context, dest endpoint) (*conn, error) {
+// acquire returns a reusable idle connection to the start that the attempt requires, or opens a new one if there is none.
+func (c *Client) acquire(ctx context.Context, dest endpoint, attempt *Attempt) (*conn, error) {
 	now := time.Now()
+	accepts := attempt.acceptsStart
+	if !attempt.StartRequired && c.isStartUnknown(dest, now) {
+		accepts = func(int64) bool { return true }
+	}
 	for {
-		idle := c.popIdle(dest)
+		idle := c.popIdle(dest, accepts)
 		if idle == nil {
 			break
 		}
@@ -114,6 +124,11 @@
 		}
 		_ = idle.Close()
 	}
+	return c.openToStart(ctx, dest, attempt)
+}
+
+// dial opens a connection to a target.
+func (c *Client) dial(ctx context.Context, dest endpoint) (*conn, error) {
 	socket, err := c.dialer.dial(ctx, dest.address)
 	if err != nil {
 		return nil, err
@@ -121,17 +136,19 @@
 	return newConn(socket), nil
 }
 
-// popIdle removes and returns the most recently used idle connection, or nil if there is none.
-func (c *Client) popIdle(dest endpoint) *conn {
+// popIdle removes and returns the most recently used idle connection to a start that is accepted, or nil if there is none.
+func (c *Client) popIdle(dest endpoint, accepts func(startUnixMilli int64) bool) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	conns := c.idle[dest]
-	if len(conns) == 0 {
-		return nil
+	for i := len(conns) - 1; i >= 0; i-- {
+		if accepts(conns[i].startUnixMilli) {
+			found := conns[i]
+			c.idle[dest] = slices.Delete(conns, i, i+1)
+			return found
+		}
 	}
-	last := conns[len(conns)-1]
-	c.idle[dest] = conns[:len(conns)-1]
-	return last
+	return nil
 }
 
 // putIdle keeps a connection for reuse, or closes it if there are enough idle ones.
@@ -166,6 +183,7 @@
 			c.idle[dest] = remaining
 		}
 	}
+	maps.DeleteFunc(c.startUnknownUntil, func(_ endpoint, until time.Time) bool { return !now.Before(until) })
 }
 
 // IdleConns returns the number of idle connections to all targets.
--- a/internal/forward/client_test.go
+++ b/internal/forward/client_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -25,6 +26,10 @@
 	return forward.ResponseInfo{Unmatched: header.Get("Id") != id, NotRun: header.Get("Not-Run") != "", Signed: true}
 }
 
+func (codec) StartURI() string { return "/start" }
+
+func (codec) ParseStart(body []byte) (int64, error) { return strconv.ParseInt(string(body), 10, 64) }
+
 // testTarget is a target that answers each request with the function given to newTestTarget.
 type testTarget struct {
 	net.Listener
--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -11,6 +11,10 @@
 type Codec interface {
 	// Classify returns what the status and headers of a response say about the request with the given ID.
 	Classify(id string, status int, header http.Header) ResponseInfo
+	// StartURI returns the URI at which a target tells its start.
+	StartURI() string
+	// ParseStart returns the start in a target's answer, in Unix milliseconds, and an error if it tells none.
+	ParseStart(body []byte) (int64, error)
 }
 
 // ResponseInfo is what the head of a response says about a request.
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -25,6 +25,8 @@
 	budget *readBudget
 	// lateRead is set if data was read after the deadline.
 	lateRead bool
+	// startUnixMilli is the start that the target has told on this connection, zero if it was not asked.
+	startUnixMilli int64
 	// reused is set if the connection has carried a request before.
 	reused bool
 	// idleDeadline is when the idle connection must no longer be reused, because the target may close it. It is zero until the
--- /dev/null
+++ b/internal/forward/start.go
@@ -0,0 +1,120 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+)
+
+const (
+	// startTimeout limits the time to ask a target for its start.
+	startTimeout = 400 * time.Millisecond
+	// maxStartBytes is the maximum size of the answer.
+	maxStartBytes = 64 << 10
+	// unknownStartPeriod is how long a target that did not tell its start is not asked again by requests that go to any start.
+	unknownStartPeriod = 10 * time.Second
+)
+
+// errNoStart says that the answer of a target does not tell its start on a connection that can be used further.
+var errNoStart = errors.New("the answer does not tell the start of the target")
+
+// OtherStartError reports a target that has started again since its record was read. What is known of it holds for the earlier start.
+type OtherStartError struct {
+	// Known is the start in the record, Reported the one that the target names, in Unix milliseconds.
+	Known, Reported int64
+}
+
+// Error returns both starts.
+func (e *OtherStartError) Error() string {
+	return fmt.Sprintf("the target started at %d, its record is of the start at %d", e.Reported, e.Known)
+}
+
+// UnknownStartError reports a target that did not tell its start.
+type UnknownStartError struct {
+	// Cause is the underlying error.
+	Cause error
+}
+
+// Error returns the cause.
+func (e *UnknownStartError) Error() string {
+	return fmt.Sprintf("the start of the target is not known: %v", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnknownStartError) Unwrap() error { return e.Cause }
+
+// acceptsStart reports whether the attempt may use a connection to a start of the target, which is zero if it is not known.
+func (a *Attempt) acceptsStart(startUnixMilli int64) bool {
+	return a.StartUnixMilli == 0 || a.StartUnixMilli == startUnixMilli
+}
+
+// openToStart opens a connection to the start of the target that the attempt requires: the target names its start on this very connection, so
+// whatever is sent on it next reaches the same process.
+func (c *Client) openToStart(ctx context.Context, dest endpoint, attempt *Attempt) (*conn, error) {
+	opened, err := c.dial(ctx, dest)
+	if err != nil || attempt.StartUnixMilli == 0 || !attempt.StartRequired && c.isStartUnknown(dest, time.Now()) {
+		return opened, err
+	}
+	reported, err := opened.askStart(ctx, c.codec, attempt.Deadline)
+	if err == nil && reported == attempt.StartUnixMilli {
+		opened.startUnixMilli = reported
+		return opened, nil
+	}
+	_ = opened.Close()
+	switch {
+	case err == nil:
+		return nil, &OtherStartError{Known: attempt.StartUnixMilli, Reported: reported}
+	case attempt.StartRequired || ctx.Err() != nil:
+		return nil, &UnknownStartError{Cause: err}
+	}
+	c.recordUnknownStart(dest, time.Now())
+	return c.dial(ctx, dest)
+}
+
+// askStart asks the target for its start.
+func (c *conn) askStart(ctx context.Context, codec Codec, deadline time.Time) (int64, error) {
+	stopCancel := context.AfterFunc(ctx, func() { _ = c.Close() })
+	defer stopCancel()
+	if err := c.SetDeadline(earliest(time.Now().Add(startTimeout), deadline)); err != nil {
+		return 0, err
+	}
+	if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", codec.StartURI(), c.RemoteAddr()); err != nil {
+		return 0, err
+	}
+	c.budget.limit(maxStartBytes)
+	defer c.budget.unlimit()
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK || response.Close || !strings.HasPrefix(response.Header.Get("Content-Type"), "application/json") {
+		return 0, errNoStart
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err
+	}
+	if c.reader.Buffered() > 0 {
+		return 0, errNoStart
+	}
+	return codec.ParseStart(body)
+}
+
+// isStartUnknown reports whether the target has not told its start a short time ago.
+func (c *Client) isStartUnknown(dest endpoint, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Before(c.startUnknownUntil[dest])
+}
+
+// recordUnknownStart records that the target has not told its start.
+func (c *Client) recordUnknownStart(dest endpoint, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.startUnknownUntil[dest] = now.Add(unknownStartPeriod)
+}
--- /dev/null
+++ b/internal/forward/start_test.go
@@ -0,0 +1,92 @@
+package forward_test
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/chicorydale/chicorydale/internal/forward"
+)
+
+// newStartingTarget starts a target that answers requests for its start with the given text, and others as usual. The start has no ID.
+func newStartingTarget(t *testing.T, startText string) *testTarget {
+	t.Helper()
+	return newTestTarget(t, func(conn net.Conn, _ int, id string) bool {
+		if id == "" {
+			writeRaw(conn, startText)
+			return true
+		}
+		writeRaw(conn, responseText(id, "answer to "+id))
+		return true
+	})
+}
+
+// startText returns a complete raw answer that tells a start.
+func startText(startUnixMilli int64) string {
+	body := fmt.Sprint(startUnixMilli)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// TestRequestForOneStartOfTarget guards against a request that reaches another start of its target, which may run other software, and against a
+// target that is asked for its start with each request.
+func TestRequestForOneStartOfTarget(t *testing.T) {
+	target := newStartingTarget(t, startText(7))
+	client := forward.NewClient(codec{})
+	attempt := newAttempt(target, "r1")
+	attempt.StartUnixMilli, attempt.StartRequired = 6, true
+	_, err := sendAndRead(t, client, attempt)
+	var unsent *forward.UnsentError
+	var other *forward.OtherStartError
+	qt.Assert(t, errors.As(err, &unsent) && errors.As(err, &other), qt.IsTrue, qt.Commentf("%v", err))
+	qt.Check(t, other.Reported, qt.Equals, int64(7))
+	qt.Check(t, <-target.requests, qt.Equals, "GET /start ")
+	attempt.StartUnixMilli = 7
+	for range 3 {
+		_, err = sendAndRead(t, client, attempt)
+		qt.Assert(t, err, qt.IsNil)
+	}
+	qt.Check(t, <-target.requests, qt.Equals, "GET /start ")
+	for range 3 {
+		qt.Check(t, <-target.requests, qt.Equals, "POST /a//b?x=%2F body of r1")
+	}
+	qt.Check(t, target.accepted, qt.HasLen, 2)
+}
+
+// TestTargetThatDoesNotTellItsStart guards against a stream that goes on at a target whose start is not known, and against requests that no target
+// gets because none tells its start.
+func TestTargetThatDoesNotTellItsStart(t *testing.T) {
+	for name, text := range map[string]string{
+		"not found":      "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n",
+		"no number":      "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 1\r\n\r\n{",
+		"stream":         "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n7\r\n",
+		"closes":         "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nConnection: close\r\nContent-Length: 1\r\n\r\n7",
+		"additional":     startText(7) + "x",
+		"is no response": "7\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			target := newStartingTarget(t, text)
+			client := forward.NewClient(codec{})
+			attempt := newAttempt(target, "r1")
+			attempt.StartUnixMilli, attempt.StartRequired = 7, true
+			_, err := sendAndRead(t, client, attempt)
+			var unknown *forward.UnknownStartError
+			qt.Assert(t, errors.As(err, &unknown), qt.IsTrue, qt.Commentf("%v", err))
+			attempt.StartRequired = false
+			for range 3 {
+				_, err = sendAndRead(t, client, attempt)
+				qt.Assert(t, err, qt.IsNil)
+			}
+			close(target.requests)
+			asked := 0
+			for request := range target.requests {
+				if request == "GET /start " {
+					asked++
+				}
+			}
+			qt.Check(t, asked, qt.Equals, 2)
+		})
+	}
+}
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -98,3 +98,10 @@
 	var late *forward.LateDialError
 	return errors.As(err, &late)
 }
+
+// isStartMismatch reports whether an attempt was not sent because the target has started again, or did not tell its start.
+func isStartMismatch(err error) bool {
+	var other *forward.OtherStartError
+	var unknown *forward.UnknownStartError
+	return errors.As(err, &other) || errors.As(err, &unknown)
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -299,6 +299,7 @@
 		Body:     x.body,
 		Deadline: x.deadline,
 	}
+	attempt.StartUnixMilli, attempt.StartRequired = x.requiredStart(decision.Target)
 	attempt.Header = x.gateway.adapters.Codec.RequestHeader(x.r.Header, AttemptInfo{
 		Target: decision.Target.Name, Customer: x.customer, CacheSource: decision.CacheSource, TimeLeft: timeLeft,
 		LastEventID: x.splitter.lastID,
--- a/internal/gateway/failedattempt.go
+++ b/internal/gateway/failedattempt.go
@@ -33,7 +33,7 @@
 		return false
 	}
 	outcome := dispatch.Unreachable
-	if isOwnDelay(err) {
+	if isOwnDelay(err) || isStartMismatch(err) {
 		outcome = dispatch.Delayed
 	}
 	return x.handleUnsent(decision, outcome, err)
--- a/internal/gateway/loadshedder_test.go
+++ b/internal/gateway/loadshedder_test.go
@@ -34,6 +34,10 @@
 
 func (codec) Classify(string, int, http.Header) forward.ResponseInfo { return forward.ResponseInfo{} }
 
+func (codec) StartURI() string { return "/" }
+
+func (codec) ParseStart([]byte) (int64, error) { return 0, nil }
+
 // sendRequest sends a request over a new connection that waited for the given time after its accept. It returns the bytes
 // and the error of the router's first read, and the response that the caller received, or nil.
 func sendRequest(t *testing.T, listener net.Listener, waited time.Duration, request string) (string, *http.Response, error) {
