Ask a target for its start once a second at most when streams begin

A target that crashes is away for more than a second, so what it has told holds for that long for streams that begin, and idle connections are asked too. Streams that go on always ask.

TestRequestForOneStartOfTarget and TestTargetThatDoesNotTellItsStart hold.

--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"net/http"
 	"slices"
@@ -35,8 +36,8 @@
 
 	mu   sync.Mutex
 	idle map[endpoint][]*conn
-	// startUnknownUntil holds the time until which targets that did not tell their start are not asked again.
-	startUnknownUntil map[endpoint]time.Time
+	// startsSeen holds what targets have told of their starts lately.
+	startsSeen map[endpoint]seenStart
 }
 
 // NewClient returns a client that interprets responses with the codec.
@@ -47,7 +48,7 @@
 		buffers: sync.Pool{New: func() any { return new([]byte) }},
 		idle:    make(map[endpoint][]*conn),
 
-		startUnknownUntil: make(map[endpoint]time.Time),
+		startsSeen: make(map[endpoint]seenStart),
 	}
 }
 
@@ -110,21 +111,27 @@
 // acquire returns a reusable idle connection to the start that the attempt requires, or opens a new one if there is none.
 func (c *Client) acquire(ctx context.Context, dest endpoint, attempt *Attempt) (*conn, error) {
 	now := time.Now()
-	accepts := attempt.acceptsStart
-	if !attempt.StartRequired && c.isStartUnknown(dest, now) {
-		accepts = func(int64) bool { return true }
-	}
 	for {
-		idle := c.popIdle(dest, accepts)
+		idle := c.popIdle(dest, attempt.StartUnixMilli)
 		if idle == nil {
 			break
 		}
-		if idle.checkReusable(now) == nil {
-			return idle, nil
+		if idle.checkReusable(now) != nil {
+			_ = idle.Close()
+			continue
+		}
+		checked, err := c.checkStart(ctx, idle, dest, attempt)
+		var unknown *UnknownStartError
+		if !errors.As(err, &unknown) {
+			return checked, err
 		}
-		_ = idle.Close()
+		break // The target may have closed the connection; a new one tells.
 	}
-	return c.openToStart(ctx, dest, attempt)
+	opened, err := c.dial(ctx, dest)
+	if err != nil {
+		return nil, err
+	}
+	return c.checkStart(ctx, opened, dest, attempt)
 }
 
 // dial opens a connection to a target.
@@ -136,19 +143,25 @@
 	return newConn(socket), nil
 }
 
-// popIdle removes and returns the most recently used idle connection to a start that is accepted, or nil if there is none.
-func (c *Client) popIdle(dest endpoint, accepts func(startUnixMilli int64) bool) *conn {
+// popIdle removes and returns the most recently used idle connection, or nil if there is none. Connections on which the target has told the
+// given start go first, if it is not zero.
+func (c *Client) popIdle(dest endpoint, startUnixMilli int64) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	conns := c.idle[dest]
-	for i := len(conns) - 1; i >= 0; i-- {
-		if accepts(conns[i].startUnixMilli) {
-			found := conns[i]
-			c.idle[dest] = slices.Delete(conns, i, i+1)
-			return found
+	best := len(conns) - 1
+	if best < 0 {
+		return nil
+	}
+	for i := best; startUnixMilli != 0 && i >= 0; i-- {
+		if conns[i].startUnixMilli == startUnixMilli {
+			best = i
+			break
 		}
 	}
-	return nil
+	found := conns[best]
+	c.idle[dest] = slices.Delete(conns, best, best+1)
+	return found
 }
 
 // putIdle keeps a connection for reuse, or closes it if there are enough idle ones.
@@ -183,7 +196,7 @@
 			c.idle[dest] = remaining
 		}
 	}
-	maps.DeleteFunc(c.startUnknownUntil, func(_ endpoint, until time.Time) bool { return !now.Before(until) })
+	maps.DeleteFunc(c.startsSeen, func(_ endpoint, seen seenStart) bool { return !now.Before(seen.until) })
 }
 
 // IdleConns returns the number of idle connections to all targets.
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -100,20 +100,21 @@
 	c.writeDone, c.writeErr = nil, nil
 	length := len(head) + len(body)
 	joined := min(len(body), max(maxSyncWrite-len(head), 0))
-	first, rest := append(head, body[:joined]...), body[joined:]
+	head = append(head, body[:joined]...)
+	rest := body[joined:]
 	if length <= maxSyncWrite {
-		n, err := c.Write(first)
-		releaseBuffer(first)
+		n, err := c.Write(head)
+		releaseBuffer(head)
 		return n, err
 	}
 	done := make(chan struct{})
 	c.writeDone = done
 	go func() {
 		defer close(done)
-		if _, c.writeErr = c.Write(first); c.writeErr == nil && len(rest) > 0 {
+		if _, c.writeErr = c.Write(head); c.writeErr == nil && len(rest) > 0 {
 			_, c.writeErr = c.Write(rest)
 		}
-		releaseBuffer(first)
+		releaseBuffer(head)
 	}()
 	return length, nil
 }
--- a/internal/forward/start.go
+++ b/internal/forward/start.go
@@ -15,6 +15,9 @@
 	startTimeout = 400 * time.Millisecond
 	// maxStartBytes is the maximum size of the answer.
 	maxStartBytes = 64 << 10
+	// seenStartPeriod is how long a start that a target has told holds for further connections of requests that go to any target: a target
+	// that crashes is away for longer.
+	seenStartPeriod = time.Second
 	// unknownStartPeriod is how long a target that did not tell its start is not asked again by requests that go to any start.
 	unknownStartPeriod = 10 * time.Second
 )
@@ -47,31 +50,49 @@
 // Unwrap returns the cause.
 func (e *UnknownStartError) Unwrap() error { return e.Cause }
 
-// acceptsStart reports whether the attempt may use a connection to a start of the target, which is zero if it is not known.
-func (a *Attempt) acceptsStart(startUnixMilli int64) bool {
-	return a.StartUnixMilli == 0 || a.StartUnixMilli == startUnixMilli
+// seenStart is what a target has told of its start, zero if it did not tell it, and the time until which that holds.
+type seenStart struct {
+	startUnixMilli int64
+	until          time.Time
 }
 
-// openToStart opens a connection to the start of the target that the attempt requires: the target names its start on this very connection, so
-// whatever is sent on it next reaches the same process.
-func (c *Client) openToStart(ctx context.Context, dest endpoint, attempt *Attempt) (*conn, error) {
-	opened, err := c.dial(ctx, dest)
-	if err != nil || attempt.StartUnixMilli == 0 || !attempt.StartRequired && c.isStartUnknown(dest, time.Now()) {
-		return opened, err
+// mustAskStart reports whether a connection on which the target has told the given start, or zero, must not be used by the attempt before the
+// target tells its start again.
+func (c *Client) mustAskStart(now time.Time, dest endpoint, attempt *Attempt, toldUnixMilli int64) bool {
+	if attempt.StartUnixMilli == 0 || attempt.StartUnixMilli == toldUnixMilli {
+		return false
+	}
+	if attempt.StartRequired {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	seen, found := c.startsSeen[dest]
+	return !found || !now.Before(seen.until) || seen.startUnixMilli != 0 && seen.startUnixMilli != attempt.StartUnixMilli
+}
+
+// checkStart returns a connection to the start of the target that the attempt requires: the target names its start on this very connection, so
+// whatever is sent on it next reaches the same process. It closes the given connection if that leads to another start.
+func (c *Client) checkStart(ctx context.Context, candidate *conn, dest endpoint, attempt *Attempt) (*conn, error) {
+	if !c.mustAskStart(time.Now(), dest, attempt, candidate.startUnixMilli) {
+		return candidate, nil
+	}
+	reported, err := candidate.askStart(ctx, c.codec, attempt.Deadline)
+	if err == nil {
+		c.recordStart(dest, seenStart{startUnixMilli: reported, until: time.Now().Add(seenStartPeriod)})
 	}
-	reported, err := opened.askStart(ctx, c.codec, attempt.Deadline)
 	if err == nil && reported == attempt.StartUnixMilli {
-		opened.startUnixMilli = reported
-		return opened, nil
+		candidate.startUnixMilli = reported
+		return candidate, nil
 	}
-	_ = opened.Close()
+	_ = candidate.Close()
 	switch {
 	case err == nil:
 		return nil, &OtherStartError{Known: attempt.StartUnixMilli, Reported: reported}
 	case attempt.StartRequired || ctx.Err() != nil:
 		return nil, &UnknownStartError{Cause: err}
 	}
-	c.recordUnknownStart(dest, time.Now())
+	c.recordStart(dest, seenStart{until: time.Now().Add(unknownStartPeriod)})
 	return c.dial(ctx, dest)
 }
 
@@ -105,16 +126,9 @@
 	return codec.ParseStart(body)
 }
 
-// isStartUnknown reports whether the target has not told its start a short time ago.
-func (c *Client) isStartUnknown(dest endpoint, now time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return now.Before(c.startUnknownUntil[dest])
-}
-
-// recordUnknownStart records that the target has not told its start.
-func (c *Client) recordUnknownStart(dest endpoint, now time.Time) {
+// recordStart records what a target has told of its start.
+func (c *Client) recordStart(dest endpoint, seen seenStart) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.startUnknownUntil[dest] = now.Add(unknownStartPeriod)
+	c.startsSeen[dest] = seen
 }
