--- a/internal/forward/start_test.go
+++ b/internal/forward/start_test.go
@@ -90,3 +90,32 @@
 		})
 	}
 }
+
+// TestStartIsNotAskedOnEachConnection guards against a target that is asked for its start with each new connection, although it has just told it,
+// and against a stream that goes on without asking.
+func TestStartIsNotAskedOnEachConnection(t *testing.T) {
+	target := newTestTarget(t, func(conn net.Conn, _ int, id string) bool {
+		if id == "" {
+			writeRaw(conn, startText(7))
+			return true
+		}
+		writeRaw(conn, responseText(id, "answer to "+id))
+		return false
+	})
+	client := forward.NewClient(codec{})
+	attempt := newAttempt(target, "r1")
+	attempt.StartUnixMilli = 7
+	for _, required := range []bool{false, false, false, true} {
+		attempt.StartRequired = required
+		_, err := sendAndRead(t, client, attempt)
+		qt.Assert(t, err, qt.IsNil)
+	}
+	close(target.requests)
+	asked := 0
+	for request := range target.requests {
+		if request == "GET /start " {
+			asked++
+		}
+	}
+	qt.Check(t, asked, qt.Equals, 2)
+}
