Don't wait for confirmations of peers while this router is late

Cause: a router without processor time sees confirmations late.

A confirmation is asked for only at a router that is not late, when many connections came at once. A request that a peer has not answered by its deadline now also stops handing over to it.

--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -400,6 +400,12 @@
 	return h.take(conn, time.Now())
 }
 
+// TakeOfCrowd is like Take at a router that is not late, but has got many connections at once.
+func (h Handovers) TakeOfCrowd(conn *net.TCPConn) bool {
+	h.unstarted.Store(1000)
+	return h.take(conn, time.Now())
+}
+
 // TakeAcceptedAt is like Take for a connection that was accepted at a time in the past, at which the peer had processor time.
 func (h Handovers) TakeAcceptedAt(conn *net.TCPConn, acceptedAt time.Time) bool {
 	h.mu.Lock()
--- a/internal/gateway/handedoverrequest.go
+++ b/internal/gateway/handedoverrequest.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -23,6 +24,9 @@
 	overdueAnswer = "HTTP/1.1 504 Gateway Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 )
 
+// errOverdue says that a peer has not answered a request by its deadline.
+var errOverdue = errors.New("the peer has not answered a request by its deadline")
+
 // answerSource tells who answers a handed over request.
 type answerSource int
 
@@ -90,6 +94,7 @@
 	if !p.request.isOverdue(now, p.handovers.parse) {
 		return
 	}
+	p.handovers.peerFailed(p.peer, errOverdue)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.target == nil {
--- a/internal/gateway/handovers.go
+++ b/internal/gateway/handovers.go
@@ -201,8 +201,10 @@
 	}
 	h.connAccepted(false)
 	at := h.peers[peer]
-	passed := &handover{handovers: h, peer: peer, caller: conn, acceptedAt: acceptedAt, tellsWait: at.readsWait, isConfirmed: !at.confirms}
-	if at.confirms {
+	// A router without processor time would see each confirmation late, and hand over a third of what it can without waiting for them.
+	asksPeer := at.confirms && !h.policy.StartsLate(acceptedAt)
+	passed := &handover{handovers: h, peer: peer, caller: conn, acceptedAt: acceptedAt, tellsWait: at.readsWait, isConfirmed: !asksPeer}
+	if asksPeer {
 		h.unconfirmed[peer]++
 	}
 	h.open[passed] = struct{}{}
--- a/internal/overload/handover.go
+++ b/internal/overload/handover.go
@@ -107,6 +107,12 @@
 	return now.Sub(h.measuredAt) < delayTTL && h.random.Float64() < float64(h.startDelay-minHandoverDelay)/float64(handoverRamp)
 }
 
+// StartsLate reports whether this router lately began to handle connections so late that it hands over because of that, and not only because
+// many came at once.
+func (h *Handover) StartsLate(now time.Time) bool {
+	return now.Sub(h.measuredAt) < delayTTL && h.startDelay >= minHandoverDelay
+}
+
 // refill adds the credit for the time since the last call.
 func (l *peerLoad) refill(now time.Time) {
 	earned := time.Duration(float64(l.spare) * now.Sub(l.creditedAt).Seconds())
