Log why a late router keeps connections of callers

A late router hands new connections over to routers of its zone, and keeps those that it cannot hand over. Line 116 counts them by second, with the number that is handed over and the time that the peers report to have left.

Pick tells now whether the router was on time or found no peer; the decisions are the same.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -32,6 +32,10 @@
 		"targets_idle", "accepted", "handed_over", "taken_over",
 	}}
 	AcceptFailed = Event{115, levelWarn, "accept_failed", []string{"error"}}
+
+	HandoversKept = Event{116, levelWarn, "handovers_kept", []string{
+		"without_peer", "at_limit", "unconfirmed", "after_failure", "open", "peers_spare_ms",
+	}}
 )
 
 // Events of the configuration that this router applies.
@@ -147,7 +151,7 @@
 func All() []Event {
 	return []Event{
 		Started, Ready, NotReady, Draining, Drained, DrainCut, Stopped, Failed, Panicked, TickLate,
-		Reloaded, SettingsKept, LogGap, ProcessState, AcceptFailed,
+		Reloaded, SettingsKept, LogGap, ProcessState, AcceptFailed, HandoversKept,
 		ConfigApplied, TableApplied,
 		LogDown, LogUp, LogExpired, LogUnsettled, HostsDown, HostsUp, HostsChanged,
 		StoreDown, StoreUp, RecordInvalid, OriginsLoaded, OriginsUnsaved,
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -56,7 +56,7 @@
 		return
 	}
 	p.setTarget(target)
-	p.handovers.passed.Add(1)
+	p.handovers.counts.passed.Add(1)
 	go p.passRequest()
 	p.passResponse()
 }
@@ -84,6 +84,7 @@
 // keep returns the connection to this router's own server, since the peer has not taken it.
 func (p *handover) keep() {
 	p.endConfirmation()
+	p.handovers.counts.keptAfterFailure.Add(1)
 	p.handovers.keep(p.caller, p.acceptedAt)
 }
 
--- a/internal/gateway/handovers.go
+++ b/internal/gateway/handovers.go
@@ -52,9 +52,7 @@
 	kept *connQueue
 	// unstarted is the number of accepted connections that the process has not begun to handle.
 	unstarted atomic.Int32
-	// accepted is the number of connections that callers opened, passed and takenOver are the numbers of those that this router handed over
-	// and of those that peers handed over to it.
-	accepted, passed, takenOver atomic.Int64
+	counts    handoverCounts
 
 	mu     sync.Mutex
 	policy *overload.Handover
@@ -182,9 +180,9 @@
 func (h *handovers) connAccepted(handedOver bool) {
 	h.unstarted.Add(1)
 	if handedOver {
-		h.takenOver.Add(1)
+		h.counts.takenOver.Add(1)
 	} else {
-		h.accepted.Add(1)
+		h.counts.accepted.Add(1)
 	}
 }
 
@@ -192,11 +190,22 @@
 func (h *handovers) take(conn *net.TCPConn, acceptedAt time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.stopped || len(h.open) >= h.maxOpen {
+	if h.stopped {
 		return false
 	}
-	peer, picked := h.policy.Pick(acceptedAt, int(h.unstarted.Load()))
-	if !picked || h.unconfirmed[peer] >= maxUnconfirmed {
+	if len(h.open) >= h.maxOpen {
+		h.counts.keptAtLimit.Add(1)
+		return false
+	}
+	peer, choice := h.policy.Pick(acceptedAt, int(h.unstarted.Load()))
+	switch {
+	case choice == overload.KeepOnTime:
+		return false
+	case choice == overload.KeepWithoutPeer:
+		h.counts.keptWithoutPeer.Add(1)
+		return false
+	case h.unconfirmed[peer] >= maxUnconfirmed:
+		h.counts.keptUnconfirmed.Add(1)
 		return false
 	}
 	h.connAccepted(false)
@@ -234,6 +243,13 @@
 	}
 }
 
+// state returns the number of open handed over connections, and the processor time per second that all peers report to have left.
+func (h *handovers) state(now time.Time) (open int, spare time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.open), h.policy.Spare(now)
+}
+
 // stop makes the router keep all further connections.
 func (h *handovers) stop() {
 	h.mu.Lock()
--- a/internal/gateway/maintenance.go
+++ b/internal/gateway/maintenance.go
@@ -36,6 +36,7 @@
 			g.client.Prune(now, g.openTargetNames())
 			g.updateGauges()
 			g.logProcessState()
+			g.logHandovers(now)
 			g.refusalLog.logSuppressed()
 			ready = g.logReadiness(ready)
 			dropped = g.logDroppedLines(dropped)
--- a/internal/gateway/processstate.go
+++ b/internal/gateway/processstate.go
@@ -43,6 +43,18 @@
 	event.ProcessState.Log(g.logger, (cpuTime - g.usageAtLastLog.cpuTime).Milliseconds(), lateness.Milliseconds(),
 		gcCycles-g.usageAtLastLog.gcCycles, samples[1].Value.Uint64()>>10, runtime.NumGoroutine(),
 		conns.unused, conns.active, conns.idle, g.client.IdleConns(),
-		g.handovers.accepted.Swap(0), g.handovers.passed.Swap(0), g.handovers.takenOver.Swap(0))
+		g.handovers.counts.accepted.Swap(0), g.handovers.counts.passed.Swap(0), g.handovers.counts.takenOver.Swap(0))
 	g.usageAtLastLog = processUsage{cpuTime: cpuTime, gcCycles: gcCycles}
 }
+
+// logHandovers logs how many connections this late router kept since the last call, and why, if there were any.
+func (g *Gateway) logHandovers(now time.Time) {
+	counts := &g.handovers.counts
+	withoutPeer, atLimit := counts.keptWithoutPeer.Swap(0), counts.keptAtLimit.Swap(0)
+	unconfirmed, afterFailure := counts.keptUnconfirmed.Swap(0), counts.keptAfterFailure.Swap(0)
+	if withoutPeer+atLimit+unconfirmed+afterFailure == 0 {
+		return
+	}
+	open, spare := g.handovers.state(now)
+	event.HandoversKept.Log(g.logger, withoutPeer, atLimit, unconfirmed, afterFailure, open, spare.Milliseconds())
+}
--- a/internal/overload/handover.go
+++ b/internal/overload/handover.go
@@ -25,6 +25,19 @@
 	reportTTL = 1500 * time.Millisecond
 )
 
+// Choice tells what happens to a new connection.
+type Choice int
+
+// What happens to a new connection.
+const (
+	// KeepOnTime means that this router has time for it.
+	KeepOnTime Choice = iota
+	// KeepWithoutPeer means that this router is late and no peer has time for it.
+	KeepWithoutPeer
+	// HandOver means that a peer gets it.
+	HandOver
+)
+
 // peerLoad is the last report of a peer.
 type peerLoad struct {
 	name string
@@ -78,11 +91,11 @@
 	return slices.BinarySearchFunc(h.peers, name, func(load *peerLoad, name string) int { return cmp.Compare(load.name, name) })
 }
 
-// Pick returns the peer to which a new connection is handed over, and false if this router keeps it. unstarted is the number of earlier
+// Pick decides what happens to a new connection, and returns the peer that gets it if it is handed over. unstarted is the number of earlier
 // connections that wait for the process.
-func (h *Handover) Pick(now time.Time, unstarted int) (peer string, ok bool) {
+func (h *Handover) Pick(now time.Time, unstarted int) (peer string, choice Choice) {
 	if !h.isLate(now, unstarted) {
-		return "", false
+		return "", KeepOnTime
 	}
 	total := time.Duration(0)
 	for _, load := range h.peers {
@@ -93,10 +106,21 @@
 	for _, load := range h.peers {
 		if position -= load.usable(now); position < 0 {
 			load.credit -= connCost
-			return load.name, true
+			return load.name, HandOver
+		}
+	}
+	return "", KeepWithoutPeer
+}
+
+// Spare returns the processor time per second that all peers with a report in use have left.
+func (h *Handover) Spare(now time.Time) time.Duration {
+	total := time.Duration(0)
+	for _, load := range h.peers {
+		if !now.After(load.usableUntil) {
+			total += load.spare
 		}
 	}
-	return "", false
+	return total
 }
 
 // isLate reports whether this router is too late to keep a new connection. Between the bounds of the start delay, it is random.
--- a/internal/overload/handover_test.go
+++ b/internal/overload/handover_test.go
@@ -14,7 +14,7 @@
 	counts := make(map[string]int)
 	for range 1000 {
 		handover.RecordStartDelay(now, startDelay)
-		if peer, ok := handover.Pick(now, 0); ok {
+		if peer, choice := handover.Pick(now, 0); choice == overload.HandOver {
 			counts[peer]++
 		}
 	}
@@ -26,8 +26,8 @@
 	handover := overload.NewHandover(1)
 	handover.RecordPeer(startTime, "a", time.Second)
 	qt.Check(t, countHandedOver(handover, startTime, 5*time.Millisecond), qt.HasLen, 0)
-	_, ok := handover.Pick(startTime.Add(time.Second), 0)
-	qt.Check(t, ok, qt.IsFalse, qt.Commentf("the delay was measured a second ago"))
+	_, choice := handover.Pick(startTime.Add(time.Second), 0)
+	qt.Check(t, choice, qt.Equals, overload.KeepOnTime, qt.Commentf("the delay was measured a second ago"))
 }
 
 // TestConnectionsGoToPeersBySpareTime guards against a small peer that gets as many connections as a large one, and against connections
@@ -58,8 +58,18 @@
 func TestCrowdIsHandedOverBeforeFirstDelay(t *testing.T) {
 	handover := overload.NewHandover(1)
 	handover.RecordPeer(startTime, "a", time.Second)
-	_, ok := handover.Pick(startTime, 2)
-	qt.Check(t, ok, qt.IsFalse)
-	_, ok = handover.Pick(startTime, 20)
-	qt.Check(t, ok, qt.IsTrue)
+	_, choice := handover.Pick(startTime, 2)
+	qt.Check(t, choice, qt.Equals, overload.KeepOnTime)
+	_, choice = handover.Pick(startTime, 20)
+	qt.Check(t, choice, qt.Equals, overload.HandOver)
+}
+
+// TestLateRouterWithoutPeersIsToldApart guards against logs in which a late router whose peers have no time looks like one that is on time.
+func TestLateRouterWithoutPeersIsToldApart(t *testing.T) {
+	handover := overload.NewHandover(1)
+	handover.RecordPeer(startTime, "busy", 10*time.Millisecond)
+	_, choice := handover.Pick(startTime, 20)
+	qt.Check(t, choice, qt.Equals, overload.KeepWithoutPeer)
+	qt.Check(t, handover.Spare(startTime), qt.Equals, 10*time.Millisecond)
+	qt.Check(t, handover.Spare(startTime.Add(time.Minute)), qt.Equals, time.Duration(0))
 }
--- a/internal/overload/starvation_test.go
+++ b/internal/overload/starvation_test.go
@@ -207,7 +207,8 @@
 // request once more.
 func (r *starvedRouter) receive(customer string, arrivedAt time.Time, mayReturn bool) time.Duration {
 	acceptedAt := r.now
-	peer, handedOver := r.handover.Pick(r.now, r.unstarted)
+	peer, choice := r.handover.Pick(r.now, r.unstarted)
+	handedOver := choice == overload.HandOver
 	r.unstarted++
 	r.queue(r.now, func() time.Duration {
 		r.unstarted--
