Refuse connections unread that a late router would begin too late

Cause: a router begins more than it can finish. It did not know: the lateness that it acted on was that of new goroutines and of timers, which the runtime runs before goroutines that wait for the network.

Fix: lateness is measured by a byte through a pipe, and new connections are refused at the accept, unread, while data waits 40 ms (some) to 100 ms (all). Their callers come back within 0.1 s, to other routers.

Ruled out as the cause: processor time that getrusage does not see.

TestStarvedRouterServesItsCustomers: its model refuses unread too.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -34,7 +34,7 @@
 	AcceptFailed = Event{115, levelWarn, "accept_failed", []string{"error"}}
 
 	HandoversKept = Event{116, levelWarn, "handovers_kept", []string{
-		"without_peer", "at_limit", "unconfirmed", "after_failure", "open", "peers_spare_ms",
+		"without_peer", "at_limit", "unconfirmed", "after_failure", "open", "peers_spare_ms", "refused",
 	}}
 )
 
--- a/internal/gateway/acceptor.go
+++ b/internal/gateway/acceptor.go
@@ -34,6 +34,8 @@
 	cuts       *cutLog
 	logger     zerolog.Logger
 	lastLogged time.Time
+	// discarded is where refused requests are read to. It belongs to the goroutine that accepts.
+	discarded [4 << 10]byte
 }
 
 // Accept returns the next connection as a *callerConn. It blocks while no file descriptor is free and returns all other
@@ -43,6 +45,10 @@
 		conn, err := a.Listener.Accept()
 		now := time.Now()
 		if tcpConn, ok := conn.(*net.TCPConn); ok && err == nil {
+			if a.handovers.shouldRefuse(now) {
+				a.refuse(tcpConn)
+				continue
+			}
 			if !a.handedOver && a.handovers.take(tcpConn, now) {
 				continue
 			}
@@ -60,6 +66,12 @@
 	}
 }
 
+// refuse refuses a connection that this router would begin to handle too late.
+func (a *acceptor) refuse(conn *net.TCPConn) {
+	a.handovers.counts.refused.Add(1)
+	refuseUnread(conn, a.discarded[:])
+}
+
 // newCallerConn returns the connection of a caller that was accepted at the given time.
 func (a *acceptor) newCallerConn(conn *net.TCPConn, acceptedAt time.Time) net.Conn {
 	a.handovers.connAccepted(a.handedOver)
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -384,7 +384,8 @@
 
 func newTestHandovers(peer string, at handoverPeer, timeout time.Duration) (Handovers, net.Listener) {
 	kept := newConnQueue(func(conn *net.TCPConn, _ time.Time) net.Conn { return conn })
-	h := newHandovers(zerolog.Nop(), 1000, 1, kept, func(_ []byte, since time.Time) (string, time.Time) { return "id", since.Add(timeout) })
+	parse := func(_ []byte, since time.Time) (string, time.Time) { return "id", since.Add(timeout) }
+	h := newHandovers(zerolog.Nop(), 1000, 1, kept, new(readProbe), parse)
 	h.setPeer(time.Now(), peer, at, time.Second)
 	return Handovers{h}, kept
 }
@@ -481,3 +482,33 @@
 	reader := &bodyReader{source: source, maxBytes: maxBytes, announced: announced, reservation: reservation}
 	return reader.readAll(ctx)
 }
+
+// RefuseUnread refuses the request on an accepted connection.
+func RefuseUnread(conn *net.TCPConn) { refuseUnread(conn, make([]byte, 4<<10)) }
+
+// NewLateListener returns the listener of a gateway whose process handles data late.
+func NewLateListener(g *Gateway, listener net.Listener, lateness time.Duration) net.Listener {
+	g.peers.probe.last = lateness
+	return g.newAcceptor(listener, false)
+}
+
+// EndLateness makes the process of a gateway handle data at once.
+func EndLateness(g *Gateway) { g.peers.probe.received(g.peers.probe.sentAt) }
+
+// ReadProbe exports the probe of a process.
+type ReadProbe struct{ *readProbe }
+
+// NewReadProbe returns an open probe.
+func NewReadProbe() (ReadProbe, error) {
+	p := new(readProbe)
+	return ReadProbe{p}, p.open()
+}
+
+// Send sends a byte.
+func (p ReadProbe) Send(now time.Time) { p.send(now) }
+
+// Delay returns how late the process handles data.
+func (p ReadProbe) Delay(now time.Time) time.Duration { return p.delay(now) }
+
+// Close ends the probe.
+func (p ReadProbe) Close() { p.close() }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -131,17 +131,20 @@
 		bodies:        overload.NewBodyBudget(settings.BodyMemory),
 		streamBuffers: sync.Pool{New: func() any { return new(make([]byte, streamBufferBytes)) }},
 	}
+	probe := new(readProbe)
 	g.shedder = newLoadShedder(g)
 	g.kept = newConnQueue(func(conn *net.TCPConn, acceptedAt time.Time) net.Conn {
 		return g.newAcceptor(nil, false).newCallerConn(conn, acceptedAt)
 	})
-	g.handovers = newHandovers(logger, settings.MaxOpenFiles, settings.Seed, g.kept, g.parseHandedOver)
+	g.handovers = newHandovers(
+		logger, settings.MaxOpenFiles, settings.Seed, g.kept, probe, g.parseHandedOver,
+	)
 	loads := &loadReports{
 		handovers: g.handovers, logger: logger, share: settings.ProcessorShare, zonePeers: make(map[string]bool),
 		rotation:  overload.NewRotation(),
 		takesMore: func() bool { return !g.draining.Load() && g.config.Table() != nil && g.config.fresh() },
 	}
-	g.peers = newPeerLinks(settings, adapters.RouterTopic, logger, metrics, linkUsers{scheduler, suspects, origins, budgets, lateness, loads})
+	g.peers = newPeerLinks(settings, adapters.RouterTopic, logger, metrics, linkUsers{scheduler, suspects, origins, budgets, lateness, probe, loads})
 	g.originStore = &originStore{
 		topic: topiclog.WithReadTimeout(adapters.OriginTopic), origins: origins, logger: logger, routerCount: g.peers.routerCount,
 	}
@@ -191,6 +194,10 @@
 	return addresses, nil
 }
 
+// acceptorsPerListener is the number of goroutines that accept connections of callers. A process without processor time runs them as often as
+// all others, and the connections that one of them cannot accept in its turn wait for the next one.
+const acceptorsPerListener = 4
+
 // handoverListener is the index of the listener for connections that other routers hand over.
 const handoverListener = 4
 
@@ -202,6 +209,10 @@
 			return err
 		}
 	}
+	if err := g.peers.probe.open(); err != nil {
+		return err
+	}
+	defer g.peers.probe.close()
 	runCtx, stopTasks := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopTasks()
 	callerServer := g.newServer(http.HandlerFunc(g.serve))
@@ -209,19 +220,15 @@
 	callerServer.ConnContext = contextWithConn
 	callerServer.MaxHeaderBytes = maxHeaderBytes
 	servers := []*http.Server{callerServer, g.newServer(http.HandlerFunc(g.serveReady)), g.newServer(g.metricsHandler())}
-	serveErrors := make(chan error, len(g.listeners)+1) // One for each listener, and one for kept connections.
+	serveErrors := make(chan error, len(g.listeners)+1+2*acceptorsPerListener) // For each listener, kept connections and each acceptor.
 	go func() { serveErrors <- g.peers.hub.Serve(g.listeners[3]) }()
-	callers := g.newAcceptor(g.listeners[0], false)
-	g.listeners[0] = callers
-	for i, server := range servers {
-		go func() { serveErrors <- server.Serve(g.listeners[i]) }()
+	for i, server := range servers[1:] {
+		go func() { serveErrors <- server.Serve(g.listeners[i+1]) }()
 	}
 	go func() { serveErrors <- callerServer.Serve(g.kept) }()
-	acceptors := []*acceptor{callers}
-	if len(g.listeners) > handoverListener {
-		handedOver := g.newAcceptor(g.listeners[handoverListener], true)
-		acceptors = append(acceptors, handedOver)
-		go func() { serveErrors <- callerServer.Serve(handedOver) }()
+	acceptors := g.newAcceptors()
+	for _, acceptor := range acceptors {
+		go func() { serveErrors <- callerServer.Serve(acceptor) }()
 	}
 	var tasks sync.WaitGroup
 	configTopic, targetTopic := g.topicsToFollow()
@@ -286,6 +293,18 @@
 	}
 }
 
+// newAcceptors returns acceptors for all listeners of callers' connections.
+func (g *Gateway) newAcceptors() []*acceptor {
+	acceptors := make([]*acceptor, 0, 2*acceptorsPerListener)
+	for range acceptorsPerListener {
+		acceptors = append(acceptors, g.newAcceptor(g.listeners[0], false))
+		if len(g.listeners) > handoverListener {
+			acceptors = append(acceptors, g.newAcceptor(g.listeners[handoverListener], true))
+		}
+	}
+	return acceptors
+}
+
 // newAcceptor returns an acceptor of callers' connections on a listener. handedOver is set if other routers have handed them over.
 func (g *Gateway) newAcceptor(listener net.Listener, handedOver bool) *acceptor {
 	return &acceptor{
--- a/internal/gateway/handovercounts.go
+++ b/internal/gateway/handovercounts.go
@@ -7,6 +7,8 @@
 	// accepted is the number of connections that callers opened, passed and takenOver are the numbers of those that this router handed over
 	// and of those that peers handed over to it.
 	accepted, passed, takenOver atomic.Int64
+	// refused is the number of connections that were refused unread.
+	refused atomic.Int64
 	// The others are the numbers of connections that this router kept although it was late: because no peer had processor time, because too
 	// many were open, because too many waited for the confirmation of the peer, and because the peer did not take them.
 	keptWithoutPeer, keptAtLimit, keptUnconfirmed, keptAfterFailure atomic.Int64
--- a/internal/gateway/handovers.go
+++ b/internal/gateway/handovers.go
@@ -52,10 +52,13 @@
 	kept *connQueue
 	// unstarted is the number of accepted connections that the process has not begun to handle.
 	unstarted atomic.Int32
-	counts    handoverCounts
+	// probe measures how late this process is.
+	probe  *readProbe
+	counts handoverCounts
 
-	mu     sync.Mutex
-	policy *overload.Handover
+	mu        sync.Mutex
+	policy    *overload.Handover
+	admission *overload.Admission
 	// peers holds where peers accept connections, failedUntil the time until which a peer gets none, and checkAt the
 	// time at which the connections of a peer without a link are checked.
 	peers       map[string]handoverPeer
@@ -73,7 +76,8 @@
 // newHandovers returns handovers without peers. Connections that cannot be handed over go to kept. parse returns the ID and the deadline of a
 // request from its head and the time since which its caller has waited.
 func newHandovers(
-	logger zerolog.Logger, maxOpenFiles int, seed uint64, kept *connQueue, parse func(head []byte, since time.Time) (string, time.Time),
+	logger zerolog.Logger, maxOpenFiles int, seed uint64, kept *connQueue, probe *readProbe,
+	parse func(head []byte, since time.Time) (string, time.Time),
 ) *handovers {
 	return &handovers{
 		logger:      logger,
@@ -82,6 +86,8 @@
 		maxOpen:     int(float64(maxOpenFiles) * handoverConnFraction / 2),
 		buffers:     sync.Pool{New: func() any { return new(make([]byte, handoverBufferBytes)) }},
 		kept:        kept,
+		probe:       probe,
+		admission:   overload.NewAdmission(seed),
 		policy:      overload.NewHandover(seed),
 		peers:       make(map[string]handoverPeer),
 		failedUntil: make(map[string]time.Time),
@@ -173,7 +179,14 @@
 	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.policy.RecordStartDelay(now, now.Sub(acceptedAt))
+	h.policy.RecordStartDelay(now, max(now.Sub(acceptedAt), h.probe.delay(now)))
+}
+
+// shouldRefuse reports whether a new connection is to be refused unread, because this process is too late for it.
+func (h *handovers) shouldRefuse(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.admission.ShouldRefuse(h.probe.delay(now))
 }
 
 // connAccepted records that a connection of a caller was accepted. handedOver is set if a peer has handed it over.
--- a/internal/gateway/lateness.go
+++ b/internal/gateway/lateness.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// latenessMeter measures how long this process waits for a processor, by the delay of its periodic work. recordRun must be
-// called by one goroutine only; takeWorst is safe for concurrent use.
+// latenessMeter measures how long this process waits for a processor, by the delay of its periodic work. recordRun and
+// recordWorst must be called by one goroutine only; takeWorst is safe for concurrent use.
 type latenessMeter struct {
 	lastRun time.Time
 	// worst is the largest delay in nanoseconds since the last call of takeWorst.
@@ -19,11 +19,16 @@
 	if !m.lastRun.IsZero() {
 		lateness = runAt.Sub(m.lastRun) - period
 	}
+	m.recordWorst(lateness)
+	m.lastRun = runAt
+	return lateness
+}
+
+// recordWorst records a delay for takeWorst.
+func (m *latenessMeter) recordWorst(lateness time.Duration) {
 	if int64(lateness) > m.worst.Load() {
 		m.worst.Store(int64(lateness))
 	}
-	m.lastRun = runAt
-	return lateness
 }
 
 // takeWorst returns the largest delay since the last call.
--- a/internal/gateway/peerlinks.go
+++ b/internal/gateway/peerlinks.go
@@ -48,6 +48,7 @@
 	origins   *streamOrigins
 	budgets   *retryBudgets
 	lateness  *latenessMeter
+	probe     *readProbe
 	loads     *loadReports
 }
 
@@ -263,11 +264,19 @@
 			p.handleLinkEvent(linkEvent)
 		case <-ticker.C:
 			now := time.Now()
-			p.sendDue(now, p.lateness.recordRun(now, tickInterval))
+			p.sendDue(now, p.measureLateness(now))
 		}
 	}
 }
 
+// measureLateness returns how late this process is: with its periodic work, or with data that arrives.
+func (p *peerLinks) measureLateness(now time.Time) time.Duration {
+	lateness := max(p.lateness.recordRun(now, tickInterval), p.probe.delay(now))
+	p.lateness.recordWorst(lateness)
+	p.probe.send(now)
+	return lateness
+}
+
 // handleLinkEvent passes a change or the messages of a link on to the topic sharing, the suspects, the origins of streams and the dispatcher.
 func (p *peerLinks) handleLinkEvent(linkEvent link.Event) {
 	switch {
--- a/internal/gateway/processstate.go
+++ b/internal/gateway/processstate.go
@@ -9,6 +9,7 @@
 
 	"github.com/chicorydale/chicorydale/internal/event"
 	"github.com/chicorydale/chicorydale/internal/metric"
+	"github.com/chicorydale/chicorydale/internal/refusal"
 )
 
 // latenessLogThreshold is the delay of periodic work from which the state of the process is logged at every maintenance
@@ -47,14 +48,15 @@
 	g.usageAtLastLog = processUsage{cpuTime: cpuTime, gcCycles: gcCycles}
 }
 
-// logHandovers logs how many connections this late router kept since the last call, and why, if there were any.
+// logHandovers logs how many connections this late router refused or kept since the last call, and why, if there were any.
 func (g *Gateway) logHandovers(now time.Time) {
 	counts := &g.handovers.counts
-	withoutPeer, atLimit := counts.keptWithoutPeer.Swap(0), counts.keptAtLimit.Swap(0)
+	refused, withoutPeer, atLimit := counts.refused.Swap(0), counts.keptWithoutPeer.Swap(0), counts.keptAtLimit.Swap(0)
 	unconfirmed, afterFailure := counts.keptUnconfirmed.Swap(0), counts.keptAfterFailure.Swap(0)
-	if withoutPeer+atLimit+unconfirmed+afterFailure == 0 {
+	if refused+withoutPeer+atLimit+unconfirmed+afterFailure == 0 {
 		return
 	}
+	g.metrics.CountRefusals(refusal.Overloaded, refused)
 	open, spare := g.handovers.state(now)
-	event.HandoversKept.Log(g.logger, withoutPeer, atLimit, unconfirmed, afterFailure, open, spare.Milliseconds())
+	event.HandoversKept.Log(g.logger, withoutPeer, atLimit, unconfirmed, afterFailure, open, spare.Milliseconds(), refused)
 }
--- /dev/null
+++ b/internal/gateway/unreadrefusal_test.go
@@ -0,0 +1,98 @@
+package gateway_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
+
+	"github.com/chicorydale/chicorydale/internal/gateway"
+)
+
+// awaitReceived waits until a number of bytes has arrived on a connection.
+func awaitReceived(t *testing.T, conn *net.TCPConn, count int) {
+	t.Helper()
+	raw, err := conn.SyscallConn()
+	qt.Assert(t, err, qt.IsNil)
+	for deadline := time.Now().Add(handoverTimeout); ; time.Sleep(time.Millisecond) {
+		arrived := 0
+		qt.Assert(t, raw.Control(func(fd uintptr) { arrived, err = unix.IoctlGetInt(int(fd), unix.TIOCINQ) }), qt.IsNil)
+		qt.Assert(t, err, qt.IsNil)
+		if arrived >= count {
+			return
+		}
+		qt.Assert(t, time.Now().Before(deadline), qt.IsTrue)
+	}
+}
+
+// TestUnreadRefusalReachesCaller guards against a refusal that is lost because the connection is reset while bytes of the request are unread,
+// and against callers who are not told to come back, or all at the same moment.
+func TestUnreadRefusalReachesCaller(t *testing.T) {
+	request := "POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 20000\r\n\r\n" + strings.Repeat("x", 20000)
+	delays := make(map[string]bool)
+	for range 20 {
+		caller, accepted := newPair(t)
+		_, err := io.WriteString(caller, request)
+		qt.Assert(t, err, qt.IsNil)
+		awaitReceived(t, accepted, len(request))
+		gateway.RefuseUnread(accepted)
+		response, err := http.ReadResponse(bufio.NewReader(caller), nil)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+		qt.Check(t, response.Close, qt.IsTrue)
+		seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, seconds > 0 && seconds <= 0.1, qt.IsTrue, qt.Commentf("%v", seconds))
+		delays[response.Header.Get("Retry-After")] = true
+	}
+	qt.Check(t, len(delays) > 1, qt.IsTrue, qt.Commentf("%v", delays))
+}
+
+// TestConnectionWithoutRequestGetsNoRefusal guards against an answer on a connection on which no request waits.
+func TestConnectionWithoutRequestGetsNoRefusal(t *testing.T) {
+	caller, accepted := newPair(t)
+	gateway.RefuseUnread(accepted)
+	received, err := io.ReadAll(caller)
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, string(received), qt.Equals, "")
+}
+
+// TestLateRouterRefusesNewConnections guards against connections that wait in a router which begins to handle them too late, although their
+// callers would reach another one.
+func TestLateRouterRefusesNewConnections(t *testing.T) {
+	late := listen(t)
+	instance := gateway.New(gateway.Settings{}, gateway.Adapters{Codec: codec{}}, zerolog.Nop(), func() uint64 { return 0 })
+	listener := gateway.NewLateListener(instance, late, time.Second)
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		conn, err := listener.Accept()
+		if err == nil {
+			accepted <- conn
+		}
+	}()
+	refused, err := net.Dial("tcp", late.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, refused.SetDeadline(time.Now().Add(handoverTimeout)), qt.IsNil)
+	received, _ := io.ReadAll(refused)
+	qt.Check(t, strings.HasPrefix(string(received), "HTTP/1.1 200"), qt.IsFalse)
+	qt.Check(t, len(accepted), qt.Equals, 0)
+
+	gateway.EndLateness(instance)
+	served, err := net.Dial("tcp", late.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = served.Close() }()
+	select {
+	case conn := <-accepted:
+		_ = conn.Close()
+	case <-time.After(handoverTimeout):
+		t.Fatal("a connection was not accepted after the backlog was empty")
+	}
+}
--- a/internal/metric/set.go
+++ b/internal/metric/set.go
@@ -109,12 +109,15 @@
 func (s *Set) Registry() metrics.Registry { return s.registry }
 
 // CountRefusal counts a refused request. An unknown code counts as refusal.Internal.
-func (s *Set) CountRefusal(code refusal.Code) {
+func (s *Set) CountRefusal(code refusal.Code) { s.CountRefusals(code, 1) }
+
+// CountRefusals counts a number of refused requests. An unknown code counts as refusal.Internal.
+func (s *Set) CountRefusals(code refusal.Code, count int64) {
 	counter, found := s.refusals[code]
 	if !found {
 		counter = s.refusals[refusal.Internal]
 	}
-	counter.Inc(1)
+	counter.Inc(count)
 }
 
 // CountRetry counts a retry. An unknown reason is ignored.
--- a/internal/overload/starvation_test.go
+++ b/internal/overload/starvation_test.go
@@ -22,6 +22,8 @@
 	readCost    = 350 * time.Microsecond
 	connectCost = 350 * time.Microsecond
 	relayCost   = 400 * time.Microsecond
+	// refuseUnreadCost is the processor time for refusing an accepted connection unread.
+	refuseUnreadCost = 10 * time.Microsecond
 	// acceptCost, handoverCost and passCost are the processor time for accepting a connection, for handing it over to a peer, and for
 	// passing the answer on.
 	acceptCost   = 20 * time.Microsecond
@@ -79,8 +81,10 @@
 	now     time.Time
 	random  *rand.Rand
 	shedder *overload.LoadShedder
-	waiting jobs
-	numJobs int
+	// admission decides which connections are refused unread.
+	admission *overload.Admission
+	waiting   jobs
+	numJobs   int
 	// peers are the other routers of the availability zone.
 	peers    map[string]*starvedRouter
 	handover *overload.Handover
@@ -96,7 +100,8 @@
 func newStarvedRouter(seed uint64, length time.Duration) *starvedRouter {
 	r := &starvedRouter{
 		now: startTime, random: rand.New(rand.NewPCG(seed, 5)), shedder: overload.New(), handover: overload.NewHandover(seed),
-		asked: make(map[string][]int), begun: make(map[string][]int),
+		admission: overload.NewAdmission(seed),
+		asked:     make(map[string][]int), begun: make(map[string][]int),
 	}
 	for at := startTime; at.Sub(startTime) < length; at = at.Add(linkPeriod) {
 		r.queue(at, func() time.Duration { return linkCost })
@@ -207,6 +212,10 @@
 // request once more.
 func (r *starvedRouter) receive(customer string, arrivedAt time.Time, mayReturn bool) time.Duration {
 	acceptedAt := r.now
+	if r.admission.ShouldRefuse(r.now.Sub(arrivedAt)) {
+		r.returnAfter(customer, r.now, mayReturn)
+		return acceptCost + refuseUnreadCost
+	}
 	peer, choice := r.handover.Pick(r.now, r.unstarted)
 	handedOver := choice == overload.HandOver
 	r.unstarted++
@@ -224,20 +233,22 @@
 	return acceptCost
 }
 
+// returnAfter lets a caller send its request once more, a retryDelay after a time, if it may.
+func (r *starvedRouter) returnAfter(customer string, since time.Time, mayReturn bool) {
+	if again := since.Add(retryDelay); mayReturn {
+		r.queue(again, func() time.Duration { return r.receive(customer, again, false) })
+	}
+}
+
 // accept handles a connection with a request. mayReturn is set if the caller sends the request once more.
 func (r *starvedRouter) accept(customer string, arrivedAt time.Time, mayReturn bool) time.Duration {
-	returnAfter := func(since time.Time) {
-		if again := since.Add(retryDelay); mayReturn {
-			r.queue(again, func() time.Duration { return r.receive(customer, again, false) })
-		}
-	}
 	if r.now.Sub(arrivedAt) > readPatience {
-		returnAfter(arrivedAt.Add(readPatience))
+		r.returnAfter(customer, arrivedAt.Add(readPatience), mayReturn)
 		return refuseCost / 2
 	}
 	r.shedder.RecordStartDelay(r.now, r.now.Sub(arrivedAt))
 	if r.shedder.IsOverloaded(r.now) && r.shedder.ShouldRefuse(r.now, customer, r.random.Float64()) {
-		returnAfter(r.now)
+		r.returnAfter(customer, r.now, mayReturn)
 		return refuseCost
 	}
 	r.shedder.RecordOutcome(r.now, customer, false)
--- a/internal/overload/zone_test.go
+++ b/internal/overload/zone_test.go
@@ -23,6 +23,10 @@
 	// acceptCalls, dialCalls, passCalls and closeCalls are the system calls for accepting a connection, for opening one, for passing a part
 	// on, and for closing one.
 	acceptCalls, dialCalls, passCalls, closeCalls = 4, 9, 4, 2
+	// refuseUnreadCalls are the system calls for refusing an accepted connection unread.
+	refuseUnreadCalls = 4
+	// acceptors is the number of goroutines that accept connections.
+	acceptors = 4
 	// turn is the time for which a goroutine may keep the processor while others wait.
 	turn = 10 * time.Millisecond
 	// handoverTimeout is the time within which a connection to a peer must be seen to be open.
@@ -110,15 +114,20 @@
 
 	// unaccepted are the connections in the kernel's queue.
 	unaccepted []*zoneConn
-	accepting  bool
+	// accepting is the number of goroutines that accept connections now.
+	accepting  int
 	open       int
 	handedOver int
 	unstarted  int
 
-	handover *overload.Handover
-	shedder  *overload.LoadShedder
-	rotation *overload.Rotation
-	lateness time.Duration
+	admission *overload.Admission
+	handover  *overload.Handover
+	shedder   *overload.LoadShedder
+	rotation  *overload.Rotation
+	lateness  time.Duration
+	// probedAt is the time of a probe of lateness that was not handled yet, zero if there is none. probed is the lateness of the last one.
+	probedAt time.Time
+	probed   time.Duration
 
 	misses int
 	out    bool
@@ -155,7 +164,7 @@
 	for i := range 9 {
 		r := &zoneRouter{
 			zone: zone, index: i, share: 0.192, maxOpen: 4100, handover: overload.NewHandover(seed + uint64(i)), shedder: overload.New(),
-			rotation: overload.NewRotation(), idleSince: startTime,
+			rotation: overload.NewRotation(), admission: overload.NewAdmission(seed + uint64(i)), idleSince: startTime,
 		}
 		if i < 2 {
 			r.share, r.maxOpen = 0.8, 8192
@@ -352,28 +361,37 @@
 
 // measureLateness measures how late periodic work is.
 func (r *zoneRouter) measureLateness() {
-	dueAt := r.zone.now.Add(lateTick)
 	r.zone.after(lateTick, func() {
+		r.probedAt = r.zone.now
 		r.queue(func() taskCost {
-			late := r.zone.now.Sub(dueAt)
-			r.lateness = max(r.lateness, late)
-			r.rotation.RecordLateness(r.zone.now, late)
+			r.probed = r.zone.now.Sub(r.probedAt)
+			r.probedAt = time.Time{}
+			r.lateness = max(r.lateness, r.probed)
+			r.rotation.RecordLateness(r.zone.now, r.probed)
 			r.measureLateness()
 			return kernelCost(linkCost/2, 1)
 		})
 	})
 }
 
+// late returns how late the router handles its tasks.
+func (r *zoneRouter) late() time.Duration {
+	if r.probedAt.IsZero() {
+		return r.probed
+	}
+	return max(r.probed, r.zone.now.Sub(r.probedAt))
+}
+
 // arrive adds a connection to the kernel's queue.
 func (r *zoneRouter) arrive(conn *zoneConn) {
 	r.unaccepted = append(r.unaccepted, conn)
 	r.wakeAcceptor()
 }
 
-// wakeAcceptor queues the task that accepts connections, if it is not queued.
+// wakeAcceptor wakes a goroutine that accepts connections, if one sleeps.
 func (r *zoneRouter) wakeAcceptor() {
-	if !r.accepting && len(r.unaccepted) > 0 {
-		r.accepting = true
+	if r.accepting < acceptors {
+		r.accepting++
 		r.queue(r.acceptAll)
 	}
 }
@@ -388,7 +406,12 @@
 		}
 		conn := r.unaccepted[0]
 		r.unaccepted = r.unaccepted[1:]
-		r.admit(conn)
+		if r.admission.ShouldRefuse(r.late()) {
+			r.refused(conn)
+			cost.kernel += refuseUnreadCalls * syscallCost
+		} else {
+			r.admit(conn)
+		}
 		cost.code += acceptCost
 		cost.kernel += acceptCalls * syscallCost
 		if time.Duration(float64(cost.code+cost.kernel)/r.share) >= turn {
@@ -396,7 +419,7 @@
 			return cost
 		}
 	}
-	r.accepting = false
+	r.accepting--
 	return cost
 }
 
@@ -422,7 +445,7 @@
 	r.open++
 	r.queue(func() taskCost {
 		r.unstarted--
-		delay := r.zone.now.Sub(acceptedAt)
+		delay := max(r.zone.now.Sub(acceptedAt), r.late())
 		r.handover.RecordStartDelay(r.zone.now, delay)
 		r.shedder.RecordStartDelay(r.zone.now, delay)
 		switch {
