Don't send a probe by a claim that has run out

Here: a router claims a probe of what crashes targets in the store and may send it for a second.

The second counts from before the claim now, on the clock that goes on. TestPausedRouterSendsNoProbe holds the process up for 1.1 s after the claim was written; it failed before (the probe was sent).

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -44,9 +44,9 @@
 	bodyMemory *overload.BodyReservation
 	// fingerprints identify the whole request and the shared parts of its prompt.
 	fingerprints []uint64
-	// probe is set if the next attempt may be a probe, and probeUntil is the time until which the claimed probe may be sent.
+	// probe is set if the next attempt may be a probe, and probeUntil is the time until which the claimed probe may be sent, 0 if none is claimed.
 	probe      bool
-	probeUntil time.Time
+	probeUntil boottime.Instant
 	// deadline is the time by which the response must be complete.
 	deadline time.Time
 
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -4,13 +4,14 @@
 	"context"
 	"time"
 
+	"github.com/chicorydale/chicorydale/internal/boottime"
 	"github.com/chicorydale/chicorydale/internal/event"
 	"github.com/chicorydale/chicorydale/internal/refusal"
 )
 
 // admitSuspect returns a refusal if the request, or a part of its prompt, is quarantined and the next attempt cannot be a probe.
 func (x *exchange) admitSuspect() *refusal.Error {
-	if !x.probeUntil.IsZero() {
+	if x.probeUntil != 0 {
 		return nil // The last attempt reached no target, so the probe has not been sent yet.
 	}
 	var refusalErr *refusal.Error
@@ -23,10 +24,11 @@
 func (x *exchange) authorizeSend(ctx context.Context) *refusal.Error {
 	quarantined := x.gateway.suspects.quarantined(x.fingerprints)
 	now := time.Now()
+	claimedAt := boottime.Now()
 	switch {
-	case len(quarantined) == 0 || now.Before(x.probeUntil):
+	case len(quarantined) == 0 || claimedAt.Before(x.probeUntil):
 		return nil
-	case !x.probe || !x.probeUntil.IsZero():
+	case !x.probe || x.probeUntil != 0:
 		return refuseQuarantined(now, now.Add(retryAfter))
 	}
 	granted, retryAt := x.gateway.claims.claim(ctx, quarantined)
@@ -34,10 +36,13 @@
 	if !granted {
 		return refuseQuarantined(now, retryAt)
 	}
+	x.probeUntil = claimedAt.Add(claimLifetime)
+	if !boottime.Now().Before(x.probeUntil) { // The process was held up, or its host suspended.
+		return refuseQuarantined(now, now.Add(retryAfter))
+	}
 	event.QuarantineProbed.Log(x.gateway.logger, quarantined[0], x.info.ID)
-	x.probeUntil = now.Add(claimLifetime)
 	return nil
 }
 
 // endProbe records that the claimed probe has been sent, so that the next attempt needs another one.
-func (x *exchange) endProbe() { x.probe, x.probeUntil = false, time.Time{} }
+func (x *exchange) endProbe() { x.probe, x.probeUntil = false, 0 }
--- a/internal/gateway/probeclaims_test.go
+++ b/internal/gateway/probeclaims_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"runtime"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -11,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/chicorydale/chicorydale/internal/boottime"
 	"github.com/chicorydale/chicorydale/internal/gateway"
 	"github.com/chicorydale/chicorydale/internal/quarantine"
 	"github.com/chicorydale/chicorydale/internal/topiclog"
@@ -24,6 +26,8 @@
 	end  uint64
 	keys map[string][]byte
 	down bool
+	// pause is the time for which the process is held up after an append.
+	pause time.Duration
 }
 
 func (c *claimTopic) ReadNewest(context.Context) (topiclog.Page, error) {
@@ -49,6 +53,9 @@
 		c.keys[record.Key] = record.Value
 		c.end++
 	}
+	for end := boottime.Now().Add(c.pause); boottime.Now().Before(end); { // The clock of the test does not go on in a suspended host.
+		runtime.Gosched()
+	}
 	return nil
 }
 
@@ -72,6 +79,21 @@
 	})
 }
 
+// TestPausedRouterSendsNoProbe guards against a probe that is sent by a permission that has run out while the process was held up or its host
+// suspended.
+func TestPausedRouterSendsNoProbe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		topic := &claimTopic{keys: make(map[string][]byte), pause: 1100 * time.Millisecond}
+		gate := gateway.NewSendGate(topic, 1)
+		crashThrice(gate)
+		for !gate.Admit() {
+			time.Sleep(time.Second)
+		}
+		qt.Check(t, gate.Authorize(t.Context()), qt.IsFalse)
+		qt.Check(t, topic.keys, qt.HasLen, 1) // The claim was written.
+	})
+}
+
 // TestRoutersShareProbes guards against routers that each send probes of what crashes targets, beside each other or one after the other,
 // and against a router that sends one while it cannot ask the store.
 func TestRoutersShareProbes(t *testing.T) {
