Answer handed over requests that a late router refuses

A late router refuses new connections unread, and closes those on which nothing has arrived. The router that hands a connection over may have read the request already when the connection is closed, and its caller gets nothing. Such connections are taken now until something arrives. TestHandedOverRequestIsNotDropped failed before (the listener never returned the connection).

Line 116 is named host_late, since it tells of refused connections as well.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -33,7 +33,7 @@
 	}}
 	AcceptFailed = Event{115, levelWarn, "accept_failed", []string{"error"}}
 
-	HandoversKept = Event{116, levelWarn, "handovers_kept", []string{
+	HostLate = Event{116, levelWarn, "host_late", []string{
 		"without_peer", "at_limit", "unconfirmed", "after_failure", "open", "peers_spare_ms", "refused",
 	}}
 )
@@ -151,7 +151,7 @@
 func All() []Event {
 	return []Event{
 		Started, Ready, NotReady, Draining, Drained, DrainCut, Stopped, Failed, Panicked, TickLate,
-		Reloaded, SettingsKept, LogGap, ProcessState, AcceptFailed, HandoversKept,
+		Reloaded, SettingsKept, LogGap, ProcessState, AcceptFailed, HostLate,
 		ConfigApplied, TableApplied,
 		LogDown, LogUp, LogExpired, LogUnsettled, HostsDown, HostsUp, HostsChanged,
 		StoreDown, StoreUp, RecordInvalid, OriginsLoaded, OriginsUnsaved,
--- a/internal/gateway/acceptor.go
+++ b/internal/gateway/acceptor.go
@@ -45,8 +45,7 @@
 		conn, err := a.Listener.Accept()
 		now := time.Now()
 		if tcpConn, ok := conn.(*net.TCPConn); ok && err == nil {
-			if a.handovers.shouldRefuse(now) {
-				a.refuse(tcpConn)
+			if a.handovers.shouldRefuse(now) && a.refuse(tcpConn) {
 				continue
 			}
 			if !a.handedOver && a.handovers.take(tcpConn, now) {
@@ -66,10 +65,15 @@
 	}
 }
 
-// refuse refuses a connection that this router would begin to handle too late.
-func (a *acceptor) refuse(conn *net.TCPConn) {
+// refuse refuses a connection that this router would begin to handle too late. It reports whether it did: the router that has handed a
+// connection over may have read the request already, so its caller must get an answer.
+func (a *acceptor) refuse(conn *net.TCPConn) bool {
+	if a.handedOver && !hasData(conn) {
+		return false
+	}
 	a.handovers.counts.refused.Add(1)
 	refuseUnread(conn, a.discarded[:])
+	return true
 }
 
 // newCallerConn returns the connection of a caller that was accepted at the given time.
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -486,10 +486,10 @@
 // RefuseUnread refuses the request on an accepted connection.
 func RefuseUnread(conn *net.TCPConn) { refuseUnread(conn, make([]byte, 4<<10)) }
 
-// NewLateListener returns the listener of a gateway whose process handles data late.
-func NewLateListener(g *Gateway, listener net.Listener, lateness time.Duration) net.Listener {
+// NewLateListener returns the listener of a gateway whose process handles data late. handedOver is set if other routers hand connections over.
+func NewLateListener(g *Gateway, listener net.Listener, lateness time.Duration, handedOver bool) net.Listener {
 	g.peers.probe.last = lateness
-	return g.newAcceptor(listener, false)
+	return g.newAcceptor(listener, handedOver)
 }
 
 // EndLateness makes the process of a gateway handle data at once.
--- a/internal/gateway/maintenance.go
+++ b/internal/gateway/maintenance.go
@@ -36,7 +36,7 @@
 			g.client.Prune(now, g.openTargetNames())
 			g.updateGauges()
 			g.logProcessState()
-			g.logHandovers(now)
+			g.logLateness(now)
 			g.refusalLog.logSuppressed()
 			ready = g.logReadiness(ready)
 			dropped = g.logDroppedLines(dropped)
--- a/internal/gateway/processstate.go
+++ b/internal/gateway/processstate.go
@@ -48,8 +48,8 @@
 	g.usageAtLastLog = processUsage{cpuTime: cpuTime, gcCycles: gcCycles}
 }
 
-// logHandovers logs how many connections this late router refused or kept since the last call, and why, if there were any.
-func (g *Gateway) logHandovers(now time.Time) {
+// logLateness logs how many new connections this late router refused or kept since the last call, and why, if there were any.
+func (g *Gateway) logLateness(now time.Time) {
 	counts := &g.handovers.counts
 	refused, withoutPeer, atLimit := counts.refused.Swap(0), counts.keptWithoutPeer.Swap(0), counts.keptAtLimit.Swap(0)
 	unconfirmed, afterFailure := counts.keptUnconfirmed.Swap(0), counts.keptAfterFailure.Swap(0)
@@ -58,5 +58,5 @@
 	}
 	g.metrics.CountRefusals(refusal.Overloaded, refused)
 	open, spare := g.handovers.state(now)
-	event.HandoversKept.Log(g.logger, withoutPeer, atLimit, unconfirmed, afterFailure, open, spare.Milliseconds(), refused)
+	event.HostLate.Log(g.logger, withoutPeer, atLimit, unconfirmed, afterFailure, open, spare.Milliseconds(), refused)
 }
--- a/internal/gateway/unreadrefusal_test.go
+++ b/internal/gateway/unreadrefusal_test.go
@@ -70,7 +70,7 @@
 func TestLateRouterRefusesNewConnections(t *testing.T) {
 	late := listen(t)
 	instance := gateway.New(gateway.Settings{}, gateway.Adapters{Codec: codec{}}, zerolog.Nop(), func() uint64 { return 0 })
-	listener := gateway.NewLateListener(instance, late, time.Second)
+	listener := gateway.NewLateListener(instance, late, time.Second, false)
 	accepted := make(chan net.Conn, 1)
 	go func() {
 		conn, err := listener.Accept()
@@ -96,3 +96,18 @@
 		t.Fatal("a connection was not accepted after the backlog was empty")
 	}
 }
+
+// TestHandedOverRequestIsNotDropped guards against a request that gets no answer because the router which has read it hands it over to a late
+// one, which closes the connection before the request has arrived.
+func TestHandedOverRequestIsNotDropped(t *testing.T) {
+	late := listen(t)
+	qt.Assert(t, late.SetDeadline(time.Now().Add(handoverTimeout)), qt.IsNil)
+	instance := gateway.New(gateway.Settings{}, gateway.Adapters{Codec: codec{}}, zerolog.Nop(), func() uint64 { return 0 })
+	listener := gateway.NewLateListener(instance, late, time.Second, true)
+	firstRouter, err := net.Dial("tcp", late.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = firstRouter.Close() }()
+	conn, err := listener.Accept()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, conn.Close(), qt.IsNil)
+}
