--- /dev/null
+++ b/internal/gateway/callerconns_export_test.go
@@ -0,0 +1,127 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// CallerDisconnected reports whether the caller at the other end of a connection has closed it.
+func CallerDisconnected(ctx context.Context, conn net.Conn) bool {
+	return callerDisconnected(contextWithConn(ctx, conn))
+}
+
+// BackdateAccept moves the accept time of a caller's connection into the past.
+func BackdateAccept(conn net.Conn, by time.Duration) {
+	if accepted, ok := conn.(*callerConn); ok {
+		accepted.acceptedAt = accepted.acceptedAt.Add(-by)
+	}
+}
+
+// CallerServer exports the HTTP server for callers with the set of their connections.
+type CallerServer struct {
+	*http.Server
+	conns    *callerConns
+	listener net.Listener
+	accepted *lastConn
+}
+
+// lastConn is a listener that remembers the connection that it accepted last.
+type lastConn struct {
+	net.Listener
+	conn atomic.Value
+}
+
+// Accept accepts a connection.
+func (l *lastConn) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		l.conn.Store(conn)
+	}
+	return conn, err
+}
+
+// ServeCallers serves callers on a listener as a gateway does, but with another handler. hold is called before and after each change
+// of a connection's state is recorded.
+func ServeCallers(
+	g *Gateway, tcpListener net.Listener, hold func(state http.ConnState, before bool), handler http.Handler,
+) CallerServer {
+	accepted := &lastConn{Listener: g.newAcceptor(tcpListener, false)}
+	server := g.newServer(handler)
+	server.ConnState = func(conn net.Conn, state http.ConnState) {
+		hold(state, true)
+		g.callerConns.stateChanged(conn, state)
+		hold(state, false)
+	}
+	go func() { _ = server.Serve(accepted) }()
+	return CallerServer{Server: server, conns: g.callerConns, listener: tcpListener, accepted: accepted}
+}
+
+// Address returns the address of the server.
+func (s CallerServer) Address() string { return s.listener.Addr().String() }
+
+// CloseIdle closes idle connections as if it were called at the time now.
+func (s CallerServer) CloseIdle(now time.Time, idleTimeout time.Duration) {
+	s.conns.closeIdle(now, idleTimeout)
+}
+
+// Ending reports whether the connection that was accepted last ends unless data has arrived.
+func (s CallerServer) Ending() bool {
+	conn, _ := s.accepted.conn.Load().(*callerConn)
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	return !conn.endingSince.IsZero()
+}
+
+// AwaitData waits until unread data has arrived on the connection that was accepted last.
+func (s CallerServer) AwaitData() {
+	conn, _ := s.accepted.conn.Load().(net.Conn)
+	AwaitData(conn)
+}
+
+// AwaitData waits until unread data has arrived on a caller's connection.
+func AwaitData(conn net.Conn) {
+	if accepted, ok := conn.(*callerConn); ok {
+		peekReceived(accepted.TCPConn, make([]byte, 1))
+	}
+}
+
+// AcceptCaller accepts a caller's connection as a gateway does.
+func AcceptCaller(g *Gateway, tcpListener net.Listener) (net.Conn, error) {
+	return g.newAcceptor(tcpListener, false).Accept()
+}
+
+// pollSignal is a listener that signals each check for connections that wait to be accepted.
+type pollSignal struct {
+	*net.TCPListener
+	polled chan struct{}
+}
+
+// SyscallConn signals a check.
+func (l *pollSignal) SyscallConn() (syscall.RawConn, error) {
+	select {
+	case l.polled <- struct{}{}:
+	default:
+	}
+	return l.TCPListener.SyscallConn()
+}
+
+// Close closes the listener and ends the signals.
+func (l *pollSignal) Close() error {
+	defer close(l.polled)
+	return l.TCPListener.Close()
+}
+
+// CloseWhenEmpty closes a listener in the background as a gateway that ends does, and then the channel closed. It returns a channel
+// that receives a value at each check whether connections wait.
+func CloseWhenEmpty(ctx context.Context, g *Gateway, tcpListener net.Listener, closed chan<- struct{}) <-chan struct{} {
+	signal := &pollSignal{TCPListener: tcpListener.(*net.TCPListener), polled: make(chan struct{})} //nolint:forcetypeassert // As passed.
+	go func() {
+		defer close(closed)
+		g.newAcceptor(signal, false).closeWhenEmpty(ctx)
+	}()
+	return signal.polled
+}
--- /dev/null
+++ b/internal/gateway/handover_export_test.go
@@ -0,0 +1,121 @@
+package gateway
+
+import (
+	"net"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
+)
+
+// Handovers is handovers for tests, at a router that is always late.
+type Handovers struct{ *handovers }
+
+// NewHandovers returns the handovers of a late router with one peer that has processor time, and a listener for the connections that it
+// keeps.
+func NewHandovers(peer, address string, readsWait bool) (Handovers, net.Listener) {
+	return newTestHandovers(peer, handoverPeer{address: address, readsWait: readsWait}, 0)
+}
+
+// NewConfirmedHandovers is like NewHandovers with a peer that confirms connections. The callers' requests have a deadline after the timeout.
+func NewConfirmedHandovers(peer, address string, timeout time.Duration) (Handovers, net.Listener) {
+	return newTestHandovers(peer, handoverPeer{address: address, confirms: true}, timeout)
+}
+
+func newTestHandovers(peer string, at handoverPeer, timeout time.Duration) (Handovers, net.Listener) {
+	kept := newConnQueue(func(conn *net.TCPConn, _ time.Time) net.Conn { return conn })
+	parse := func(_ []byte, since time.Time) (string, time.Time) { return "id", since.Add(timeout) }
+	h := newHandovers(zerolog.Nop(), 1000, 1, kept, new(readProbe), parse)
+	h.setPeer(time.Now(), peer, at, time.Second)
+	return Handovers{h}, kept
+}
+
+// EndOverdue ends the requests that were due at a time and have no complete answer.
+func (h Handovers) EndOverdue(now time.Time) { h.endOverdue(now) }
+
+// Take hands a connection over if a peer has processor time, and reports whether it did.
+func (h Handovers) Take(conn *net.TCPConn) bool {
+	h.mu.Lock()
+	h.policy.RecordStartDelay(time.Now(), time.Second)
+	h.mu.Unlock()
+	return h.take(conn, time.Now())
+}
+
+// TakeOfCrowd is like Take at a router that is not late, but has got many connections at once.
+func (h Handovers) TakeOfCrowd(conn *net.TCPConn) bool {
+	h.unstarted.Store(1000)
+	return h.take(conn, time.Now())
+}
+
+// TakeAcceptedAt is like Take for a connection that was accepted at a time in the past, at which the peer had processor time.
+func (h Handovers) TakeAcceptedAt(conn *net.TCPConn, acceptedAt time.Time) bool {
+	h.mu.Lock()
+	h.policy.RecordStartDelay(acceptedAt, time.Second)
+	for name := range h.peers {
+		h.policy.RecordPeer(acceptedAt, name, time.Second)
+	}
+	h.mu.Unlock()
+	return h.take(conn, acceptedAt)
+}
+
+// LosePeer records that the link to a peer has ended, and lets the given time pass.
+func (h Handovers) LosePeer(name string, elapsed time.Duration) {
+	now := time.Now()
+	h.peerDisconnected(now, name)
+	h.checkLost(now.Add(elapsed))
+}
+
+// Probed returns the number of open connections whose peers the kernel probes.
+func (h Handovers) Probed() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	probed := 0
+	for passed := range h.open {
+		raw, err := passed.target.SyscallConn()
+		if err != nil {
+			continue
+		}
+		_ = raw.Control(func(fd uintptr) {
+			if enabled, err := unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_KEEPALIVE); err == nil && enabled != 0 {
+				probed++
+			}
+		})
+	}
+	return probed
+}
+
+// Stop makes the router keep all further connections.
+func (h Handovers) Stop() { h.stop() }
+
+// EndUnused ends the connections on which nothing has arrived, and returns the number of open ones.
+func (h Handovers) EndUnused() int { return h.endUnused() }
+
+// RefuseUnread refuses the request on an accepted connection.
+func RefuseUnread(conn *net.TCPConn) { refuseUnread(conn, make([]byte, 4<<10)) }
+
+// NewLateListener returns the listener of a gateway whose process handles data late. handedOver is set if other routers hand connections over.
+func NewLateListener(g *Gateway, listener net.Listener, lateness time.Duration, handedOver bool) net.Listener {
+	g.peers.probe.last = lateness
+	return g.newAcceptor(listener, handedOver)
+}
+
+// EndLateness makes the process of a gateway handle data at once.
+func EndLateness(g *Gateway) { g.peers.probe.received(g.peers.probe.sentAt) }
+
+// ReadProbe exports the probe of a process.
+type ReadProbe struct{ *readProbe }
+
+// NewReadProbe returns an open probe.
+func NewReadProbe() (ReadProbe, error) {
+	p := new(readProbe)
+	return ReadProbe{p}, p.open()
+}
+
+// Send sends a byte.
+func (p ReadProbe) Send(now time.Time) { p.send(now) }
+
+// Delay returns how late the process handles data.
+func (p ReadProbe) Delay(now time.Time) time.Duration { return p.delay(now) }
+
+// Close ends the probe.
+func (p ReadProbe) Close() { p.close() }
