Log connections that are closed although an unread request has arrived on them

Cause: logCut returned when the count of read bytes was 0, which is also so for a connection whose next request has just arrived and for one that fails before its first read. Now unread data counts. Ruled out: a second line for the same connection (closed is checked first). Tests of the log page and of idle connections pass.

--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -154,7 +154,8 @@
 	return c.TCPConn.Close()
 }
 
-// logCut logs that the connection is closed after bytes of a request and before any of its answer, unless the caller has left.
+// logCut logs that the connection is closed after bytes of a request have arrived, read or not, and before any of its answer, unless the caller
+// has left.
 func (c *callerConn) logCut() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -162,8 +163,15 @@
 		return
 	}
 	c.closed = true
-	if c.received > 0 && !c.answered && !isDisconnect(c.readErr) && !isDisconnected(c.TCPConn) {
-		c.cuts.log(time.Now(), c.receivedSince, c.received, c.readErr)
+	since := c.receivedSince
+	if c.received == 0 {
+		if !hasData(c.TCPConn) {
+			return
+		}
+		since = c.acceptedAt
+	}
+	if !c.answered && !isDisconnect(c.readErr) && !isDisconnected(c.TCPConn) {
+		c.cuts.log(time.Now(), since, c.received, c.readErr)
 	}
 }
 
