Refuse requests on unread connections only once they have arrived

Cause: refuseUnread looked once, at the accept, and closed a connection on which nothing had arrived, while its request was on its way; of a request that had arrived in part, unread bytes reset the connection and could destroy the 503. Its write deadline of 10 ms could pass in a process that gets no processor time between the two calls.

Now a connection without data waits for its request, up to a fourth of the descriptors; the request is refused then, or served if the router has caught up. A request that was not read whole is followed by a half-close and half a second of reading. What that does to a flooded router is not measured by this commit.

TestConnectionWithoutRequestGetsNoRefusal ends the connection from the caller's side now, since the router no longer closes it first; TestLateRouterRefusesNewConnections sends a request and expects the 503, where any answer but a 200 passed before. Ruled out: that the fixed wait for data holds up the acceptors (it has its own goroutine).

--- a/internal/gateway/acceptor.go
+++ b/internal/gateway/acceptor.go
@@ -31,11 +31,12 @@
 	// handovers takes connections that this router is too late for, unless handedOver is set: then another router has handed them over.
 	handovers  *handovers
 	handedOver bool
+	refuser    *unreadRefuser
 	cuts       *cutLog
 	logger     zerolog.Logger
 	lastLogged time.Time
-	// discarded is where refused requests are read to. It belongs to the goroutine that accepts.
-	discarded [4 << 10]byte
+	// received is where refused requests are read to. It belongs to the goroutine that accepts.
+	received [refusalBufferBytes]byte
 }
 
 // Accept returns the next connection as a *callerConn. It blocks while no file descriptor is free and returns all other
@@ -65,15 +66,13 @@
 	}
 }
 
-// refuse refuses a connection that this router would begin to handle too late. It reports whether it did: the router that has handed a
-// connection over may have read the request already, so its caller must get an answer.
+// refuse refuses the request on a connection that this router would begin to handle too late. It reports whether it did. A router that hands
+// connections over waits for a confirmation on those that have no data.
 func (a *acceptor) refuse(conn *net.TCPConn) bool {
 	if a.handedOver && !hasData(conn) {
 		return false
 	}
-	a.handovers.counts.refused.Add(1)
-	refuseUnread(conn, a.discarded[:])
-	return true
+	return a.refuser.refuse(conn, a.received[:])
 }
 
 // newCallerConn returns the connection of a caller that was accepted at the given time.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,6 +71,7 @@
 	lateness        *latenessMeter
 	shedder         *loadShedder
 	handovers       *handovers
+	refuser         *unreadRefuser
 	refusalLog      *refusalLog
 	bodies          *overload.BodyBudget
 	// kept holds connections of callers that could not be handed over to a peer.
@@ -139,6 +140,7 @@
 	g.handovers = newHandovers(
 		logger, settings.MaxOpenFiles, settings.Seed, g.kept, probe, g.parseHandedOver,
 	)
+	g.refuser = newUnreadRefuser(g.handovers, settings.MaxOpenFiles)
 	loads := &loadReports{
 		handovers: g.handovers, logger: logger, share: settings.ProcessorShare, zonePeers: make(map[string]bool),
 		rotation:  overload.NewRotation(),
@@ -308,7 +310,7 @@
 // newAcceptor returns an acceptor of callers' connections on a listener. handedOver is set if other routers have handed them over.
 func (g *Gateway) newAcceptor(listener net.Listener, handedOver bool) *acceptor {
 	return &acceptor{
-		Listener: listener, callerConns: g.callerConns, shedder: g.shedder, handovers: g.handovers, handedOver: handedOver,
+		Listener: listener, callerConns: g.callerConns, shedder: g.shedder, handovers: g.handovers, handedOver: handedOver, refuser: g.refuser,
 		cuts: &cutLog{logger: g.logger}, logger: g.logger,
 	}
 }
--- a/internal/gateway/handover_export_test.go
+++ b/internal/gateway/handover_export_test.go
@@ -90,8 +90,12 @@
 // EndUnused ends the connections on which nothing has arrived, and returns the number of open ones.
 func (h Handovers) EndUnused() int { return h.endUnused() }
 
-// RefuseUnread refuses the request on an accepted connection.
-func RefuseUnread(conn *net.TCPConn) { refuseUnread(conn, make([]byte, 4<<10)) }
+// RefuseUnread refuses the request on an accepted connection at a router that is late.
+func RefuseUnread(conn *net.TCPConn, lateness time.Duration) {
+	probe := &readProbe{last: lateness}
+	h := newHandovers(zerolog.Nop(), 1000, 1, nil, probe, nil)
+	newUnreadRefuser(h, 1000).refuse(conn, make([]byte, refusalBufferBytes))
+}
 
 // NewLateListener returns the listener of a gateway whose process handles data late. handedOver is set if other routers hand connections over.
 func NewLateListener(g *Gateway, listener net.Listener, lateness time.Duration, handedOver bool) net.Listener {
--- a/internal/gateway/unreadrefusal.go
+++ b/internal/gateway/unreadrefusal.go
@@ -1,55 +1,137 @@
 package gateway
 
 import (
+	"bufio"
+	"bytes"
 	"fmt"
-	"math/rand/v2"
+	"io"
 	"net"
+	"net/http"
+	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/chicorydale/chicorydale/internal/overload"
 )
 
 const (
-	// minUnreadRetryDelay and maxUnreadRetryDelay bound the time after which a caller is told to come back, to another router.
-	minUnreadRetryDelay = 10 * time.Millisecond
-	maxUnreadRetryDelay = 100 * time.Millisecond
-	// maxRefusedBytes is the number of bytes of a refused request that are read at most. Unread bytes would reset the connection and may
-	// destroy the refusal on its way.
-	maxRefusedBytes = 64 << 10
-	// unreadWriteTimeout limits the time to send a refusal.
-	unreadWriteTimeout = 10 * time.Millisecond
+	// lingerTimeout is how long a connection is read after its last answer. Bytes that arrive after it is closed reset it, and a reset may
+	// destroy an answer on its way.
+	lingerTimeout = 500 * time.Millisecond
+	// maxLingerBytes is the number of bytes that are read meanwhile at most.
+	maxLingerBytes = 1 << 20
+	// refusalBufferBytes is the size of the buffer for what has arrived of a refused request.
+	refusalBufferBytes = 4 << 10
+	// refusedConnFraction is the fraction of the file descriptors that refused connections may use until their requests have arrived.
+	refusedConnFraction = 0.25
 )
 
-// refuseUnread refuses the request on a new connection without parsing it, and closes the connection. If nothing has arrived, the connection
-// is closed without an answer, which could not belong to a request. Nothing of the request can run in either case.
-func refuseUnread(conn *net.TCPConn, buffer []byte) {
-	if discardReceived(conn, buffer) {
-		retryDelay := minUnreadRetryDelay + rand.N(maxUnreadRetryDelay-minUnreadRetryDelay)
-		// A caller that does not read gets no answer.
-		_ = conn.SetWriteDeadline(time.Now().Add(unreadWriteTimeout))
-		_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\nRetry-After: %.2f\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
-			retryDelay.Seconds())
+// unreadRefuser refuses requests on new connections that this router would begin to handle too late. It sends them no further, so they cannot
+// run. It is safe for concurrent use.
+type unreadRefuser struct {
+	handovers *handovers
+	// open is the number of connections whose requests have not arrived yet, or not completely. maxOpen limits it.
+	open    atomic.Int64
+	maxOpen int64
+}
+
+// newUnreadRefuser returns a refuser for a process with a number of file descriptors.
+func newUnreadRefuser(handovers *handovers, maxOpenFiles int) *unreadRefuser {
+	return &unreadRefuser{handovers: handovers, maxOpen: int64(float64(maxOpenFiles) * refusedConnFraction)}
+}
+
+// refuse refuses the request on a connection, at once or when it arrives. The buffer is used until it returns. It reports false if nothing has
+// arrived and too many connections wait for their requests.
+func (r *unreadRefuser) refuse(conn *net.TCPConn, buffer []byte) bool {
+	if received := readReceived(conn, buffer); len(received) > 0 {
+		r.answer(conn, received)
+		return true
 	}
-	_ = conn.Close() // The connection is over in any case.
+	return r.goWithinLimit(func() { r.awaitRequest(conn) })
 }
 
-// discardReceived reads what has arrived on a connection, without waiting. It reports whether anything had.
-func discardReceived(conn *net.TCPConn, buffer []byte) bool {
-	raw, err := conn.SyscallConn()
+// goWithinLimit runs a function in a goroutine of its own, and reports false if too many of them run.
+func (r *unreadRefuser) goWithinLimit(do func()) bool {
+	if r.open.Add(1) > r.maxOpen {
+		r.open.Add(-1)
+		return false
+	}
+	go func() {
+		defer r.open.Add(-1)
+		do()
+	}()
+	return true
+}
+
+// awaitRequest waits for the request on a connection. It is refused, or served if this router has caught up meanwhile.
+func (r *unreadRefuser) awaitRequest(conn *net.TCPConn) {
+	_ = conn.SetReadDeadline(time.Now().Add(readHeaderTimeout)) // On a broken connection, the read fails anyway.
+	var first [1]byte
+	if len(peekReceived(conn, first[:])) == 0 {
+		_ = conn.Close() // There is no request.
+		return
+	}
+	now := time.Now()
+	if !r.handovers.shouldRefuse(now) {
+		_ = conn.SetReadDeadline(time.Time{}) // On a broken connection, the next read fails as well.
+		r.handovers.keep(conn, now)
+		return
+	}
+	r.answer(conn, readReceived(conn, make([]byte, refusalBufferBytes)))
+}
+
+// answer refuses the request of which some bytes were read.
+func (r *unreadRefuser) answer(conn *net.TCPConn, received []byte) {
+	r.handovers.counts.refused.Add(1)
+	retryDelay := overload.RetryDelay(r.handovers.probe.delay(time.Now()))
+	_, _ = conn.Write([]byte(unreadRefusal(retryDelay))) // A caller that has left gets no answer.
+	if isWholeRequest(received) || !r.goWithinLimit(func() { lingerClose(conn) }) {
+		_ = conn.Close() // The answer was sent.
+	}
+}
+
+// isWholeRequest reports whether bytes are exactly one request.
+func isWholeRequest(received []byte) bool {
+	reader := bytes.NewReader(received)
+	buffered := bufio.NewReader(reader)
+	r, err := http.ReadRequest(buffered)
 	if err != nil {
 		return false
 	}
-	total := 0
-	err = raw.Control(func(fd uintptr) {
-		for total < maxRefusedBytes {
-			n, _, recvErr := syscall.Recvfrom(int(fd), buffer, syscall.MSG_DONTWAIT)
-			if recvErr != nil || n <= 0 {
-				return
-			}
-			total += n
-			if n < len(buffer) {
-				return
-			}
-		}
-	})
-	return err == nil && total > 0
+	headBytes := len(received) - reader.Len() - buffered.Buffered()
+	return requestBytes(r, headBytes) == int64(len(received))
+}
+
+// requestBytes returns the size of a whole request with the given head, 0 if the head does not tell it. size is the length of the head.
+func requestBytes(r *http.Request, size int) int64 {
+	if r.ContentLength < 0 {
+		return 0
+	}
+	return int64(size) + r.ContentLength
+}
+
+// unreadRefusal returns the answer to a request that has not run, whose caller is to come back after a delay.
+func unreadRefusal(retryDelay time.Duration) string {
+	return fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nRetry-After: %.2f\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", retryDelay.Seconds())
+}
+
+// lingerClose closes a connection after its last answer was sent: at once for the other end, and altogether when that has closed it.
+func lingerClose(conn *net.TCPConn) {
+	_ = conn.CloseWrite() // On a broken connection, the read fails as well.
+	_ = conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_, _ = io.CopyN(io.Discard, conn, maxLingerBytes) // What still arrives has been answered.
+	_ = conn.Close()
+}
+
+// readReceived reads what has arrived on a connection into the buffer, without waiting.
+func readReceived(conn *net.TCPConn, buffer []byte) []byte {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	n := 0
+	if raw.Control(func(fd uintptr) { n, _, _ = syscall.Recvfrom(int(fd), buffer, syscall.MSG_DONTWAIT) }) != nil {
+		return nil
+	}
+	return buffer[:max(n, 0)]
 }
--- a/internal/gateway/unreadrefusal_test.go
+++ b/internal/gateway/unreadrefusal_test.go
@@ -43,7 +43,7 @@
 		_, err := io.WriteString(caller, request)
 		qt.Assert(t, err, qt.IsNil)
 		awaitReceived(t, accepted, len(request))
-		gateway.RefuseUnread(accepted)
+		gateway.RefuseUnread(accepted, 50*time.Millisecond)
 		response, err := http.ReadResponse(bufio.NewReader(caller), nil)
 		qt.Assert(t, err, qt.IsNil)
 		qt.Check(t, response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
@@ -59,7 +59,8 @@
 // TestConnectionWithoutRequestGetsNoRefusal guards against an answer on a connection on which no request waits.
 func TestConnectionWithoutRequestGetsNoRefusal(t *testing.T) {
 	caller, accepted := newPair(t)
-	gateway.RefuseUnread(accepted)
+	gateway.RefuseUnread(accepted, time.Second)
+	qt.Assert(t, caller.CloseWrite(), qt.IsNil)
 	received, err := io.ReadAll(caller)
 	qt.Check(t, err, qt.IsNil)
 	qt.Check(t, string(received), qt.Equals, "")
@@ -69,7 +70,7 @@
 // callers would reach another one.
 func TestLateRouterRefusesNewConnections(t *testing.T) {
 	late := listen(t)
-	instance := gateway.New(gateway.Settings{}, gateway.Adapters{Codec: codec{}}, zerolog.Nop(), func() uint64 { return 0 })
+	instance := gateway.New(gateway.Settings{MaxOpenFiles: 1000}, gateway.Adapters{Codec: codec{}}, zerolog.Nop(), func() uint64 { return 0 })
 	listener := gateway.NewLateListener(instance, late, time.Second, false)
 	accepted := make(chan net.Conn, 1)
 	go func() {
@@ -81,8 +82,11 @@
 	refused, err := net.Dial("tcp", late.Addr().String())
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, refused.SetDeadline(time.Now().Add(handoverTimeout)), qt.IsNil)
-	received, _ := io.ReadAll(refused)
-	qt.Check(t, strings.HasPrefix(string(received), "HTTP/1.1 200"), qt.IsFalse)
+	_, err = io.WriteString(refused, "GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n")
+	qt.Assert(t, err, qt.IsNil)
+	received, err := io.ReadAll(refused)
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, strings.HasPrefix(string(received), "HTTP/1.1 503"), qt.IsTrue, qt.Commentf("%q", received))
 	qt.Check(t, len(accepted), qt.Equals, 0)
 
 	gateway.EndLateness(instance)
