Answer handed over requests that the peer does not answer

Cause: five pieces of code could close the caller's connection and none had to answer it.

Now run() alone lets go of the caller's connection: with an answer, when the caller has left, or by returning it to the own server. If the peer ends without a byte, the router answers 503 where the peer cannot have got the whole request (by the size that its head tells), else 502. A peer that reads no more may still answer; an answer that is complete by its length counts although the connection broke. The caller's connection is half-closed and read on, so that a body on its way does not destroy the answer. At the end of a drain, what peers have not answered gets 502. Lines 416 and 116 tell how handed over requests ended.

Ruled out: an answer to a request that may have run as if it had not (the test checks each 503 against what its peer got).

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -35,6 +35,7 @@
 
 	HostLate = Event{116, levelWarn, "host_late", []string{
 		"without_peer", "at_limit", "unconfirmed", "after_failure", "open", "peers_spare_ms", "refused",
+		"answered_by_peer", "answered_here", "broken_off",
 	}}
 )
 
@@ -80,6 +81,8 @@
 
 	HandoverFailed  = Event{414, levelWarn, "handover_failed", []string{"peer", "error"}}
 	HandoverOverdue = Event{415, levelWarn, "handover_overdue", []string{"id", "peer", "waited_ms", "status"}}
+
+	HandoverUnanswered = Event{416, levelWarn, "handover_unanswered", []string{"id", "peer", "waited_ms", "status", "error"}}
 )
 
 // Events of the targets.
@@ -156,7 +159,7 @@
 		LogDown, LogUp, LogExpired, LogUnsettled, HostsDown, HostsUp, HostsChanged,
 		StoreDown, StoreUp, RecordInvalid, OriginsLoaded, OriginsUnsaved,
 		LinkUp, LinkDown, PeerUp, PeerDown, PeerLeaving, RoleGained, RoleLost, Isolated, Rejoined, AnnounceFailed,
-		StoreShared, StoreUnshared, HandoverFailed, HandoverOverdue,
+		StoreShared, StoreUnshared, HandoverFailed, HandoverOverdue, HandoverUnanswered,
 		TargetAdded, TargetLeaving, TargetGone, TargetCrashed, TargetLimited,
 		TargetNotice, TargetPaused, TargetResumed, TargetHeaderInvalid,
 		Refused, Retried, Resumed, Abandoned,
--- a/internal/gateway/connqueue.go
+++ b/internal/gateway/connqueue.go
@@ -26,12 +26,13 @@
 	return &connQueue{wrap: wrap, conns: make(chan acceptedConn), closed: make(chan struct{})}
 }
 
-// put passes a connection to Accept, or closes it if the queue is closed.
-func (q *connQueue) put(conn *net.TCPConn, acceptedAt time.Time) {
+// put passes a connection to Accept. It reports false if the queue is closed, so that nobody serves the connection.
+func (q *connQueue) put(conn *net.TCPConn, acceptedAt time.Time) bool {
 	select {
 	case q.conns <- acceptedConn{conn, acceptedAt}:
+		return true
 	case <-q.closed:
-		_ = conn.Close() // Nobody serves it any more.
+		return false
 	}
 }
 
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -51,6 +51,7 @@
 	for g.callerConns.endUnused(time.Now(), drainIdleTimeout)+g.handovers.endUnused() > 0 {
 		if drainCtx.Err() != nil {
 			event.DrainCut.Log(g.logger, g.openRequests.Load())
+			g.handovers.endAll()
 			return
 		}
 		sleepUntil(drainCtx, time.Now().Add(openPollInterval))
--- a/internal/gateway/handedoverrequest.go
+++ b/internal/gateway/handedoverrequest.go
@@ -4,11 +4,12 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"io"
+	"math"
+	"net"
 	"net/http"
 	"sync"
 	"time"
-
-	"github.com/chicorydale/chicorydale/internal/event"
 )
 
 const (
@@ -18,15 +19,11 @@
 	overdueSlack = 100 * time.Millisecond
 	// minParseWait is the time from which the deadline of a request is read. Most answers are complete earlier.
 	minParseWait = 500 * time.Millisecond
-	// overdueWriteTimeout limits the time to answer an overdue request.
-	overdueWriteTimeout = 50 * time.Millisecond
-	// overdueAnswer is the answer to a request that the peer has not answered. It may have run.
-	overdueAnswer = "HTTP/1.1 504 Gateway Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// maxKeptAnswerBytes is the size up to which an answer is kept, to tell whether it was complete when its connection broke. Refusals are
+	// not larger.
+	maxKeptAnswerBytes = 1 << 10
 )
 
-// errOverdue says that a peer has not answered a request by its deadline.
-var errOverdue = errors.New("the peer has not answered a request by its deadline")
-
 // answerSource tells who answers a handed over request.
 type answerSource int
 
@@ -36,32 +33,138 @@
 	answerOfRouter
 )
 
-// handedOverRequest is what a router keeps of a request that it passes on to a peer, so that it can answer if the peer does not. It is
+// requestHead is what the head of a request tells.
+type requestHead struct {
+	id string
+	// deadline is zero if it is not known.
+	deadline time.Time
+	// bytes is the size of the whole request, 0 if the head does not tell it, and math.MaxInt64 if the head is not complete.
+	bytes int64
+}
+
+// parseHead returns what the first bytes of a request tell, given the time from which its caller has waited.
+type parseHead func(head []byte, since time.Time) requestHead
+
+// handedOverRequest is what a router knows of a request that it passes on to a peer, so that it can answer if the peer does not. It is
 // safe for concurrent use.
 type handedOverRequest struct {
 	mu sync.Mutex
-	// head holds the first bytes until the deadline is known. since is the time from which the caller has waited.
-	head  []byte
-	since time.Time
-	// id and deadline are those of the request once it was parsed. The deadline is zero before.
-	id       string
-	deadline time.Time
-	answer   answerSource
+	// head holds the first bytes until the deadline is known. since is the time from which the caller has waited, zero until a part arrives.
+	head   []byte
+	since  time.Time
+	parsed requestHead
+	// passedBytes is the number of bytes that the peer may have got. isBroken is set if it has not got all that has arrived.
+	passedBytes int64
+	isBroken    bool
+	// answer tells who answers, answered holds the peer's answer until it is larger than maxKeptAnswerBytes, answeredBytes is its size.
+	answer        answerSource
+	answered      []byte
+	answeredBytes int
+	// isBrokenOff is set if the peer's answer is not to be passed on any further.
+	isBrokenOff bool
+	// hasLeft is set if the caller has left, isDismissed if the connection ends because there is no request.
+	hasLeft, isDismissed bool
+	// isEnded is set when no more parts are passed on.
+	isEnded bool
 }
 
-// add records a part of the request. The caller has waited since the given time, or since now if that is zero.
-func (r *handedOverRequest) add(part []byte, since time.Time) {
+// addPart records a part of the request that has arrived, and reports whether it is the first one. The caller has waited since the given
+// time, or since now if that is zero.
+func (r *handedOverRequest) addPart(part []byte, since time.Time) (isFirst bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.since.IsZero() {
+	if isFirst = r.since.IsZero(); isFirst {
 		r.since = since
 	}
 	if r.since.IsZero() {
 		r.since = time.Now()
 	}
-	if r.deadline.IsZero() && len(r.head) < maxHeaderBytes {
+	if r.parsed.deadline.IsZero() && len(r.head) < maxHeaderBytes {
 		r.head = append(r.head, part...)
 	}
+	return isFirst
+}
+
+// isPassedOn reports whether further parts are passed on: the peer has got all parts so far and goes on reading.
+func (r *handedOverRequest) isPassedOn() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.isBroken && !r.isEnded
+}
+
+// partPassed records that the peer got a number of bytes.
+func (r *handedOverRequest) partPassed(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.passedBytes += int64(n)
+}
+
+// partFailed records that the peer does not read any more.
+func (r *handedOverRequest) partFailed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.isBroken = true
+}
+
+// stop ends the reading of the caller's connection.
+func (r *handedOverRequest) stop(caller *net.TCPConn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.isEnded = true
+	_ = caller.SetReadDeadline(time.Now()) // On a broken connection, the read fails anyway.
+}
+
+// callerLeft records that the caller has left.
+func (r *handedOverRequest) callerLeft() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.hasLeft = r.hasLeft || !r.isEnded
+}
+
+// dismiss ends the reading of the caller's connection if nothing of a request has arrived.
+func (r *handedOverRequest) dismiss(caller *net.TCPConn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.since.IsZero() {
+		r.isDismissed = true
+		_ = caller.SetReadDeadline(time.Now()) // On a broken connection, the read fails anyway.
+	}
+}
+
+// continueReading makes the reading of the caller's connection go on after a deadline, and reports whether it does: a part may have arrived
+// after all on a connection that was to be dismissed.
+func (r *handedOverRequest) continueReading(caller *net.TCPConn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.isEnded || r.since.IsZero() {
+		return false
+	}
+	r.isDismissed = false
+	_ = caller.SetReadDeadline(time.Time{}) // On a broken connection, the next read fails as well.
+	return true
+}
+
+// waited returns how long the caller has waited, zero if nothing has arrived.
+func (r *handedOverRequest) waited() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.since.IsZero() {
+		return 0
+	}
+	return time.Since(r.since)
+}
+
+// addAnswer records a part of the peer's answer, and reports whether it is to be passed on.
+func (r *handedOverRequest) addAnswer(part []byte) bool {
+	if !r.beginAnswer(answerOfPeer) {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.answeredBytes += len(part); r.answeredBytes <= maxKeptAnswerBytes {
+		r.answered = append(r.answered, part...)
+	}
+	return !r.isBrokenOff
 }
 
 // beginAnswer reports whether the source answers the request, because no other one has begun to.
@@ -74,56 +177,110 @@
 	return r.answer == source
 }
 
-// isOverdue reports whether the deadline of the request has passed.
-func (r *handedOverRequest) isOverdue(now time.Time, parse func(head []byte, since time.Time) (string, time.Time)) bool {
+// breakOff records that nothing more of the peer's answer is passed on.
+func (r *handedOverRequest) breakOff() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.since.IsZero() || now.Sub(r.since) < minParseWait {
+	r.isBrokenOff = true
+}
+
+// end returns how the connection has ended, given the error with which the peer's bytes have ended.
+func (r *handedOverRequest) end(peerErr error) handoverEnd {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case r.hasLeft:
+		return endCallerLeft
+	case r.answer == answerOfRouter:
+		return endOverdue
+	case r.answer == noAnswer && r.isDismissed:
+		return endDismissed
+	case r.answer == noAnswer && r.since.IsZero():
+		return endUnused
+	case r.answer == noAnswer:
+		return endUnanswered
+	case r.isBrokenOff:
+		return endPartial
+	case errors.Is(peerErr, io.EOF) && !r.isBroken, r.isAnswerComplete():
+		return endAnswered
+	default:
+		return endPartial
+	}
+}
+
+// isAnswerComplete reports whether the peer's answer is complete by what it says of its length. The caller must hold r.mu.
+func (r *handedOverRequest) isAnswerComplete() bool {
+	if r.answeredBytes > len(r.answered) {
 		return false
 	}
-	if r.deadline.IsZero() && r.head != nil {
-		if r.id, r.deadline = parse(r.head, r.since); !r.deadline.IsZero() {
-			r.head = nil
-		}
+	reader := bytes.NewReader(r.answered)
+	response, err := http.ReadResponse(bufio.NewReader(reader), nil)
+	if err != nil {
+		return false
 	}
-	return !r.deadline.IsZero() && now.After(r.deadline.Add(overdueSlack))
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.Copy(io.Discard, response.Body)
+	return err == nil && response.StatusCode >= http.StatusOK && response.ContentLength >= 0
 }
 
-// endIfOverdue ends the request if the peer has not answered it completely by its deadline: with an answer if the peer has sent nothing.
-func (p *handover) endIfOverdue(now time.Time) {
-	if !p.request.isOverdue(now, p.handovers.parse) {
-		return
+// isOverdue reports whether the deadline of the request has passed.
+func (r *handedOverRequest) isOverdue(now time.Time, parse parseHead) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.since.IsZero() || now.Sub(r.since) < minParseWait {
+		return false
 	}
-	p.handovers.peerFailed(p.peer, errOverdue)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.target == nil {
+	r.parseHead(parse)
+	return !r.parsed.deadline.IsZero() && now.After(r.parsed.deadline.Add(overdueSlack))
+}
+
+// parseHead reads the head, if that was not done. The caller must hold r.mu.
+func (r *handedOverRequest) parseHead(parse parseHead) {
+	if !r.parsed.deadline.IsZero() || r.head == nil {
 		return
 	}
-	status := 0
-	answered := p.request.beginAnswer(answerOfRouter)
-	if answered {
-		status = http.StatusGatewayTimeout
-		_ = p.caller.SetWriteDeadline(now.Add(overdueWriteTimeout))
-		_, err := p.caller.Write([]byte(overdueAnswer))
-		answered = err == nil
+	if r.parsed = parse(r.head, r.since); !r.parsed.deadline.IsZero() {
+		r.head = nil
 	}
-	event.HandoverOverdue.Log(p.handovers.logger, p.request.id, p.peer, now.Sub(p.request.since).Milliseconds(), status)
-	p.close(!answered)
 }
 
-// parseHandedOver returns the ID and the deadline of a request that a peer has, given the bytes that were passed on and the time from which its
-// caller has waited. The deadline is zero if the bytes hold no complete head of a request with a route.
-func (g *Gateway) parseHandedOver(head []byte, since time.Time) (id string, deadline time.Time) {
-	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
+// requestID returns the ID of the request, and "" if that is not known.
+func (r *handedOverRequest) requestID(parse parseHead) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.parseHead(parse)
+	return r.parsed.id
+}
+
+// isIncomplete reports whether the peer cannot have got the whole request.
+func (r *handedOverRequest) isIncomplete(parse parseHead) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.parseHead(parse)
+	return r.passedBytes == 0 || r.passedBytes < r.parsed.bytes
+}
+
+// parseHandedOver returns what the first bytes of a request tell that a peer has, given the time from which its caller has waited. The deadline
+// is zero if they hold no complete head of a request with a route.
+func (g *Gateway) parseHandedOver(head []byte, since time.Time) requestHead {
+	reader := bytes.NewReader(head)
+	buffered := bufio.NewReader(reader)
+	r, err := http.ReadRequest(buffered)
+	switch {
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return requestHead{bytes: math.MaxInt64}
+	case err != nil:
+		return requestHead{}
+	}
+	parsed := requestHead{bytes: requestBytes(r, len(head)-reader.Len()-buffered.Buffered())}
 	table := g.config.Table()
-	if err != nil || table == nil {
-		return "", time.Time{}
+	if table == nil {
+		return parsed
 	}
 	info, _ := g.adapters.Codec.ParseRequest(r, since) // The peer refuses an invalid request.
-	matched, found := table.Match(r.Host, r.URL.EscapedPath())
-	if !found {
-		return info.ID, time.Time{}
+	parsed.id = info.ID
+	if matched, found := table.Match(r.Host, r.URL.EscapedPath()); found {
+		parsed.deadline = requestDeadline(matched, info, since)
 	}
-	return info.ID, requestDeadline(matched, info, since)
+	return parsed
 }
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -2,16 +2,16 @@
 
 import (
 	"errors"
-	"io"
 	"net"
+	"os"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/chicorydale/chicorydale/internal/latedata"
 )
 
-// handover is a connection of a caller that is passed on to a peer.
+// handover is a connection of a caller that is passed on to a peer. Only run lets go of the connection: when an answer was sent, when the
+// caller has left, or by returning it to this router's own server.
 type handover struct {
 	handovers *handovers
 	peer      string
@@ -22,16 +22,16 @@
 	tellsWait bool
 	// isConfirmed is set if the peer is not asked to confirm the connection, or has done so.
 	isConfirmed bool
-	// used is set once bytes of the caller have arrived.
-	used    atomic.Bool
-	request handedOverRequest
+	request     handedOverRequest
+	// requestEnded is closed when no more bytes of the caller are read.
+	requestEnded chan struct{}
 
 	mu sync.Mutex
 	// target is the connection to the peer, nil until it is open.
 	target *net.TCPConn
 }
 
-// run connects to the peer and passes bytes on in both directions until one side ends.
+// run connects to the peer, passes bytes on in both directions until one side ends, and ends the connection of the caller.
 func (p *handover) run(address string) {
 	defer p.handovers.remove(p)
 	p.handovers.connStarted(p.acceptedAt)
@@ -40,25 +40,41 @@
 		_ = p.caller.Close()
 		return
 	}
+	target, err := p.connect(address)
+	if err != nil {
+		p.keep()
+		return
+	}
+	p.setTarget(target)
+	p.handovers.counts.passed.Add(1)
+	go p.passRequest(target)
+	err = p.passResponse(target)
+	_ = target.Close()
+	p.request.stop(p.caller)
+	<-p.requestEnded
+	p.finish(err)
+}
+
+// connect opens a connection to the peer. The peer has received nothing of the request if that fails, so it cannot run.
+func (p *handover) connect(address string) (*net.TCPConn, error) {
 	conn, err := p.handovers.dialer.Dial("tcp", address)
-	target, isTCP := conn.(*net.TCPConn)
-	if err != nil || !isTCP {
+	if err != nil {
 		if !isTimeout(err) { // A late process does not see that the peer has accepted. The links tell if it is gone.
 			p.handovers.peerFailed(p.peer, err)
 		}
-		p.keep()
-		return
+		return nil, err
+	}
+	target, isTCP := conn.(*net.TCPConn)
+	if !isTCP {
+		_ = conn.Close() // Nothing was sent.
+		return nil, net.UnknownNetworkError(conn.RemoteAddr().Network())
 	}
 	if err := p.confirm(target); err != nil {
-		_ = target.Close() // The peer has received nothing of the request, so it cannot run.
+		_ = target.Close() // Nothing of the request was sent.
 		p.handovers.peerFailed(p.peer, err)
-		p.keep()
-		return
+		return nil, err
 	}
-	p.setTarget(target)
-	p.handovers.counts.passed.Add(1)
-	go p.passRequest()
-	p.passResponse()
+	return target, nil
 }
 
 // confirm waits until the peer has confirmed the connection, if it does that.
@@ -95,63 +111,77 @@
 	p.target = target
 }
 
-// passRequest passes the bytes of the caller on. Their end means that the caller has left.
-func (p *handover) passRequest() {
+// openTarget returns the connection to the peer, nil if it is not open yet.
+func (p *handover) openTarget() *net.TCPConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.target
+}
+
+// passRequest passes the bytes of the caller on. Their end means that the caller has left, unless a deadline has ended the read.
+func (p *handover) passRequest(target *net.TCPConn) {
+	defer close(p.requestEnded)
+	buffer, _ := p.handovers.buffers.Get().(*[]byte)
+	defer p.handovers.buffers.Put(buffer)
 	since := time.Time{}
 	if hasData(p.caller) {
 		since = p.acceptedAt
 	}
-	arrived := func(part []byte) bool {
-		if isDisconnected(p.caller) { // A late process reads requests of callers that have left.
-			return false
+	for {
+		n, _, err := latedata.Read(p.caller, *buffer)
+		if n > 0 {
+			err = errors.Join(err, p.passPart(target, (*buffer)[:n], since))
+		}
+		switch {
+		case err == nil:
+			continue
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			p.request.callerLeft()
+		case p.request.continueReading(p.caller):
+			continue
 		}
-		p.request.add(part, since)
-		return p.used.Swap(true) || p.tellWait(since) == nil
+		_ = target.Close() // The peer learns that nothing more comes.
+		return
 	}
-	_ = p.pass(p.target, p.caller, arrived) // Any end is handled in the same way.
-	_ = p.target.Close()                    // The peer learns that the caller has left.
 }
 
-// tellWait tells the peer how long the caller has waited, if it takes that: since a time, or since now if that is zero.
-func (p *handover) tellWait(since time.Time) error {
-	if !p.tellsWait {
+// passPart passes a part of the request on. If the peer does not read any more, its answer may still be on its way, and the rest of the request is
+// discarded. The caller has waited since the given time, or since now if that is zero. An error says that the caller has left.
+func (p *handover) passPart(target *net.TCPConn, part []byte, since time.Time) error {
+	if isDisconnected(p.caller) { // A late process reads requests of callers that have left.
+		return net.ErrClosed
+	}
+	if p.request.addPart(part, since) && p.tellsWait {
+		if _, err := target.Write(encodeWait(p.request.waited())); err != nil {
+			p.request.partFailed()
+		}
+	}
+	if !p.request.isPassedOn() {
 		return nil
 	}
-	waited := time.Duration(0)
-	if !since.IsZero() {
-		waited = time.Since(since)
+	n, err := target.Write(part)
+	p.request.partPassed(n)
+	if err != nil {
+		p.request.partFailed()
 	}
-	_, err := p.target.Write(encodeWait(waited))
-	return err
-}
-
-// passResponse passes the bytes of the peer on. A connection that the peer resets is reset, so that a part of a response does not look
-// complete.
-func (p *handover) passResponse() {
-	err := p.pass(p.caller, p.target, func([]byte) bool { return p.request.beginAnswer(answerOfPeer) })
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.close(err != nil)
+	return nil
 }
 
-// pass copies bytes until the source ends or arrived, which is called with each part before it is written, returns false. It returns nil
-// then, and otherwise an error.
-func (p *handover) pass(to, from *net.TCPConn, arrived func(part []byte) bool) error {
+// passResponse passes the bytes of the peer on until they end, and returns why they did.
+func (p *handover) passResponse(target *net.TCPConn) error {
 	buffer, _ := p.handovers.buffers.Get().(*[]byte)
 	defer p.handovers.buffers.Put(buffer)
 	for {
-		n, _, err := latedata.Read(from, *buffer)
+		n, _, err := latedata.Read(target, *buffer)
 		if n > 0 {
-			if !arrived((*buffer)[:n]) {
-				return nil
+			if !p.request.addAnswer((*buffer)[:n]) {
+				return errOverdue
 			}
-			if _, writeErr := to.Write((*buffer)[:n]); writeErr != nil {
+			if _, writeErr := p.caller.Write((*buffer)[:n]); writeErr != nil {
+				p.request.callerLeft()
 				return writeErr
 			}
 		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
 		if err != nil {
 			return err
 		}
@@ -160,19 +190,8 @@
 
 // probe makes the kernel probe the connection to the peer whenever it is silent.
 func (p *handover) probe() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.target != nil {
+	if target := p.openTarget(); target != nil {
 		config := net.KeepAliveConfig{Enable: true, Idle: checkInterval, Interval: checkInterval}
-		_ = p.target.SetKeepAliveConfig(config) // A connection that has ended needs no probes.
-	}
-}
-
-// close closes both connections. The caller must hold p.mu.
-func (p *handover) close(reset bool) {
-	if reset {
-		_ = p.caller.SetLinger(0) // If this fails, the connection ends without a reset.
+		_ = target.SetKeepAliveConfig(config) // A connection that has ended needs no probes.
 	}
-	_ = p.caller.Close()
-	_ = p.target.Close()
 }
--- a/internal/gateway/handover_export_test.go
+++ b/internal/gateway/handover_export_test.go
@@ -24,7 +24,11 @@
 
 func newTestHandovers(peer string, at handoverPeer, timeout time.Duration) (Handovers, net.Listener) {
 	kept := newConnQueue(func(conn *net.TCPConn, _ time.Time) net.Conn { return conn })
-	parse := func(_ []byte, since time.Time) (string, time.Time) { return "id", since.Add(timeout) }
+	parse := func(head []byte, since time.Time) requestHead {
+		parsed := (&Gateway{config: new(configView)}).parseHandedOver(head, since)
+		parsed.id, parsed.deadline = "id", since.Add(timeout)
+		return parsed
+	}
 	h := newHandovers(zerolog.Nop(), 1000, 1, kept, new(readProbe), parse)
 	h.setPeer(time.Now(), peer, at, time.Second)
 	return Handovers{h}, kept
--- a/internal/gateway/handoveranswers_test.go
+++ b/internal/gateway/handoveranswers_test.go
@@ -160,8 +160,11 @@
 	const callersAtOnce, rounds = 50, 10
 	late := listen(t)
 	instance := gateway.New(gateway.Settings{MaxOpenFiles: 4000}, gateway.Adapters{Codec: codec{}}, zerolog.Nop(), func() uint64 { return 0 })
+	var listeners []net.Listener
 	for range 4 {
-		listener := gateway.NewLateListener(instance, late, time.Second, false)
+		listeners = append(listeners, gateway.NewLateListener(instance, late, time.Second, false))
+	}
+	for _, listener := range listeners {
 		go func() {
 			for {
 				if _, err := listener.Accept(); err != nil {
--- a/internal/gateway/handovercounts.go
+++ b/internal/gateway/handovercounts.go
@@ -12,4 +12,7 @@
 	// The others are the numbers of connections that this router kept although it was late: because no peer had processor time, because too
 	// many were open, because too many waited for the confirmation of the peer, and because the peer did not take them.
 	keptWithoutPeer, keptAtLimit, keptUnconfirmed, keptAfterFailure atomic.Int64
+	// answeredByPeer, answeredByRouter and brokenOff are the numbers of handed over requests that the peer has answered, that this router has
+	// answered in its place, and whose answers the peer has broken off.
+	answeredByPeer, answeredByRouter, brokenOff atomic.Int64
 }
--- a/internal/gateway/handovers.go
+++ b/internal/gateway/handovers.go
@@ -43,8 +43,8 @@
 // is safe for concurrent use.
 type handovers struct {
 	logger zerolog.Logger
-	// parse returns the ID and the deadline of a request that a peer has. The deadline is zero if the head does not tell it.
-	parse   func(head []byte, since time.Time) (id string, deadline time.Time)
+	// parse tells what is known of a request that a peer has.
+	parse   parseHead
 	dialer  net.Dialer
 	maxOpen int
 	buffers sync.Pool
@@ -73,12 +73,9 @@
 	stopped bool
 }
 
-// newHandovers returns handovers without peers. Connections that cannot be handed over go to kept. parse returns the ID and the deadline of a
-// request from its head and the time since which its caller has waited.
-func newHandovers(
-	logger zerolog.Logger, maxOpenFiles int, seed uint64, kept *connQueue, probe *readProbe,
-	parse func(head []byte, since time.Time) (string, time.Time),
-) *handovers {
+// newHandovers returns handovers without peers. Connections that cannot be handed over go to kept. parse tells what is known of a request that a
+// peer has.
+func newHandovers(logger zerolog.Logger, maxOpenFiles int, seed uint64, kept *connQueue, probe *readProbe, parse parseHead) *handovers {
 	return &handovers{
 		logger:      logger,
 		parse:       parse,
@@ -225,7 +222,10 @@
 	at := h.peers[peer]
 	// A router without processor time would see each confirmation late, and hand over a third of what it can without waiting for them.
 	asksPeer := at.confirms && !h.policy.StartsLate(acceptedAt)
-	passed := &handover{handovers: h, peer: peer, caller: conn, acceptedAt: acceptedAt, tellsWait: at.readsWait, isConfirmed: !asksPeer}
+	passed := &handover{
+		handovers: h, peer: peer, caller: conn, acceptedAt: acceptedAt, tellsWait: at.readsWait, isConfirmed: !asksPeer,
+		requestEnded: make(chan struct{}),
+	}
 	if asksPeer {
 		h.unconfirmed[peer]++
 	}
@@ -241,6 +241,16 @@
 	delete(h.open, passed)
 }
 
+// endAll ends the requests that peers have not answered, because the process is about to end.
+func (h *handovers) endAll() {
+	h.mu.Lock()
+	open := slices.Collect(maps.Keys(h.open))
+	h.mu.Unlock()
+	for _, passed := range open {
+		passed.endOpen()
+	}
+}
+
 // endOverdue ends the requests that peers have not answered by their deadlines, overdueCheckInterval after the last call at the earliest.
 func (h *handovers) endOverdue(now time.Time) {
 	h.mu.Lock()
@@ -275,14 +285,18 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for passed := range h.open {
-		if !passed.used.Load() {
-			_ = passed.caller.SetReadDeadline(time.Now()) // On a broken connection, the read fails anyway.
-		}
+		passed.request.dismiss(passed.caller)
 	}
 	return len(h.open)
 }
 
-// keep returns a connection that could not be handed over to this router's own server.
+// keep returns a connection that could not be handed over to this router's own server. If that has ended, a request that has arrived is refused.
 func (h *handovers) keep(conn *net.TCPConn, acceptedAt time.Time) {
-	h.kept.put(conn, acceptedAt)
+	if h.kept.put(conn, acceptedAt) {
+		return
+	}
+	if hasData(conn) {
+		_, _ = conn.Write([]byte(unreadRefusal(retryAfter))) // A caller that has left gets no answer.
+	}
+	lingerClose(conn)
 }
--- a/internal/gateway/processstate.go
+++ b/internal/gateway/processstate.go
@@ -53,10 +53,11 @@
 	counts := &g.handovers.counts
 	refused, withoutPeer, atLimit := counts.refused.Swap(0), counts.keptWithoutPeer.Swap(0), counts.keptAtLimit.Swap(0)
 	unconfirmed, afterFailure := counts.keptUnconfirmed.Swap(0), counts.keptAfterFailure.Swap(0)
-	if refused+withoutPeer+atLimit+unconfirmed+afterFailure == 0 {
+	byPeer, byRouter, brokenOff := counts.answeredByPeer.Swap(0), counts.answeredByRouter.Swap(0), counts.brokenOff.Swap(0)
+	if refused+withoutPeer+atLimit+unconfirmed+afterFailure+byRouter+brokenOff == 0 {
 		return
 	}
 	g.metrics.CountRefusals(refusal.Overloaded, refused)
 	open, spare := g.handovers.state(now)
-	event.HostLate.Log(g.logger, withoutPeer, atLimit, unconfirmed, afterFailure, open, spare.Milliseconds(), refused)
+	event.HostLate.Log(g.logger, withoutPeer, atLimit, unconfirmed, afterFailure, open, spare.Milliseconds(), refused, byPeer, byRouter, brokenOff)
 }
