Answer open requests when the grace period of a drain is over

Cause: the servers are closed then, and nothing ends the requests before. Now they end first: 503 if nothing was sent to a target, an answer that promises nothing otherwise, within half of the margin that is left before the process is killed. An attempt that ends so is no crash of its target. Ruled out: a request whose answer has begun; it can only be broken off.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -21,8 +21,10 @@
 	// lateStartTime is how long after new requests are refused those that were read before may still be sent to targets: they wait for their
 	// bodies and for targets, and their answers might be cut at the end of the drain.
 	lateStartTime = time.Second
-	// openPollInterval is the time between checks whether all connections have ended.
-	openPollInterval = 50 * time.Millisecond
+	// openPollInterval is the time between checks whether all connections have ended, answerPollInterval between checks whether all requests
+	// are answered that end with the process.
+	openPollInterval   = 50 * time.Millisecond
+	answerPollInterval = 5 * time.Millisecond
 	// drainIdleTimeout is how long a connection may have no request at the end of the drain. A request that is on its way arrives
 	// within this time.
 	drainIdleTimeout = 200 * time.Millisecond
@@ -51,7 +53,7 @@
 	for g.callerConns.endUnused(time.Now(), drainIdleTimeout)+g.handovers.endUnused() > 0 {
 		if drainCtx.Err() != nil {
 			event.DrainCut.Log(g.logger, g.openRequests.Load())
-			g.handovers.endAll()
+			g.answerOpenRequests()
 			return
 		}
 		sleepUntil(drainCtx, time.Now().Add(openPollInterval))
@@ -59,6 +61,25 @@
 	event.Drained.Log(g.logger, time.Since(startedAt).Milliseconds())
 }
 
+// answerOpenRequests ends all requests that have no answer yet, and waits until they have one, or until the process must end.
+func (g *Gateway) answerOpenRequests() {
+	g.handovers.endAll()
+	g.endRequests()
+	ctx, cancel := context.WithTimeout(context.Background(), exitMargin/2)
+	defer cancel()
+	for g.openRequests.Load() > 0 && ctx.Err() == nil {
+		sleepUntil(ctx, time.Now().Add(answerPollInterval))
+	}
+}
+
+// refusalWhileEnding returns the refusal of a request that got no target: the given one, unless it is due to the end of the process.
+func (g *Gateway) refusalWhileEnding(refusalErr *refusal.Error) *refusal.Error {
+	if g.ending.Err() != nil {
+		return drainRefusal()
+	}
+	return refusalErr
+}
+
 // refusesNewRequests reports whether the router is draining and callers have had time to use others.
 func (g *Gateway) refusesNewRequests(now boottime.Instant) bool {
 	return g.draining.Load() && boottime.Instant(g.refuseAfter.Load()).Before(now)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -111,6 +111,7 @@
 	x.gateway.retryBudgets.recordRequest(x.service)
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
+	defer context.AfterFunc(x.gateway.ending, cancel)()
 	x.fingerprints = x.computeFingerprints()
 	if refusalErr := x.admitSuspect(); refusalErr != nil {
 		x.refuse(refusalErr)
@@ -130,7 +131,7 @@
 		}
 		x.gateway.shedder.recordOutcome(x.customer, decision.Refusal)
 		if decision.Refusal != nil {
-			x.failRequest(decision.Refusal)
+			x.failRequest(x.gateway.refusalWhileEnding(decision.Refusal))
 			return
 		}
 		if !x.attempt(ctx, decision) {
--- a/internal/gateway/failedattempt.go
+++ b/internal/gateway/failedattempt.go
@@ -87,7 +87,7 @@
 		x.finishAttempt(decision, dispatch.Cancelled)
 		x.abortDisconnected()
 		return false
-	case isTimeout(err) || !x.beforeDeadline():
+	case isTimeout(err) || !x.beforeDeadline() || x.gateway.ending.Err() != nil:
 		outcome = dispatch.Stalled
 	}
 	x.finishAttempt(decision, outcome)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,6 +83,9 @@
 	// openRequests is the number of requests of callers that are being handled.
 	openRequests atomic.Int64
 	draining     atomic.Bool
+	// ending ends when the grace period of a drain is almost over, and endRequests ends it.
+	ending      context.Context
+	endRequests context.CancelFunc
 	// refuseAfter is the boottime.Instant after which a draining router refuses new requests.
 	refuseAfter atomic.Int64
 	// maintenanceRuns belongs to the goroutine of runMaintenance.
@@ -132,6 +135,7 @@
 		bodies:        overload.NewBodyBudget(settings.BodyMemory),
 		streamBuffers: sync.Pool{New: func() any { return new(make([]byte, streamBufferBytes)) }},
 	}
+	g.ending, g.endRequests = context.WithCancel(context.Background())
 	probe := new(readProbe)
 	g.shedder = newLoadShedder(g)
 	g.kept = newConnQueue(func(conn *net.TCPConn, acceptedAt time.Time) net.Conn {
