--- a/internal/gateway/handoveranswers_test.go
+++ b/internal/gateway/handoveranswers_test.go
@@ -70,6 +70,7 @@
 		_ = conn.SetLinger(0)
 	case resets:
 		_ = conn.SetLinger(0)
+	default: // It closes the connection without a byte.
 	}
 }
 
@@ -103,6 +104,7 @@
 
 // checkHandedOverRequest sends a random request through a router that hands it over to a peer with random behaviour.
 func checkHandedOverRequest(t *testing.T, seed uint64) {
+	t.Helper()
 	random := rand.New(rand.NewPCG(seed, 50))
 	bodyBytes := []int{0, 2000, 6000, 20000, 60000}[random.IntN(5)]
 	request := fmt.Sprintf("POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", bodyBytes, strings.Repeat("x", bodyBytes))
@@ -157,11 +159,11 @@
 // TestRefusedConnectionGetsAnswer guards against callers of a late router that get no byte because their requests arrive after the connection
 // was accepted, or only in part before.
 func TestRefusedConnectionGetsAnswer(t *testing.T) {
-	const callersAtOnce, rounds = 50, 10
+	const callersAtOnce, rounds, acceptors = 50, 10, 4
 	late := listen(t)
 	instance := gateway.New(gateway.Settings{MaxOpenFiles: 4000}, gateway.Adapters{Codec: codec{}}, zerolog.Nop(), func() uint64 { return 0 })
-	var listeners []net.Listener
-	for range 4 {
+	listeners := make([]net.Listener, 0, acceptors)
+	for range acceptors {
 		listeners = append(listeners, gateway.NewLateListener(instance, late, time.Second, false))
 	}
 	for _, listener := range listeners {
@@ -184,6 +186,7 @@
 
 // checkRefusedCaller opens a connection to a late router and sends a request at a random time.
 func checkRefusedCaller(t *testing.T, address string, seed uint64) {
+	t.Helper()
 	random := rand.New(rand.NewPCG(seed, 51))
 	bodyBytes := []int{0, 2000, 20000, 120000}[random.IntN(4)]
 	conn, err := net.Dial("tcp", address)
