--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,6 +71,7 @@
 	lateness        *latenessMeter
 	shedder         *loadShedder
 	handovers       *handovers
+	refuser         *unreadRefuser
 	refusalLog      *refusalLog
 	bodies          *overload.BodyBudget
 	// kept holds connections of callers that could not be handed over to a peer.
@@ -82,6 +83,9 @@
 	// openRequests is the number of requests of callers that are being handled.
 	openRequests atomic.Int64
 	draining     atomic.Bool
+	// ending ends when the grace period of a drain is almost over, and endRequests ends it.
+	ending      context.Context
+	endRequests context.CancelFunc
 	// refuseAfter is the boottime.Instant after which a draining router refuses new requests.
 	refuseAfter atomic.Int64
 	// maintenanceRuns belongs to the goroutine of runMaintenance.
@@ -131,6 +135,7 @@
 		bodies:        overload.NewBodyBudget(settings.BodyMemory),
 		streamBuffers: sync.Pool{New: func() any { return new(make([]byte, streamBufferBytes)) }},
 	}
+	g.ending, g.endRequests = context.WithCancel(context.Background())
 	probe := new(readProbe)
 	g.shedder = newLoadShedder(g)
 	g.kept = newConnQueue(func(conn *net.TCPConn, acceptedAt time.Time) net.Conn {
@@ -139,6 +144,7 @@
 	g.handovers = newHandovers(
 		logger, settings.MaxOpenFiles, settings.Seed, g.kept, probe, g.parseHandedOver,
 	)
+	g.refuser = newUnreadRefuser(g.handovers, settings.MaxOpenFiles)
 	loads := &loadReports{
 		handovers: g.handovers, logger: logger, share: settings.ProcessorShare, zonePeers: make(map[string]bool),
 		rotation:  overload.NewRotation(),
@@ -308,7 +314,7 @@
 // newAcceptor returns an acceptor of callers' connections on a listener. handedOver is set if other routers have handed them over.
 func (g *Gateway) newAcceptor(listener net.Listener, handedOver bool) *acceptor {
 	return &acceptor{
-		Listener: listener, callerConns: g.callerConns, shedder: g.shedder, handovers: g.handovers, handedOver: handedOver,
+		Listener: listener, callerConns: g.callerConns, shedder: g.shedder, handovers: g.handovers, handedOver: handedOver, refuser: g.refuser,
 		cuts: &cutLog{logger: g.logger}, logger: g.logger,
 	}
 }
