Wait for the requests of refused callers at the end of a drain

Cause: the refuser only counted them. Now it holds them; a drain ends those without a request, waits for the others, and for accepted connections that the server has not begun to read. TestEndingRouterRefusesAwaitedRequests passes twice with the race detector; it was not run on the code before, where the set that it counts does not exist. Ruled out: a drain that never ends, as each of them lasts half a second after its refusal at most.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -50,7 +50,7 @@
 	for _, callers := range acceptors {
 		callers.closeWhenEmpty(acceptCtx)
 	}
-	for g.callerConns.endUnused(time.Now(), drainIdleTimeout)+g.handovers.endUnused() > 0 {
+	for g.endUnusedConns() > 0 {
 		if drainCtx.Err() != nil {
 			event.DrainCut.Log(g.logger, g.openRequests.Load())
 			g.answerOpenRequests()
@@ -61,6 +61,12 @@
 	event.Drained.Log(g.logger, time.Since(startedAt).Milliseconds())
 }
 
+// endUnusedConns ends the connections of callers without a request. It returns the number of open connections.
+func (g *Gateway) endUnusedConns() int {
+	served := g.callerConns.endUnused(time.Now(), drainIdleTimeout) + int(g.handovers.unstarted.Load())
+	return served + g.handovers.endUnused() + g.refuser.endUnused()
+}
+
 // answerOpenRequests ends all requests that have no answer yet, and waits until they have one, or until the process must end.
 func (g *Gateway) answerOpenRequests() {
 	g.handovers.endAll()
--- a/internal/gateway/handover_export_test.go
+++ b/internal/gateway/handover_export_test.go
@@ -110,6 +110,16 @@
 	return g.newAcceptor(listener, handedOver)
 }
 
+// EndUnusedConns returns the number of open connections of a gateway, and ends those without a request if it drains.
+func EndUnusedConns(g *Gateway, drains bool) int {
+	if drains {
+		return g.endUnusedConns()
+	}
+	g.refuser.mu.Lock()
+	defer g.refuser.mu.Unlock()
+	return len(g.refuser.open)
+}
+
 // EndLateness makes the process of a gateway handle data at once.
 func EndLateness(g *Gateway) { g.peers.probe.received(g.peers.probe.sentAt) }
 
--- a/internal/gateway/unreadrefusal.go
+++ b/internal/gateway/unreadrefusal.go
@@ -7,7 +7,7 @@
 	"io"
 	"net"
 	"net/http"
-	"sync/atomic"
+	"sync"
 	"syscall"
 	"time"
 
@@ -19,7 +19,7 @@
 	// destroy an answer on its way.
 	lingerTimeout = 500 * time.Millisecond
 	// maxLingerBytes is the number of bytes that are read meanwhile at most.
-	maxLingerBytes = 1 << 20
+	maxLingerBytes = 8 << 20
 	// refusalBufferBytes is the size of the buffer for what has arrived of a refused request.
 	refusalBufferBytes = 4 << 10
 	// refusedConnFraction is the fraction of the file descriptors that refused connections may use until their requests have arrived.
@@ -30,14 +30,19 @@
 // run. It is safe for concurrent use.
 type unreadRefuser struct {
 	handovers *handovers
-	// open is the number of connections whose requests have not arrived yet, or not completely. maxOpen limits it.
-	open    atomic.Int64
-	maxOpen int64
+	maxOpen   int
+
+	mu sync.Mutex
+	// open holds the connections whose requests have not arrived yet, or not completely. It has at most maxOpen. The value is set for those that wait
+	// for the first byte.
+	open map[*net.TCPConn]bool
 }
 
 // newUnreadRefuser returns a refuser for a process with a number of file descriptors.
 func newUnreadRefuser(handovers *handovers, maxOpenFiles int) *unreadRefuser {
-	return &unreadRefuser{handovers: handovers, maxOpen: int64(float64(maxOpenFiles) * refusedConnFraction)}
+	return &unreadRefuser{
+		handovers: handovers, maxOpen: int(float64(maxOpenFiles) * refusedConnFraction), open: make(map[*net.TCPConn]bool),
+	}
 }
 
 // refuse refuses the request on a connection, at once or when it arrives. The buffer is used until it returns. It reports false if nothing has
@@ -47,47 +52,91 @@
 		r.answer(conn, received)
 		return true
 	}
-	return r.goWithinLimit(func() { r.awaitRequest(conn) })
+	return r.handle(conn, true, r.awaitRequest)
 }
 
-// goWithinLimit runs a function in a goroutine of its own, and reports false if too many of them run.
-func (r *unreadRefuser) goWithinLimit(do func()) bool {
-	if r.open.Add(1) > r.maxOpen {
-		r.open.Add(-1)
+// handle runs a function for a connection in a goroutine of its own, and reports false if too many of them run. awaitsRequest is set if the function
+// waits for the first byte.
+func (r *unreadRefuser) handle(conn *net.TCPConn, awaitsRequest bool, do func(*net.TCPConn)) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.open) >= r.maxOpen {
 		return false
 	}
+	r.open[conn] = awaitsRequest
 	go func() {
-		defer r.open.Add(-1)
-		do()
+		do(conn)
+		r.remove(conn)
 	}()
 	return true
 }
 
+// remove forgets a connection that is handled no longer.
+func (r *unreadRefuser) remove(conn *net.TCPConn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.open, conn)
+}
+
+// endUnused ends the connections on which nothing has arrived. It returns the number of open connections.
+func (r *unreadRefuser) endUnused() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for conn, awaitsRequest := range r.open {
+		if awaitsRequest {
+			_ = conn.SetReadDeadline(time.Now()) // On a broken connection, the read fails anyway.
+		}
+	}
+	return len(r.open)
+}
+
+// requestArrived records that a connection does not wait for its first byte any longer.
+func (r *unreadRefuser) requestArrived(conn *net.TCPConn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.open[conn] = false
+	_ = conn.SetReadDeadline(time.Time{}) // On a broken connection, the next read fails as well.
+}
+
 // awaitRequest waits for the request on a connection. It is refused, or served if this router has caught up meanwhile.
 func (r *unreadRefuser) awaitRequest(conn *net.TCPConn) {
 	_ = conn.SetReadDeadline(time.Now().Add(readHeaderTimeout)) // On a broken connection, the read fails anyway.
 	var first [1]byte
-	if len(peekReceived(conn, first[:])) == 0 {
+	// A read deadline may have passed although data has arrived.
+	if len(peekReceived(conn, first[:])) == 0 && !hasData(conn) {
 		_ = conn.Close() // There is no request.
 		return
 	}
+	r.requestArrived(conn)
 	now := time.Now()
 	if !r.handovers.shouldRefuse(now) {
-		_ = conn.SetReadDeadline(time.Time{}) // On a broken connection, the next read fails as well.
 		r.handovers.keep(conn, now)
 		return
 	}
-	r.answer(conn, readReceived(conn, make([]byte, refusalBufferBytes)))
+	r.refuseArrived(conn, readReceived(conn, make([]byte, refusalBufferBytes)))
 }
 
 // answer refuses the request of which some bytes were read.
 func (r *unreadRefuser) answer(conn *net.TCPConn, received []byte) {
+	if r.sendRefusal(conn); isWholeRequest(received) || !r.handle(conn, false, lingerClose) {
+		_ = conn.Close() // The answer was sent.
+	}
+}
+
+// refuseArrived is answer for a connection that is handled already.
+func (r *unreadRefuser) refuseArrived(conn *net.TCPConn, received []byte) {
+	if r.sendRefusal(conn); isWholeRequest(received) {
+		_ = conn.Close() // The answer was sent.
+		return
+	}
+	lingerClose(conn)
+}
+
+// sendRefusal sends the refusal of a request.
+func (r *unreadRefuser) sendRefusal(conn *net.TCPConn) {
 	r.handovers.counts.refused.Add(1)
 	retryDelay := overload.RetryDelay(r.handovers.probe.delay(time.Now()))
 	_, _ = conn.Write([]byte(unreadRefusal(retryDelay))) // A caller that has left gets no answer.
-	if isWholeRequest(received) || !r.goWithinLimit(func() { lingerClose(conn) }) {
-		_ = conn.Close() // The answer was sent.
-	}
 }
 
 // isWholeRequest reports whether bytes are exactly one request.
--- a/internal/gateway/unreadrefusal_test.go
+++ b/internal/gateway/unreadrefusal_test.go
@@ -115,3 +115,35 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, conn.Close(), qt.IsNil)
 }
+
+// TestEndingRouterRefusesAwaitedRequests guards against requests that get no byte at the end of a drain because they have arrived on connections of
+// refused callers, which no one counts.
+func TestEndingRouterRefusesAwaitedRequests(t *testing.T) {
+	late := listen(t)
+	instance := gateway.New(gateway.Settings{MaxOpenFiles: 1000}, gateway.Adapters{Codec: codec{}}, zerolog.Nop(), func() uint64 { return 0 })
+	listener := gateway.NewLateListener(instance, late, time.Second, false)
+	go func() { _, _ = listener.Accept() }()
+	callers := make([]net.Conn, 2)
+	for i := range callers {
+		conn, err := net.Dial("tcp", late.Addr().String())
+		qt.Assert(t, err, qt.IsNil)
+		defer func() { _ = conn.Close() }()
+		qt.Assert(t, conn.SetDeadline(time.Now().Add(handoverTimeout)), qt.IsNil)
+		callers[i] = conn
+	}
+	for gateway.EndUnusedConns(instance, false) < len(callers) {
+		time.Sleep(time.Millisecond)
+	}
+	_, err := io.WriteString(callers[0], "POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n")
+	qt.Assert(t, err, qt.IsNil)
+	received, err := io.ReadAll(callers[0])
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, strings.HasPrefix(string(received), "HTTP/1.1 503"), qt.IsTrue, qt.Commentf("%q", received))
+	_ = callers[0].Close()
+	for gateway.EndUnusedConns(instance, true) > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	received, err = io.ReadAll(callers[1])
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, string(received), qt.Equals, "")
+}
