Take back the claims of probes that reached no target

Sound requests that share a part with crashed ones were refused for an hour once two claimed probes had reached no target: the claims counted for good.

A claim names its probe now. A request that ends with a claim that it has not passed to the client takes it back by the same conditional append. The probe is taken from the request right before it is sent and returned only for an UnsentError, so an attempt that fails in any other way keeps the claim. Only the process that claimed takes back, so it does not matter how long it was paused. A claim whose write had no answer is not used and is taken back as well.

While a claim may still be taken back, routers look at the claims again 8 s after the interval of the probe; before, a router that found them used up did not look for an hour. A router remembers only its own probes now and no longer those that it read, since these may be taken back without its knowledge.

Ruled out: counting down without names.

TestProbesThatReachNoTargetDoNotCount: the model takes a claim back one second after it was made. TestClaimOfUnsentProbeIsTakenBackOnce is new: nine gates at a store that loses answers and writes late.

Events 808 and 809.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -148,6 +148,9 @@
 
 	QuarantineUnsaved = Event{806, levelWarn, "quarantine_unsaved", []string{"fingerprint", "error"}}
 	ProbeUnclaimed    = Event{807, levelWarn, "probe_unclaimed", []string{"fingerprint", "error"}}
+
+	ProbeUnsent       = Event{808, levelInfo, "probe_unsent", []string{"fingerprint", "id"}}
+	ProbesNotReturned = Event{809, levelWarn, "probes_not_returned", []string{"probes", "error"}}
 )
 
 // All returns all events in ascending order of their numbers.
@@ -166,5 +169,6 @@
 		RequestAnswered, RequestRefused, AttemptFailed, CallerLeft, StreamBroken, ServiceState, RefusalsSummed, CustomerState, RequestCut,
 		ClaimLost, ClaimUnknown,
 		SuspectFound, SuspectRefused, Quarantined, QuarantineLifted, QuarantineProbed, QuarantineUnsaved, ProbeUnclaimed,
+		ProbeUnsent, ProbesNotReturned,
 	}
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -44,9 +44,7 @@
 	bodyMemory *overload.BodyReservation
 	// fingerprints identify the whole request and the shared parts of its prompt.
 	fingerprints []uint64
-	// probe is set if the next attempt may be a probe, and probeUntil is the time until which the claimed probe may be sent, 0 if none is claimed.
-	probe      bool
-	probeUntil boottime.Instant
+	probe        probe
 	// deadline is the time by which the response must be complete.
 	deadline time.Time
 
@@ -104,6 +102,7 @@
 // serve handles the request until it is answered or given up.
 func (x *exchange) serve() {
 	defer x.releaseBody()
+	defer x.returnProbe()
 	if refusalErr := x.admit(); refusalErr != nil {
 		x.refuse(refusalErr)
 		return
@@ -240,13 +239,13 @@
 	}
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	claimed := x.takeProbe()
 	response, err := x.gateway.client.Send(attemptCtx, x.newAttempt(decision))
 	x.headReceived, x.firstDataAt, x.framing, x.events, x.endUncertain = err == nil, time.Time{}, "", eventBoundary{}, false
 	if err != nil {
-		return x.handleSendError(decision, err)
+		return x.handleSendError(decision, err, claimed)
 	}
 	defer response.Close()
-	x.endProbe()
 	x.framing = response.Framing
 	x.recordRateLimit(decision, response)
 	x.gateway.notices.record(decision.Target, &response.Info)
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -144,7 +144,15 @@
 func (s SendGate) Authorize(ctx context.Context) bool { return s.x.authorizeSend(ctx) == nil }
 
 // Sent records that the request was sent.
-func (s SendGate) Sent() { s.x.endProbe() }
+func (s SendGate) Sent() { s.x.takeProbe() }
+
+// Unsent records that the request has ended and that no target got it.
+func (s SendGate) Unsent() { s.x.returnProbe() }
+
+// TakeBack takes back the claims of unsent probes, if the store answers, and reports whether it has to be called again.
+func (s SendGate) TakeBack(ctx context.Context) (again bool) {
+	return s.x.gateway.claims.writeUnsent(ctx)
+}
 
 // RecordCrash records a crash of a target with the request.
 func (s SendGate) RecordCrash(crash quarantine.Crash) {
--- a/internal/gateway/failedattempt.go
+++ b/internal/gateway/failedattempt.go
@@ -19,14 +19,15 @@
 	earlyAnswerTime = 100 * time.Millisecond
 )
 
-// handleSendError handles an attempt that failed before the head of a response arrived.
-func (x *exchange) handleSendError(decision dispatch.Decision, err error) (retry bool) {
+// handleSendError handles an attempt that failed before the head of a response arrived. The probe, if the attempt was one, may be sent to
+// another target if this one got nothing.
+func (x *exchange) handleSendError(decision dispatch.Decision, err error, claimed probe) (retry bool) {
 	var unsent *forward.UnsentError
 	if !errors.As(err, &unsent) {
-		x.endProbe()
 		x.sentAttempts++
 		return x.handleBrokenAttempt(decision, err)
 	}
+	x.probe = claimed
 	if x.r.Context().Err() != nil {
 		x.finishAttempt(decision, dispatch.Cancelled)
 		x.abortDisconnected()
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"time"
 
 	"github.com/chicorydale/chicorydale/internal/boottime"
@@ -9,13 +10,24 @@
 	"github.com/chicorydale/chicorydale/internal/refusal"
 )
 
+// probe is what a request may do as a probe of its quarantined fingerprints.
+type probe struct {
+	// allowed is set if the next attempt may be a probe.
+	allowed bool
+	// id identifies the probe that the request has claimed and that no target can have received. It is empty if there is none.
+	id string
+	// fingerprints are those that the claims concern, and sendUntil is the time until which the probe may be sent.
+	fingerprints []uint64
+	sendUntil    boottime.Instant
+}
+
 // admitSuspect returns a refusal if the request, or a part of its prompt, is quarantined and the next attempt cannot be a probe.
 func (x *exchange) admitSuspect() *refusal.Error {
-	if x.probeUntil != 0 {
+	if x.probe.id != "" {
 		return nil // The last attempt reached no target, so the probe has not been sent yet.
 	}
 	var refusalErr *refusal.Error
-	x.probe, refusalErr = x.gateway.suspects.admit(x.fingerprints)
+	x.probe.allowed, refusalErr = x.gateway.suspects.admit(x.fingerprints)
 	return refusalErr
 }
 
@@ -26,23 +38,39 @@
 	now := time.Now()
 	claimedAt := boottime.Now()
 	switch {
-	case len(quarantined) == 0 || claimedAt.Before(x.probeUntil):
+	case len(quarantined) == 0 || claimedAt.Before(x.probe.sendUntil):
 		return nil
-	case !x.probe || x.probeUntil != 0:
+	case !x.probe.allowed || x.probe.id != "":
 		return refuseQuarantined(now, now.Add(retryAfter))
 	}
-	granted, retryAt := x.gateway.claims.claim(ctx, quarantined)
+	id := rand.Text()
+	granted, retryAt := x.gateway.claims.claim(ctx, id, quarantined)
 	now = time.Now()
 	if !granted {
 		return refuseQuarantined(now, retryAt)
 	}
-	x.probeUntil = claimedAt.Add(claimLifetime)
-	if !boottime.Now().Before(x.probeUntil) { // The process was held up, or its host suspended.
+	x.probe = probe{allowed: true, id: id, fingerprints: quarantined, sendUntil: claimedAt.Add(claimLifetime)}
+	if !boottime.Now().Before(x.probe.sendUntil) { // The process was held up, or its host suspended.
 		return refuseQuarantined(now, now.Add(retryAfter))
 	}
 	event.QuarantineProbed.Log(x.gateway.logger, quarantined[0], x.info.ID)
 	return nil
 }
 
-// endProbe records that the claimed probe has been sent, so that the next attempt needs another one.
-func (x *exchange) endProbe() { x.probe, x.probeUntil = false, 0 }
+// takeProbe removes the probe from the request and returns it. It is called right before the request is sent: from then on a target may
+// have the probe, whatever happens, unless the attempt turns out to have reached none.
+func (x *exchange) takeProbe() probe {
+	taken := x.probe
+	x.probe = probe{}
+	return taken
+}
+
+// returnProbe takes back the claim of a probe that the request has not sent when it ends.
+func (x *exchange) returnProbe() {
+	unsent := x.takeProbe()
+	if unsent.id == "" {
+		return
+	}
+	event.ProbeUnsent.Log(x.gateway.logger, unsent.fingerprints[0], x.info.ID)
+	x.gateway.claims.takeBack(unsent.id, unsent.fingerprints)
+}
--- a/internal/gateway/probeclaims.go
+++ b/internal/gateway/probeclaims.go
@@ -29,21 +29,23 @@
 	topic    topiclog.ConditionalTopic
 	suspects *suspects
 	logger   zerolog.Logger
+	unsent   unsentProbes
 }
 
-// claim writes the claims of a probe with the given quarantined fingerprints. If the probe must not be sent, granted is false; retryAt is
-// when to try again, or zero if that may take long.
-func (p *probeClaims) claim(ctx context.Context, quarantined []uint64) (granted bool, retryAt time.Time) {
+// claim writes the claims of a probe with the given id and quarantined fingerprints. If the probe must not be sent, granted is false; retryAt
+// is when to try again, or zero if that may take long. A claim that may have been written all the same is taken back.
+func (p *probeClaims) claim(ctx context.Context, probeID string, quarantined []uint64) (granted bool, retryAt time.Time) {
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(claimTimeout))
 	defer cancel()
 	for range maxClaimAttempts {
-		granted, retryAt, err := p.tryClaim(ctx, quarantined)
+		granted, retryAt, err := p.tryClaim(ctx, probeID, quarantined)
 		var conflict *topiclog.ConflictError
 		if err == nil {
 			return granted, retryAt
 		}
 		if !errors.As(err, &conflict) {
 			event.ProbeUnclaimed.Log(p.logger, quarantined[0], err)
+			p.takeBack(probeID, quarantined)
 			break
 		}
 	}
@@ -51,23 +53,25 @@
 }
 
 // tryClaim reads all claims, decides, and writes those of the probe if no other router has written any meanwhile.
-func (p *probeClaims) tryClaim(ctx context.Context, quarantined []uint64) (granted bool, retryAt time.Time, err error) {
+func (p *probeClaims) tryClaim(
+	ctx context.Context, probeID string, quarantined []uint64,
+) (granted bool, retryAt time.Time, err error) {
 	page, err := p.topic.ReadNewest(ctx)
 	if err != nil {
 		return false, time.Time{}, err
 	}
-	decision := p.suspects.decideProbe(quarantined, p.decodeClaims(page.Records))
+	decision := p.suspects.decideProbe(probeID, quarantined, p.decodeClaims(page.Records))
 	if len(decision.Granted) == 0 {
 		return false, decision.RetryAt, nil
 	}
-	records, err := encodeClaims(decision)
+	records, err := encodeClaims(decision.Expired, decision.Granted)
 	if err != nil {
 		return false, time.Time{}, err
 	}
 	err = p.topic.Append(ctx, page.NextOffset, records)
 	var conflict *topiclog.ConflictError
 	if !errors.As(err, &conflict) {
-		p.suspects.probeClaimed(decision.Granted)
+		p.suspects.probeClaimed(probeID, decision.Granted)
 	}
 	return err == nil, time.Time{}, err
 }
@@ -105,13 +109,13 @@
 	return claims
 }
 
-// encodeClaims returns the records of a decision: the claims of the probe, and the removal of those that have expired.
-func encodeClaims(decision quarantine.ProbeDecision) ([]topiclog.Record, error) {
-	var records []topiclog.Record
-	for _, fingerprint := range decision.Expired {
+// encodeClaims returns the records that remove the claims of the expired fingerprints and then write the given ones.
+func encodeClaims(expired []uint64, claims []quarantine.Claim) ([]topiclog.Record, error) {
+	records := make([]topiclog.Record, 0, len(expired)+len(claims))
+	for _, fingerprint := range expired {
 		records = append(records, topiclog.Record{Key: strconv.FormatUint(fingerprint, fingerprintBase)})
 	}
-	for _, claim := range decision.Granted {
+	for _, claim := range claims {
 		value, err := json.Marshal(claim)
 		if err != nil {
 			return nil, err
--- a/internal/gateway/probeclaims_test.go
+++ b/internal/gateway/probeclaims_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"runtime"
 	"sync"
 	"testing"
@@ -28,8 +29,13 @@
 	down bool
 	// pause is the time for which the process is held up after an append.
 	pause time.Duration
+	// faults lets appends end in errors, written, not written or written later, if it is set.
+	faults *rand.Rand
 }
 
+// lateWrite is the time after which an append without an answer may take effect, if its condition still holds.
+const lateWrite = 2 * time.Second
+
 func (c *claimTopic) ReadNewest(context.Context) (topiclog.Page, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -46,6 +52,38 @@
 func (c *claimTopic) Append(_ context.Context, at uint64, records []topiclog.Record) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	fault := 0
+	if c.faults != nil {
+		fault = c.faults.IntN(20)
+	}
+	switch fault {
+	case 1:
+		return errNoAnswer
+	case 2:
+		time.AfterFunc(lateWrite, func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			_ = c.write(at, records) // Nobody waits for the answer any more.
+		})
+		return errNoAnswer
+	}
+	if err := c.write(at, records); err != nil {
+		return err
+	}
+	if fault == 3 {
+		return errNoAnswer
+	}
+	for end := boottime.Now().Add(c.pause); boottime.Now().Before(end); { // The clock of the test does not go on in a suspended host.
+		runtime.Gosched()
+	}
+	return nil
+}
+
+// errNoAnswer is the error of an append of which it is not known whether it was written.
+var errNoAnswer = errors.New("no answer of the store")
+
+// write writes all records or none. The caller must hold c.mu.
+func (c *claimTopic) write(at uint64, records []topiclog.Record) error {
 	if at != c.end {
 		return &topiclog.ConflictError{Offset: at}
 	}
@@ -53,9 +91,6 @@
 		c.keys[record.Key] = record.Value
 		c.end++
 	}
-	for end := boottime.Now().Add(c.pause); boottime.Now().Before(end); { // The clock of the test does not go on in a suspended host.
-		runtime.Gosched()
-	}
 	return nil
 }
 
@@ -127,3 +162,48 @@
 		qt.Check(t, total, qt.Equals, quarantine.DefaultLimits().MaxProbesAlone)
 	})
 }
+
+// TestClaimOfUnsentProbeIsTakenBackOnce guards against probes that reached no target and count all the same, so that sound requests are refused
+// for long, and against a claim that is taken back although its probe was sent, or twice because an answer of the store was lost: then what
+// crashes targets is sent to them too often.
+func TestClaimOfUnsentProbeIsTakenBackOnce(t *testing.T) {
+	const seeds, unsentFraction, takeBackEvery = 60, 0.5, 3
+	allowed := quarantine.DefaultLimits().MaxProbesAlone
+	exhausted, unsent := 0, 0
+	for seed := range uint64(seeds) {
+		synctest.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 11))
+			topic := &claimTopic{keys: make(map[string][]byte), faults: random}
+			gates := make([]gateway.SendGate, 9)
+			for i := range gates {
+				gates[i] = gateway.NewSendGate(topic, 1)
+			}
+			crashThrice(gates...)
+			sent := 0
+			for range 300 {
+				time.Sleep(time.Second)
+				for _, gate := range gates {
+					switch {
+					case !gate.Admit() || !gate.Authorize(t.Context()):
+						gate.Unsent()
+					case random.Float64() < unsentFraction:
+						gate.Unsent()
+						unsent++
+					default:
+						gate.Sent()
+						sent++
+					}
+					if random.IntN(takeBackEvery) == 0 {
+						gate.TakeBack(t.Context())
+					}
+				}
+			}
+			qt.Check(t, sent <= allowed, qt.IsTrue, qt.Commentf("seed %d: %d probes were sent", seed, sent))
+			if sent == allowed {
+				exhausted++
+			}
+		})
+	}
+	t.Logf("%d probes reached no target; all %d were sent in %d of %d runs", unsent, allowed, exhausted, seeds)
+	qt.Check(t, exhausted >= seeds*7/8, qt.IsTrue, qt.Commentf("all allowed probes were sent in %d of %d runs only", exhausted, seeds))
+}
--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -69,8 +69,8 @@
 // Failed does nothing: the handlers of the other topics log failures of the store.
 func (q *quarantineStore) Failed(time.Time, error) {}
 
-// writeUnsaved writes the beginnings and ends of quarantines to the store until ctx ends. What could not be written is tried again, and does
-// not hold up the others.
+// writeUnsaved writes the beginnings and ends of quarantines to the store until ctx ends, and takes back the claims of probes that were not
+// sent. What could not be written is tried again, and does not hold up the others.
 func (q *quarantineStore) writeUnsaved(ctx context.Context) {
 	ticker := time.NewTicker(saveInterval)
 	defer ticker.Stop()
@@ -84,7 +84,8 @@
 				unsaved[stored.Fingerprint] = stored
 			}
 			maps.DeleteFunc(unsaved, func(_ uint64, stored quarantine.Stored) bool { return q.write(ctx, stored) })
-			if len(unsaved) > 0 {
+			again := q.claims.writeUnsent(ctx)
+			if again || len(unsaved) > 0 {
 				sleepUntil(ctx, time.Now().Add(saveRetryPause))
 			}
 		}
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -77,17 +77,22 @@
 }
 
 // decideProbe decides on a probe from the claims in the store.
-func (s *suspects) decideProbe(quarantined []uint64, known []quarantine.Claim) quarantine.ProbeDecision {
+func (s *suspects) decideProbe(probeID string, quarantined []uint64, known []quarantine.Claim) quarantine.ProbeDecision {
 	var decision quarantine.ProbeDecision
 	s.withTracker(func(tracker *quarantine.Tracker, now time.Time) {
-		decision = tracker.DecideProbe(now, quarantined, known)
+		decision = tracker.DecideProbe(now, probeID, quarantined, known)
 	})
 	return decision
 }
 
-// probeClaimed records claims that this router has written, or may have written.
-func (s *suspects) probeClaimed(claims []quarantine.Claim) {
-	s.withTracker(func(tracker *quarantine.Tracker, _ time.Time) { tracker.ProbeClaimed(claims) })
+// probeClaimed records a probe whose claims this router has written, or may have written.
+func (s *suspects) probeClaimed(probeID string, claims []quarantine.Claim) {
+	s.withTracker(func(tracker *quarantine.Tracker, _ time.Time) { tracker.ProbeClaimed(probeID, claims) })
+}
+
+// probeUnsent records that a probe that this router has claimed reached no target, and never will.
+func (s *suspects) probeUnsent(probeID string, fingerprints []uint64) {
+	s.withTracker(func(tracker *quarantine.Tracker, _ time.Time) { tracker.ProbeUnsent(probeID, fingerprints) })
 }
 
 // reloaded has quarantines written again that the store has lost.
--- a/internal/quarantine/limits.go
+++ b/internal/quarantine/limits.go
@@ -14,6 +14,9 @@
 	// MaxProbesAlone is the maximum number of probes of a fingerprint at all routers, until its quarantine ends, in which no other fingerprint is
 	// quarantined. MaxProbesTogether is that of probes with another one: they use up nothing that a sound part needs to be told apart.
 	MaxProbesAlone, MaxProbesTogether int
+	// ReturnTime is the time after ProbeInterval in which the claim of a probe that reached no target may still be taken back. Until then,
+	// routers look again at claims that leave no further probe.
+	ReturnTime time.Duration
 	// AnswerMemory is the time for which an answer prevents crash records: what was answered so recently does not crash targets.
 	AnswerMemory time.Duration
 	// RecordLifetime is the time from a crash to the expiry of its records.
@@ -30,6 +33,7 @@
 		ProbeInterval:     2 * time.Second,
 		MaxProbesAlone:    2,
 		MaxProbesTogether: 1,
+		ReturnTime:        8 * time.Second,
 		AnswerMemory:      time.Second,
 		RecordLifetime:    time.Hour,
 		MaxFingerprints:   10_000,
--- a/internal/quarantine/repeats_test.go
+++ b/internal/quarantine/repeats_test.go
@@ -28,8 +28,10 @@
 	// maxUntilSeen is the maximum time until a router sends requests to a target that has started.
 	maxUntilSeen = 800 * time.Millisecond
 	// maxClaimAttempts is how often a router tries to write a claim, lostAnswers the part of the writes whose answers are lost.
-	maxClaimAttempts = 2
-	lostAnswers      = 0.05
+	// maxTakeBackAttempts is how often it tries to take one back.
+	maxClaimAttempts    = 2
+	maxTakeBackAttempts = 4
+	lostAnswers         = 0.05
 	// allowedLate is how often a whole request may be sent to targets later than stableWindow after it has crashed the third.
 	allowedLate = 3
 )
@@ -100,6 +102,8 @@
 type repeatRun struct {
 	router, attempt int
 	request         *repeatRequest
+	// probeID is the id of the claimed probe if the request is one.
+	probeID string
 }
 
 // repeatFleet is several linked routers in front of few targets, in virtual time: whole requests come again at any router.
@@ -112,6 +116,8 @@
 	trackers []*quarantine.Tracker
 	targets  []*repeatTarget
 	store    claimStore
+	// takenBack is the number of claims that were taken back.
+	takenBack int
 }
 
 // claimStore holds the claims of probes, as the store does.
@@ -228,7 +234,7 @@
 	}
 	target := seen[f.random.IntN(len(seen))]
 	verdict := f.trackers[router].Admit(f.now, []uint64{request.fingerprint})
-	switch run := (&repeatRun{router, attempt, request}); {
+	switch run := (&repeatRun{router: router, attempt: attempt, request: request}); {
 	case verdict.Refused:
 		request.refusals++
 	case verdict.Probe:
@@ -238,18 +244,22 @@
 	}
 }
 
-// claim writes the claim of a probe to the store and then calls granted. The answer of the store may be lost.
+// claim writes the claim of a probe to the store and then calls granted. The answer of the store may be lost. Then the probe is not sent.
 func (f *repeatFleet) claim(run *repeatRun, attempts int, granted func()) {
 	tracker, fingerprints := f.trackers[run.router], []uint64{run.request.fingerprint}
+	f.number++
+	run.probeID = fmt.Sprint(f.number)
 	f.after(f.hop(run.router), func() {
-		decision, version := tracker.DecideProbe(f.now, fingerprints, f.store.all()), f.store.version
+		decision, version := tracker.DecideProbe(f.now, run.probeID, fingerprints, f.store.all()), f.store.version
 		f.after(f.hop(run.router), func() {
 			switch {
 			case len(decision.Granted) == 0:
 			case f.store.write(decision.Granted, version):
-				tracker.ProbeClaimed(decision.Granted)
+				tracker.ProbeClaimed(run.probeID, decision.Granted)
 				if f.random.Float64() >= lostAnswers {
 					granted()
+				} else {
+					f.endUnsent(run)
 				}
 			case attempts > 1:
 				f.claim(run, attempts-1, granted)
@@ -258,6 +268,33 @@
 	})
 }
 
+// endUnsent takes back the claim of a request that reached no target if it was a probe.
+func (f *repeatFleet) endUnsent(run *repeatRun) {
+	if run.probeID != "" {
+		f.trackers[run.router].ProbeUnsent(run.probeID, []uint64{run.request.fingerprint})
+		f.takeBack(run, maxTakeBackAttempts)
+	}
+}
+
+// takeBack takes back the claim of an unsent probe. The answer of the store may be lost, and then it is tried again.
+func (f *repeatFleet) takeBack(run *repeatRun, attempts int) {
+	f.after(f.hop(run.router), func() {
+		changed, version := quarantine.WithoutProbes(f.store.all(), []string{run.probeID}), f.store.version
+		f.after(f.hop(run.router), func() {
+			if len(changed) == 0 {
+				return
+			}
+			written := f.store.write(changed, version)
+			if written {
+				f.takenBack++
+			}
+			if attempts > 1 && (!written || f.random.Float64() < lostAnswers) {
+				f.takeBack(run, attempts-1)
+			}
+		})
+	})
+}
+
 // send sends a request to a target.
 func (f *repeatFleet) send(target *repeatTarget, run *repeatRun) {
 	sentAt := f.now
@@ -269,6 +306,7 @@
 	if !target.up {
 		f.after(f.hop(run.router), func() {
 			target.seenBy[run.router] = target.seenBy[run.router] && target.up
+			f.endUnsent(run)
 			f.attempt(run.request, run.router, run.attempt)
 		})
 		return
@@ -373,9 +411,11 @@
 	} {
 		t.Run(fmt.Sprintf("%+v", c), func(t *testing.T) {
 			t.Parallel()
-			broken, worst, served, arrived, crashes := 0, 0, 0, 0, 0
+			broken, worst, served, arrived, crashes, takenBack := 0, 0, 0, 0, 0, 0
 			for seed := range uint64(seeds) {
-				crashing, sound := newRepeatFleet(c, seed).run(60 * time.Second)
+				f := newRepeatFleet(c, seed)
+				crashing, sound := f.run(60 * time.Second)
+				takenBack += f.takenBack
 				late := 0
 				for _, request := range crashing {
 					late = max(late, request.late())
@@ -390,7 +430,7 @@
 					arrived += request.arrived
 				}
 			}
-			t.Logf("%d crashes, %d of %d sound requests served", crashes, served, arrived)
+			t.Logf("%d crashes, %d of %d sound requests served, %d claims taken back", crashes, served, arrived, takenBack)
 			qt.Check(t, broken, qt.Equals, 0, qt.Commentf("in %d of %d runs a request was sent up to %d times after its third crash and the window",
 				broken, seeds, worst))
 		})
--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -31,8 +31,9 @@
 	// probeAt is the earliest time of the next probe while the fingerprint is quarantined, ambiguousProbeAt that of a probe with more
 	// than one quarantined fingerprint.
 	probeAt, ambiguousProbeAt time.Time
-	// claim is the claim of the last probe that this router has written since the fingerprint was quarantined.
-	claim Claim
+	// ownProbes holds the probes that this router has claimed since the fingerprint was quarantined, but those that reached no target. See
+	// Claim.Probes.
+	ownProbes map[string]bool
 }
 
 // add adds a record, or merges it with the record of the same crash. It returns the record in the set and whether that changed
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -191,7 +191,7 @@
 // noteChange records the beginning or the end of a quarantine.
 func (t *Tracker) noteChange(found *suspect, wasQuarantined bool) {
 	if quarantined := t.isQuarantined(found); quarantined != wasQuarantined {
-		found.claim, found.probeAt, found.ambiguousProbeAt = Claim{}, time.Time{}, time.Time{}
+		found.ownProbes, found.probeAt, found.ambiguousProbeAt = nil, time.Time{}, time.Time{}
 		t.changes = append(t.changes, Change{Fingerprint: found.fingerprint, Quarantined: quarantined, Crashes: found.crashes()})
 	}
 }
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -29,6 +29,8 @@
 	linkDelay = 100 * time.Millisecond
 	// answerTime is the time from the sending of a request to its answer, or to the crash of its target.
 	answerTime = 200 * time.Millisecond
+	// takeBackDelay is the time from the claim of a probe that reaches no target until the claim is taken back.
+	takeBackDelay = time.Second
 	// restartTime is the time from the crash of a target to its next start.
 	restartTime = 2 * time.Second
 	// stableWindow is the time after the fifth crash from which requests with the part must not reach targets.
@@ -59,6 +61,12 @@
 	body     *fleetpb.Body
 }
 
+// unsentProbe is a probe that reached no target, and the time at which its claim is taken back.
+type unsentProbe struct {
+	id string
+	at time.Time
+}
+
 // simFleet is several linked routers in front of targets, in virtual time.
 type simFleet struct {
 	now        time.Time
@@ -69,8 +77,9 @@
 	deliveries []delivery
 	nextID     uint64
 	store      claimStore
-	// unsentProbes is the fraction of the claimed probes that reach no target.
+	// unsentProbes is the fraction of the claimed probes that reach no target, unsent holds those whose claims are not taken back yet.
 	unsentProbes float64
+	unsent       []unsentProbe
 	// crashes holds the times of the crashes. badSent holds the times at which requests with badPart were sent to targets, soundSent and
 	// soundRefused those of sound requests.
 	crashes, badSent, soundSent, soundRefused []time.Time
@@ -113,10 +122,7 @@
 		return
 	}
 	verdict := f.trackers[router].Admit(f.now, fingerprints)
-	refused := verdict.Refused || verdict.Probe && !f.claim(router, fingerprints)
-	if verdict.Probe && f.random.Float64() < f.unsentProbes {
-		refused = true
-	}
+	refused := verdict.Refused || verdict.Probe && !f.sendProbe(router, fingerprints)
 	switch {
 	case refused && part != badPart:
 		f.soundRefused = append(f.soundRefused, f.now)
@@ -130,12 +136,26 @@
 	}
 }
 
-// claim writes the claims of a probe to the store and reports whether the probe may be sent.
-func (f *simFleet) claim(router string, fingerprints []uint64) bool {
-	tracker := f.trackers[router]
-	decision := tracker.DecideProbe(f.now, tracker.Quarantined(fingerprints), f.store.all())
-	tracker.ProbeClaimed(decision.Granted)
-	return len(decision.Granted) > 0 && f.store.write(decision.Granted, f.store.version)
+// sendProbe claims a probe in the store and reports whether it is sent to a target. The claim of one that reaches none is taken back.
+func (f *simFleet) sendProbe(router string, fingerprints []uint64) bool {
+	tracker, id := f.trackers[router], fmt.Sprint(f.nextID)
+	quarantined := tracker.Quarantined(fingerprints)
+	decision := tracker.DecideProbe(f.now, id, quarantined, f.store.all())
+	tracker.ProbeClaimed(id, decision.Granted)
+	claimed := len(decision.Granted) > 0 && f.store.write(decision.Granted, f.store.version)
+	unsent := f.random.Float64() < f.unsentProbes
+	if claimed && unsent {
+		tracker.ProbeUnsent(id, quarantined)
+		f.unsent = append(f.unsent, unsentProbe{id: id, at: f.now.Add(takeBackDelay)})
+	}
+	return claimed && !unsent
+}
+
+// takeBackUnsent takes back the claims of unsent probes that are due.
+func (f *simFleet) takeBackUnsent() {
+	f.unsent = slices.DeleteFunc(f.unsent, func(probe unsentProbe) bool {
+		return !f.now.Before(probe.at) && f.store.write(quarantine.WithoutProbes(f.store.all(), []string{probe.id}), f.store.version)
+	})
 }
 
 // randomTarget returns a random target that is up, or nil if all are down.
@@ -165,6 +185,7 @@
 			f.endRequests(target)
 		}
 		f.exchange()
+		f.takeBackUnsent()
 	}
 }
 
