Let a stream that the fleet broke off be taken up once beyond the share

A request that takes up a stream whose origin a router knows is no longer refused for the share, once for each stream. It counts as usage, so the customer's new requests are refused instead. The records of origins say whether a stream is spent: it was taken up, it has ended, or its caller has left. So a customer cannot save up streams that it left or has got, and take them all up at once. A router that spends a stream tells the holders of the record and the peer that told it. Only what the fleet has broken off, or what still runs, is not spent.

Ruled out: an exemption up to a multiple of the share. After the loss of all routers usage begins at nothing, so any multiple of the share is small then.

TestStreamIsSpentOnceAtAllRouters fails if the peer that told is not told, and TestOnlyStreamThatFleetBrokeOffMayExceedShare if streams that their callers left are not spent.

Open: routers that do not hear each other, and those that all started again a moment ago, may each grant it once; after the loss of all routers, ended streams that the store still names are not known to be spent. A caller whose connection to a router that goes on was lost counts as one that left. Each resumable stream costs one more record to the holders.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -147,7 +147,7 @@
 		if home := qr.request.homePartID(); home != 0 {
 			s.demand.recordRequest(now, home)
 		}
-		if d.exceedsShare(now, s, &qr.request) {
+		if !qr.request.MayExceedShare && d.exceedsShare(now, s, &qr.request) {
 			d.refuse(now, qr, d.overloadRefusal(now, &qr.request, "the customer has its share"))
 			return
 		}
--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -111,6 +111,8 @@
 	seconds int
 	seen    map[string]*customerSeconds
 	prompts promptFigures
+	// decided is called for each decision on a request, unless it is nil.
+	decided func(request simRequest, begins bool)
 	// reportsLoad makes targets report their load in their answers.
 	reportsLoad bool
 }
@@ -242,6 +244,9 @@
 // carryOut sends a request to the target of its decision, or has the caller send it once more.
 func (f *simFleet) carryOut(router *simRouter, decision dispatch.Decision) {
 	request := router.requests[decision.ID]
+	if f.decided != nil {
+		f.decided(request, decision.Refusal == nil)
+	}
 	if decision.Refusal != nil {
 		delete(router.requests, decision.ID)
 		f.record(request.Customer).refused[f.second()] = true
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -38,6 +38,8 @@
 	Build string
 	// Resumed is set if the caller already has a part of the answer, from an earlier request.
 	Resumed bool
+	// MayExceedShare is set if the request is not refused for its customer's share, because it takes up a stream that the fleet has broken off.
+	MayExceedShare bool
 }
 
 // allows reports whether the request may go to a target.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -45,6 +45,8 @@
 	// fingerprints identify the whole request and the shared parts of its prompt.
 	fingerprints []uint64
 	probe        probe
+	// mayExceedShare is set if the request is the first to take up a stream that the fleet has broken off.
+	mayExceedShare bool
 	// deadline is the time by which the response must be complete.
 	deadline time.Time
 
@@ -69,8 +71,10 @@
 	failedResponse *bufferedResponse
 	// responseStarted reports whether a part of the response has been sent to the caller.
 	responseStarted bool
-	splitter        eventSplitter
-	stats           exchangeStats
+	// brokenOff reports whether the response was ended before it was complete, although the caller was there.
+	brokenOff bool
+	splitter  eventSplitter
+	stats     exchangeStats
 }
 
 // exchangeStats holds figures of a request that are logged with its outcome.
@@ -103,6 +107,7 @@
 func (x *exchange) serve() {
 	defer x.releaseBody()
 	defer x.returnProbe()
+	defer x.spendStream()
 	if refusalErr := x.admit(); refusalErr != nil {
 		x.refuse(refusalErr)
 		return
@@ -159,6 +164,7 @@
 		Priority:        x.priority,
 		Build:           x.build,
 		Resumed:         x.takesUpStream(),
+		MayExceedShare:  x.mayExceedShare,
 		Objective:       x.arrivedAt.Add(x.route.LatencyObjective),
 		Deadline:        x.deadline,
 	}
--- a/internal/gateway/origins_export_test.go
+++ b/internal/gateway/origins_export_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/chicorydale/chicorydale/internal/dispatch"
 	"github.com/chicorydale/chicorydale/internal/origin"
+	"github.com/chicorydale/chicorydale/internal/route"
 	"github.com/chicorydale/chicorydale/internal/topiclog"
 )
 
@@ -61,3 +62,22 @@
 
 // OnlyBuild returns the only build of a service at which streams may have begun.
 func (s StreamOrigins) OnlyBuild(service string) string { return s.onlyBuild(service) }
+
+// newExchange returns a request of a resumable stream.
+func (s StreamOrigins) newExchange(info RequestInfo) *exchange {
+	return &exchange{gateway: &Gateway{origins: s.streamOrigins}, route: &route.Route{Kind: route.ResumableStream}, info: info}
+}
+
+// End ends the request that began a stream. brokenOff tells whether the fleet has broken it off.
+func (s StreamOrigins) End(requestID string, brokenOff bool) {
+	x := s.newExchange(RequestInfo{ID: requestID})
+	x.brokenOff = brokenOff
+	x.spendStream()
+}
+
+// TakeUp takes up the stream of a request and reports whether the request that does so may exceed its customer's share.
+func (s StreamOrigins) TakeUp(ctx context.Context, requestID, resumedID string) bool {
+	x := s.newExchange(RequestInfo{ID: requestID, ResumedID: resumedID, LastEventID: "1"})
+	_ = x.findOrigin(ctx) // A refusal leaves the request without the right to exceed a share.
+	return x.mayExceedShare
+}
--- a/internal/gateway/originstore_test.go
+++ b/internal/gateway/originstore_test.go
@@ -220,3 +220,24 @@
 		qt.Check(t, origins.OnlyBuild("m"), qt.Equals, "v1")
 	})
 }
+
+// TestOnlyStreamThatFleetBrokeOffMayExceedShare guards against a caller that gets more than its customer's share by taking up a stream that no
+// router knows, that has ended, that the caller has left, or that was taken up before.
+func TestOnlyStreamThatFleetBrokeOffMayExceedShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		origins := gateway.NewStreamOrigins(new(logTopic), new(logTopic))
+		for _, id := range []string{"broken", "left", "running"} {
+			origins.Begin(origin.NewStreamID(id), origin.Origin{Service: "m", Build: "v1"}, time.Now().Add(time.Minute))
+		}
+		origins.End("broken", true)
+		origins.End("left", false)
+		for _, c := range []struct {
+			resumed string
+			allowed bool
+		}{
+			{"broken", true}, {"broken", false}, {"running", true}, {"running", false}, {"left", false}, {"unknown", false},
+		} {
+			qt.Check(t, origins.TakeUp(t.Context(), "again", c.resumed), qt.Equals, c.allowed, qt.Commentf("%s", c.resumed))
+		}
+	})
+}
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -23,6 +23,7 @@
 func (x *exchange) failRequest(refusalErr *refusal.Error) {
 	switch {
 	case x.responseStarted:
+		x.brokenOff = true
 		event.StreamBroken.Log(x.gateway.logger, x.info.ID, x.stats.targetName, x.stats.bodyBytes, refusalErr)
 		panic(http.ErrAbortHandler)
 	case x.failedResponse != nil:
--- a/internal/gateway/streamorigins.go
+++ b/internal/gateway/streamorigins.go
@@ -78,6 +78,12 @@
 	s.withDirectory(func(directory *origin.Directory, _ time.Time) { directory.Begin(stream) })
 }
 
+// spend records that a stream may no longer be taken up beyond its customer's share, and reports whether it could be until now.
+func (s *streamOrigins) spend(stream origin.StreamID) (first bool) {
+	s.withDirectory(func(directory *origin.Directory, now time.Time) { first = directory.Spend(now, stream) })
+	return first
+}
+
 // find returns the origin of a stream, and whether it is known. It asks the peers if this router does not know it, and waits for the origins
 // of the store if they were not read yet.
 func (s *streamOrigins) find(ctx context.Context, stream origin.StreamID) (origin.Origin, bool) {
@@ -209,6 +215,14 @@
 	return x.route.Kind == route.ResumableStream && x.info.LastEventID != ""
 }
 
+// spendStream records at the end of a request that its stream has ended or that its caller has left. Only a stream that the fleet has broken
+// off may be taken up beyond its customer's share: otherwise a customer could begin streams, leave them, and take them all up at once.
+func (x *exchange) spendStream() {
+	if x.route != nil && x.route.Kind == route.ResumableStream && !x.brokenOff {
+		x.gateway.origins.spend(x.streamID())
+	}
+}
+
 // findOrigin sets the service and the build at which a stream that the caller takes up has to go on. It returns a refusal if they are not known.
 func (x *exchange) findOrigin(ctx context.Context) *refusal.Error {
 	if !x.takesUpStream() {
@@ -220,6 +234,7 @@
 		from, known = x.gateway.origins.find(ctx, x.streamID())
 	}
 	if known {
+		x.mayExceedShare = x.gateway.origins.spend(x.streamID())
 		x.build = from.Build
 		if x.route.Serves(from.Service) {
 			x.service = from.Service
--- a/internal/origin/directory.go
+++ b/internal/origin/directory.go
@@ -27,12 +27,17 @@
 	// isOwn is set if this router has sent the stream to a target, hasBegun if the caller has a part of it from this router. From then on
 	// its origin cannot change.
 	isOwn, hasBegun bool
+	// spent is set if the stream may no longer be taken up beyond its customer's share. See Directory.Spend.
+	spent bool
+	// toldBy is the peer that has told this router of the stream, empty if none has.
+	toldBy string
 	// savedUntil is the expiry with which the store holds the entry, zero if it does not.
 	savedUntil time.Time
 }
 
 // after returns the entry with what a known entry says of the same origin.
 func (e entry) after(known entry) entry {
+	e.spent = e.spent || known.spent
 	if e.origin == known.origin {
 		e.hasBegun, e.savedUntil = known.hasBegun, known.savedUntil
 	}
@@ -69,11 +74,7 @@
 	if !d.put(stream, recorded.after(known)) {
 		return
 	}
-	d.hasUnsent = true
-	record := toProto(now, stream, d.entries[stream])
-	for _, holder := range d.holders(stream) {
-		holder.origins = append(holder.origins, record)
-	}
+	d.tell(now, stream, d.holders(stream)...)
 }
 
 // Find returns the origin of a stream, and whether it is known.
@@ -129,6 +130,7 @@
 		known := d.entries[stream]
 		added := entry{
 			origin: Origin{Service: record.GetService(), Build: record.GetBuild()}, expiresAt: now.Add(lifetime), isOwn: known.isOwn,
+			spent: record.GetSpent(), toldBy: from,
 		}
 		d.put(stream, added.after(known))
 		if d.questions[stream] != nil {
@@ -157,6 +159,15 @@
 	}
 }
 
+// tell queues the origin of a stream for peers.
+func (d *Directory) tell(now time.Time, stream StreamID, receivers ...*peer) {
+	d.hasUnsent = true
+	record := toProto(now, stream, d.entries[stream])
+	for _, receiver := range receivers {
+		receiver.origins = append(receiver.origins, record)
+	}
+}
+
 // Tick returns the messages to send. It must be called several times a second.
 func (d *Directory) Tick(now time.Time) []message.Envelope {
 	d.prune(now)
@@ -213,7 +224,7 @@
 func toProto(now time.Time, stream StreamID, known entry) *fleetpb.StreamOrigin {
 	return &fleetpb.StreamOrigin{
 		Stream: uint64(stream), Service: known.origin.Service, Build: known.origin.Build,
-		RemainingMs: uint32(max(known.expiresAt.Sub(now), 0).Milliseconds()),
+		RemainingMs: uint32(max(known.expiresAt.Sub(now), 0).Milliseconds()), Spent: known.spent,
 	}
 }
 
--- a/internal/origin/directory_test.go
+++ b/internal/origin/directory_test.go
@@ -27,6 +27,8 @@
 	directories map[string]*origin.Directory
 	// messages is the number of messages that were delivered.
 	messages int
+	// delivered is called after each message, unless it is nil.
+	delivered func()
 }
 
 // newFleet returns a fleet of routers in three availability zones.
@@ -72,6 +74,9 @@
 				receiver := f.directories[envelope.To]
 				receiver.ReceiveOrigins(now, from, envelope.Body.GetStreamOrigins())
 				receiver.ReceiveQuery(now, from, envelope.Body.GetStreamOriginQuery())
+				if f.delivered != nil {
+					f.delivered()
+				}
 			}
 		}
 	}
@@ -207,3 +212,30 @@
 	qt.Check(t, builds.Of(released.Add(29*time.Second), "m"), qt.DeepEquals, []string{"v1", "v2"})
 	qt.Check(t, builds.Of(released.Add(30*time.Second), "m"), qt.DeepEquals, []string{"v2"})
 }
+
+// TestStreamIsSpentOnceAtAllRouters guards against a customer that takes up the same stream at one router after the other and may exceed its
+// share each time, also at routers that did not know the stream, and after the routers at which it was taken up have ended.
+func TestStreamIsSpentOnceAtAllRouters(t *testing.T) {
+	for _, size := range []int{2, 9, 17, 60} {
+		f := newFleet(size)
+		stream := origin.NewStreamID(fmt.Sprint("stream of ", size))
+		f.directories["r0"].Record(startTime, stream, oldOrigin, startTime.Add(lifetime))
+		f.deliver(startTime)
+		spent := 0
+		for _, router := range slices.Backward(slices.Clone(f.names)) {
+			f.delivered = func() { // A router does not wait for the answers of all peers.
+				if f.directories[router].Spend(startTime, stream) {
+					spent++
+				}
+			}
+			_, known := f.find(startTime, router, stream)
+			qt.Check(t, known, qt.IsTrue)
+			f.delivered()
+			f.deliver(startTime)
+			if router != "r0" {
+				f.remove(router)
+			}
+		}
+		qt.Check(t, spent, qt.Equals, 1, qt.Commentf("fleet of %d", size))
+	}
+}
--- a/internal/origin/doc.go
+++ b/internal/origin/doc.go
@@ -5,5 +5,8 @@
 // targets, before the first event can arrive, and sends the record to several others. A router that does not know the origin of a
 // stream asks all routers that it is linked with.
 //
+// A stream that the fleet has broken off may be taken up once beyond the share of its customer. So the records tell as well whether a
+// stream is spent, which it stays.
+//
 // Nothing in this package is safe for concurrent use, and nothing reads the clock: the caller passes the current time.
 package origin
--- a/internal/origin/stored.go
+++ b/internal/origin/stored.go
@@ -110,5 +110,6 @@
 	if !now.Before(stored.expiresAt) || found && (known.isOwn || !stored.expiresAt.After(known.expiresAt)) {
 		return
 	}
+	stored.spent = known.spent
 	d.put(stream, stored)
 }
