--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -44,9 +44,9 @@
 	bodyMemory *overload.BodyReservation
 	// fingerprints identify the whole request and the shared parts of its prompt.
 	fingerprints []uint64
-	// probe is set if the next attempt may be a probe, and probeUntil is the time until which the claimed probe may be sent, 0 if none is claimed.
-	probe      bool
-	probeUntil boottime.Instant
+	probe        probe
+	// mayExceedShare is set if the request is the first to take up a stream that the fleet has broken off.
+	mayExceedShare bool
 	// deadline is the time by which the response must be complete.
 	deadline time.Time
 
@@ -71,8 +71,10 @@
 	failedResponse *bufferedResponse
 	// responseStarted reports whether a part of the response has been sent to the caller.
 	responseStarted bool
-	splitter        eventSplitter
-	stats           exchangeStats
+	// brokenOff reports whether the response was ended before it was complete, although the caller was there.
+	brokenOff bool
+	splitter  eventSplitter
+	stats     exchangeStats
 }
 
 // exchangeStats holds figures of a request that are logged with its outcome.
@@ -104,6 +106,8 @@
 // serve handles the request until it is answered or given up.
 func (x *exchange) serve() {
 	defer x.releaseBody()
+	defer x.returnProbe()
+	defer x.spendStream()
 	if refusalErr := x.admit(); refusalErr != nil {
 		x.refuse(refusalErr)
 		return
@@ -161,6 +165,7 @@
 		Priority:        x.priority,
 		Build:           x.build,
 		Resumed:         x.takesUpStream(),
+		MayExceedShare:  x.mayExceedShare,
 		Objective:       x.arrivedAt.Add(x.route.LatencyObjective),
 		Deadline:        x.deadline,
 	}
@@ -241,13 +246,13 @@
 	}
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	claimed := x.takeProbe()
 	response, err := x.gateway.client.Send(attemptCtx, x.newAttempt(decision))
 	x.headReceived, x.firstDataAt, x.framing, x.events, x.endUncertain = err == nil, time.Time{}, "", eventBoundary{}, false
 	if err != nil {
-		return x.handleSendError(decision, err)
+		return x.handleSendError(decision, err, claimed)
 	}
 	defer response.Close()
-	x.endProbe()
 	x.framing = response.Framing
 	x.recordRateLimit(decision, response)
 	x.gateway.notices.record(decision.Target, &response.Info)
