Tell the other regions through relays what customers use and ask for

Cause: routers of different regions had no link, so each region computed shares from its own usage and demand, and its routers did not know that requests wait in another region, so that a customer above its share went on there.

Now the fleet is divided into groups (regions, or availability zones of a region that is too large; membership.LinkGroups), and customers into eight parts. For each part, one router of each group, chosen by rendezvous hashing among those that can be reached, links with its counterparts. Every 500 ms it reports the decaying sums of its customers in its group, at most 64 customers of a service, and whether requests wait; who gets a report passes it on with its next message to its group. Reports are sums that replace earlier ones, so a lost, doubled or re-elected relay costs lateness only. Targets that say that they leave are told in the same way. The fraction of demand by which copies of prompt parts are counted stays within the group, since readings are not told to other groups.

TestLeavingTargetIsKnownInAllRegions fails without relays too.

Not covered: if the way between two regions is lost, sums do not go around through a third one.

--- a/internal/dispatch/accounts.go
+++ b/internal/dispatch/accounts.go
@@ -1,9 +1,12 @@
 package dispatch
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
+
+	"github.com/chicorydale/chicorydale/internal/fleetpb"
 )
 
 const (
@@ -14,23 +17,48 @@
 )
 
 // account is the recent usage and demand of one customer at one service, in the units of requestCost: summed over this router and its
-// connected peers, and of this router alone.
+// connected peers, of this router alone, and of each other group of routers by the hash of its name.
 type account struct {
 	serviceHash         uint32
 	usage, demand       decayingSum
 	ownUsage, ownDemand decayingSum
+	remote              map[uint32]remoteUse
+}
+
+// remoteUse is the recent usage and demand of a customer in another group of routers.
+type remoteUse struct {
+	usage, demand decayingSum
+}
+
+// fleetUsage returns the usage at all routers.
+func (a *account) fleetUsage(now time.Time) float64 {
+	usage := a.usage.valueAt(now)
+	for _, use := range a.remote {
+		usage += use.usage.valueAt(now)
+	}
+	return usage
+}
+
+// fleetDemand returns the demand at all routers.
+func (a *account) fleetDemand(now time.Time) float64 {
+	demand := a.demand.valueAt(now)
+	for _, use := range a.remote {
+		demand += use.demand.valueAt(now)
+	}
+	return demand
 }
 
 // ownFraction returns the part of the demand that reached this router.
 func (a *account) ownFraction(now time.Time) float64 {
-	demand := a.demand.valueAt(now)
+	demand := a.fleetDemand(now)
 	if demand <= 0 {
 		return 1
 	}
 	return min(a.ownDemand.valueAt(now)/demand, 1)
 }
 
-// ownFraction returns the part of all customers' demand for a service that reached this router, 1 if there was none.
+// ownFraction returns the part of all customers' demand for a service at the linked routers that reached this router, 1 if there was none.
+// Other groups are left out, because the copies of prompt parts that the fraction is used for are counted within the group.
 func (a *customerAccounts) ownFraction(now time.Time, serviceHash uint32) float64 {
 	own, all := 0.0, 0.0
 	for _, acct := range a.byKey {
@@ -81,7 +109,7 @@
 // usage returns the recent usage of a service by a customer, and 0 if there is no account.
 func (a *customerAccounts) usage(now time.Time, svc *service, customer string) float64 {
 	if found, ok := a.byKey[accountKey(svc, customer)]; ok {
-		return found.usage.valueAt(now)
+		return found.fleetUsage(now)
 	}
 	return 0
 }
@@ -105,6 +133,45 @@
 	}
 }
 
+// setRemote replaces what a group of routers has reported of an account. The values hold until holdUntil, when the next report should have
+// come, and decay afterwards.
+func (a *customerAccounts) setRemote(now, holdUntil time.Time, groupHash uint32, sum *fleetpb.CustomerSum) {
+	acct := a.getOrCreate(sum.GetService(), sum.GetCustomer())
+	if acct.remote == nil {
+		acct.remote = make(map[uint32]remoteUse)
+	}
+	change := float64(sum.GetUsage()) - acct.remote[groupHash].usage.valueAt(now)
+	acct.remote[groupHash] = remoteUse{
+		usage:  decayingSum{value: float64(sum.GetUsage()), updatedAt: holdUntil},
+		demand: decayingSum{value: float64(sum.GetDemand()), updatedAt: holdUntil},
+	}
+	if cached, ok := a.shareByService[sum.GetService()]; ok {
+		cached.remaining -= math.Abs(change)
+		a.shareByService[sum.GetService()] = cached
+	}
+}
+
+// groupSums returns the sums over this router and its linked peers of the accounts with the largest demands, at most limit of each service.
+// Customers with smaller demands than these get what they ask for; without them, the share that is computed for the others is the same.
+func (a *customerAccounts) groupSums(now time.Time, limit int) []*fleetpb.CustomerSum {
+	var sums []*fleetpb.CustomerSum
+	for key, acct := range a.byKey {
+		if demand := acct.demand.valueAt(now); demand >= 1 {
+			sums = append(sums, &fleetpb.CustomerSum{
+				Customer: key, Service: acct.serviceHash, Usage: uint32(acct.usage.valueAt(now)), Demand: uint32(demand),
+			})
+		}
+	}
+	slices.SortFunc(sums, func(a, b *fleetpb.CustomerSum) int {
+		return cmp.Or(cmp.Compare(b.GetDemand(), a.GetDemand()), cmp.Compare(a.GetCustomer(), b.GetCustomer()))
+	})
+	counts := make(map[uint32]int)
+	return slices.DeleteFunc(sums, func(sum *fleetpb.CustomerSum) bool {
+		counts[sum.GetService()]++
+		return counts[sum.GetService()] > limit
+	})
+}
+
 // fairShare returns the max-min fair share of a service. The customers' total usage is divided so that no customer gets more
 // than its demand, and what the satisfied customers leave is divided equally among the others. It also removes the accounts,
 // of any service, whose demand has decayed below 1.
@@ -116,13 +183,13 @@
 	var demands []float64
 	total := 0.0
 	for key, acct := range a.byKey {
-		demand := acct.demand.valueAt(now)
+		demand := acct.fleetDemand(now)
 		switch {
 		case demand < 1:
 			delete(a.byKey, key)
 		case acct.serviceHash == serviceHash:
 			demands = append(demands, demand)
-			total += acct.usage.valueAt(now)
+			total += acct.fleetUsage(now)
 		}
 	}
 	slices.Sort(demands)
--- a/internal/dispatch/activity.go
+++ b/internal/dispatch/activity.go
@@ -60,7 +60,7 @@
 	return CustomerStatus{
 		Service: s.name, Customer: customer,
 		AskedTokens: int(done.askedTokens), StartedTokens: int(done.startedTokens), Refusals: done.refusals,
-		Usage: int(acct.usage.valueAt(now)), Demand: int(acct.demand.valueAt(now)),
+		Usage: int(acct.fleetUsage(now)), Demand: int(acct.fleetDemand(now)),
 		FairShare: int(d.accounts.fairShare(now, s.nameHash)),
 	}
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -36,8 +36,15 @@
 	averageSpeedsAt    time.Time
 	// ownFractionsAt is the earliest time of the next update of the fractions of demand.
 	ownFractionsAt time.Time
-	// regional is set if routers are linked within their regions only.
-	regional bool
+	// linkGroups divides the fleet into groups. relays are the linked routers of other groups, which are no peers.
+	linkGroups LinkGroups
+	relays     map[string]*relay
+	// isReported tells which customers this router reports on to the relays.
+	isReported func(customerHash uint32) bool
+	// groupWaiting holds the waiting requests of the other groups by the hash of the group.
+	groupWaiting map[uint32]groupWaiting
+	// nextGroupUseAt is the earliest time of the next report to the relays.
+	nextGroupUseAt time.Time
 	// routersByZone holds the number of routers in each availability zone, by the records in the store.
 	routersByZone map[string]int
 	// targetsByHash holds the targets by the hash that identifies them in messages to peers.
@@ -62,6 +69,10 @@
 		queued:        make(map[uint64]*queuedRequest),
 		accounts:      newCustomerAccounts(),
 		peers:         make(map[string]*peer),
+		linkGroups:    oneGroup,
+		isReported:    func(uint32) bool { return true },
+		relays:        make(map[string]*relay),
+		groupWaiting:  make(map[uint32]groupWaiting),
 		targetsByHash: make(map[uint32]*targetState),
 		notices:       make(map[startKey]*notice),
 
--- a/internal/dispatch/fairness.go
+++ b/internal/dispatch/fairness.go
@@ -17,7 +17,7 @@
 func (d *Dispatcher) exceedsShare(now time.Time, s *service, request *Request) bool {
 	limit := d.accounts.fairShare(now, s.nameHash) * (1 + shareTolerance)
 	acct := d.accounts.getOrCreate(s.nameHash, accountKey(s, request.Customer))
-	exceeds := acct.usage.valueAt(now) > limit || acct.ownUsage.valueAt(now) > limit*acct.ownFraction(now)
+	exceeds := acct.fleetUsage(now) > limit || acct.ownUsage.valueAt(now) > limit*acct.ownFraction(now)
 	return exceeds && d.hasContention(now, s)
 }
 
@@ -34,15 +34,15 @@
 	return d.accounts.usage(now, s, customer) < d.accounts.fairShare(now, s.nameHash)*farBelowShare
 }
 
-// hasContention reports whether requests compete for the capacity of a service, at this router or at a peer. Requests that wait at
-// a peer do not count while many targets are available here, since that peer may be cut off from them.
+// hasContention reports whether requests compete for the capacity of a service, at this router, at a peer or in another group.
+// Requests that wait elsewhere do not count while many targets are available here, since those routers may be cut off from them.
 func (d *Dispatcher) hasContention(now time.Time, s *service) bool {
 	if s.queue.length > 0 {
 		return true
 	}
 	available := s.countAvailable(now)
 	return available <= len(s.targets)/contentionDivisor ||
-		available <= len(s.targets)/peerContentionDivisor && d.countWaitingAtPeers(now, s) > 0
+		available <= len(s.targets)/peerContentionDivisor && (d.countWaitingAtPeers(now, s) > 0 || d.waitsInOtherGroup(now, s))
 }
 
 // countWaitingAtPeers returns the number of requests that wait at peers by their recent reports.
--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -10,7 +10,10 @@
 	"strings"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/chicorydale/chicorydale/internal/dispatch"
+	"github.com/chicorydale/chicorydale/internal/membership"
 	"github.com/chicorydale/chicorydale/internal/message"
 )
 
@@ -27,6 +30,8 @@
 	slotTime = 530 * time.Millisecond
 	// requestsPerClump is the number of requests that a caller sends at the same time.
 	requestsPerClump = 3
+	// zonesPerRegion is the number of availability zones of a region.
+	zonesPerRegion = 2
 	// sessionsPerCustomer is the number of sessions that a customer's requests belong to.
 	sessionsPerCustomer = 20
 )
@@ -83,6 +88,10 @@
 	dispatch.Locality
 	dispatcher *dispatch.Dispatcher
 	requests   map[uint64]simRequest
+	// links holds the names of the routers that this one is linked with.
+	links map[string]bool
+	// sentBytes are the sizes of the messages to routers of its region and of other regions.
+	sentBytes, sentFarBytes int
 }
 
 // simRequest is a request of a caller at a router.
@@ -113,6 +122,10 @@
 	prompts promptFigures
 	// reportsLoad makes targets report their load in their answers.
 	reportsLoad bool
+	// maxFullMesh is the number of routers from which they are linked within groups.
+	maxFullMesh int
+	// down holds the names of the routers that have no links any more.
+	down map[string]bool
 }
 
 // newSimFleet returns a fleet of three regions with two availability zones each, "r0a" to "r2b".
@@ -120,11 +133,11 @@
 	return newLinkedSimFleet(seed, routersPerZone, targetsPerZone, slots, false)
 }
 
-// newLinkedSimFleet is like newSimFleet; regional links the routers within their regions only.
+// newLinkedSimFleet is like newSimFleet; regional links the routers within their regions, and the regions through relays.
 func newLinkedSimFleet(seed uint64, routersPerZone, targetsPerZone, slots int, regional bool) *simFleet {
 	f := &simFleet{
 		seed: seed, now: startTime, random: rand.New(rand.NewPCG(seed, 17)), byName: make(map[string]*simRouter),
-		targets: make(map[string]*simTarget), seen: make(map[string]*customerSeconds),
+		targets: make(map[string]*simTarget), seen: make(map[string]*customerSeconds), down: make(map[string]bool),
 	}
 	listed := make([]dispatch.Target, 0, targetsPerZone*len(f.zones()))
 	for _, zone := range f.zones() {
@@ -139,25 +152,64 @@
 	}
 	for _, zone := range f.zones() {
 		for i := range routersPerZone {
-			router := &simRouter{name: fmt.Sprint(zone.Zone, "-", i), Locality: zone, requests: make(map[uint64]simRequest)}
+			router := &simRouter{name: fmt.Sprint(zone.Zone, "-", i), Locality: zone, requests: make(map[uint64]simRequest), links: make(map[string]bool)}
 			router.dispatcher = dispatch.New(zone, seed*1000+uint64(len(f.routers)))
 			router.dispatcher.SetTargets(f.now, listed)
 			f.routers = append(f.routers, router)
 			f.byName[router.name] = router
 		}
 	}
+	f.maxFullMesh = len(f.routers)
+	if regional {
+		f.maxFullMesh = routersPerZone * zonesPerRegion
+	}
+	f.linkRouters()
 	for i, router := range f.routers {
-		for _, other := range f.routers {
-			if other != router && (!regional || other.Region == router.Region) {
-				router.dispatcher.AddPeer(f.now, dispatch.Peer{Name: other.name, Region: other.Region, Zone: other.Zone})
-			}
-		}
-		router.dispatcher.SetRegional(regional)
 		f.after(tickPeriod*time.Duration(i)/time.Duration(len(f.routers)), func() { f.tick(router) })
 	}
 	return f
 }
 
+// linkRouters links the routers that are not down as the process does.
+func (f *simFleet) linkRouters() {
+	routers := make([]membership.Router, 0, len(f.routers))
+	for _, router := range f.routers {
+		routers = append(routers, membership.Router{Name: router.name, Region: router.Region, Zone: router.Zone})
+	}
+	for i, router := range f.routers {
+		groups := membership.NewLinkGroups(routers[i], routers, f.maxFullMesh)
+		router.dispatcher.SetLinkGroups(f.now, func(at dispatch.Locality) string { return groups.Name(at.Region, at.Zone) })
+		router.dispatcher.SetReportedCustomers(groups.Shards(f.isDown).Contains)
+		for _, name := range groups.Links(f.isDown) {
+			f.link(router, f.byName[name])
+		}
+	}
+}
+
+// link opens a link between two routers if there is none and both are up.
+func (f *simFleet) link(a, b *simRouter) {
+	if a.links[b.name] || f.isDown(a.name) || f.isDown(b.name) {
+		return
+	}
+	a.links[b.name], b.links[a.name] = true, true
+	a.dispatcher.AddPeer(f.now, dispatch.Peer{Name: b.name, Region: b.Region, Zone: b.Zone})
+	b.dispatcher.AddPeer(f.now, dispatch.Peer{Name: a.name, Region: a.Region, Zone: a.Zone})
+}
+
+// isDown reports whether a router has no links any more.
+func (f *simFleet) isDown(name string) bool { return f.down[name] }
+
+// takeDown ends all links of a router, to which callers then send nothing.
+func (f *simFleet) takeDown(router *simRouter) {
+	f.down[router.name] = true
+	for name := range router.links {
+		router.dispatcher.RemovePeer(f.now, name)
+		f.byName[name].dispatcher.RemovePeer(f.now, router.name)
+		delete(f.byName[name].links, router.name)
+	}
+	clear(router.links)
+}
+
 // targetAt returns the target with an address, or nil if there is none.
 func (f *simFleet) targetAt(address string) *simTarget { return f.targets[address] }
 
@@ -207,7 +259,7 @@
 		return
 	}
 	at := f.routers[f.random.IntN(len(f.routers))]
-	for !strings.HasPrefix(at.name, l.at) {
+	for !strings.HasPrefix(at.name, l.at) || f.isDown(at.name) {
 		at = f.routers[f.random.IntN(len(f.routers))]
 	}
 	for range requestsPerClump {
@@ -331,6 +383,11 @@
 // deliver passes a message on to its recipient.
 func (f *simFleet) deliver(from *simRouter, envelope message.Envelope) {
 	to := f.byName[envelope.To]
+	size := proto.Size(envelope.Body)
+	from.sentBytes += size
+	if from.Region != to.Region {
+		from.sentFarBytes += size
+	}
 	f.after(networkDelay(from.Region, to.Region), func() {
 		to.dispatcher.Receive(f.now, from.name, envelope.Body)
 		f.takeDecisions(to)
--- a/internal/dispatch/notice.go
+++ b/internal/dispatch/notice.go
@@ -87,10 +87,7 @@
 	if !d.markLeaving(now, startKey{hash, target.StartUnixMilli}) {
 		return false
 	}
-	for _, p := range d.peers {
-		p.unreportedLeft[hash] = target.StartUnixMilli
-		p.changedTargets[hash] = struct{}{}
-	}
+	d.tellLeaving(hash, target.StartUnixMilli)
 	return true
 }
 
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -88,6 +88,8 @@
 	// unreportedReadings and unreportedUsage are sent with the next message. unreportedUsage is by customer key.
 	unreportedReadings []*fleetpb.Reading
 	unreportedUsage    map[uint32]usageDelta
+	// unreportedGroups are reports of other groups, by the relay that sent them, to pass on with the next message.
+	unreportedGroups map[string]*fleetpb.GroupUse
 	// queueReports are the peer's last reports by service hash. reportedWaiting holds the services, by hash, for which the
 	// last line sent to the peer had waiting requests.
 	queueReports    map[uint32]queueReport
@@ -104,7 +106,8 @@
 		reportedRuns:   make(map[uint32]uint32), runs: make(map[uint32]uint32),
 		unreportedTokens: make(map[uint32]uint32), unreportedStarts: make(map[uint32]uint32),
 		unreportedLimits: make(map[uint32]float64), unreportedLeft: make(map[uint32]int64), unreportedUsage: make(map[uint32]usageDelta),
-		queueReports: make(map[uint32]queueReport), reportedWaiting: make(map[uint32]bool),
+		unreportedGroups: make(map[string]*fleetpb.GroupUse),
+		queueReports:     make(map[uint32]queueReport), reportedWaiting: make(map[uint32]bool),
 	}
 }
 
@@ -113,7 +116,7 @@
 
 // hasNews reports whether anything may have changed since the last message.
 func (p *peer) hasNews(now time.Time, lines []*fleetpb.Line) bool {
-	if len(p.changedTargets)+len(p.unreportedReadings)+len(p.unreportedUsage) > 0 {
+	if len(p.changedTargets)+len(p.unreportedReadings)+len(p.unreportedUsage)+len(p.unreportedGroups) > 0 {
 		return true
 	}
 	return slices.ContainsFunc(lines, func(line *fleetpb.Line) bool { return p.isDue(now, line) })
@@ -169,13 +172,18 @@
 			Refunded: uint32(max(-delta.usage, 0)), Demand: uint32(delta.demand),
 		})
 	}
+	for _, use := range p.unreportedGroups {
+		activity.Groups = append(activity.Groups, use)
+	}
+	clear(p.unreportedGroups)
 	clear(p.unreportedUsage)
 	clear(p.unreportedTokens)
 	clear(p.unreportedStarts)
 	clear(p.unreportedLimits)
 	clear(p.unreportedLeft)
 	clear(p.changedTargets)
-	if len(activity.GetTargets())+len(activity.GetReadings())+len(activity.GetCustomers())+len(activity.GetLines()) == 0 {
+	if len(activity.GetTargets())+len(activity.GetReadings())+len(activity.GetCustomers())+len(activity.GetLines())+
+		len(activity.GetGroups()) == 0 {
 		return nil
 	}
 	return activity
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -8,9 +8,14 @@
 )
 
 // AddPeer starts a new session with a peer and ends the previous one if there is one. A peer in the same region may just have
-// started, so it is sent the cached prompt parts of all targets.
+// started, so it is sent the cached prompt parts of all targets. A router of another group is told only what this
+// group uses and which targets leave.
 func (d *Dispatcher) AddPeer(now time.Time, remote Peer) {
 	d.RemovePeer(now, remote.Name)
+	if d.isOutsideGroup(remote) {
+		d.addRelay(remote)
+		return
+	}
 	p := newPeer(remote, d.locality)
 	d.peers[remote.Name] = p
 	if p.near {
@@ -45,6 +50,7 @@
 // RemovePeer ends the session with a peer. Its runs at targets are no longer counted, because it no longer
 // reports them.
 func (d *Dispatcher) RemovePeer(now time.Time, name string) {
+	delete(d.relays, name)
 	p, found := d.peers[name]
 	if !found {
 		return
@@ -62,10 +68,16 @@
 // Receive processes a message from a peer. It ignores messages from unknown peers and messages without activity.
 func (d *Dispatcher) Receive(now time.Time, from string, body *fleetpb.Body) {
 	sender, known := d.peers[from]
+	_, isRelay := d.relays[from]
 	activity := body.GetActivity()
-	if !known || activity == nil {
+	if !known && !isRelay || activity == nil {
 		return
 	}
+	if isRelay {
+		d.receiveFromRelay(now, from, activity)
+		return
+	}
+	d.receiveGroupUse(now, activity.GetGroups())
 	for _, use := range activity.GetTargets() {
 		d.receiveTargetUse(now, sender, use)
 	}
@@ -90,9 +102,7 @@
 // receiveTargetUse takes a peer's figures of its runs at a target and of the prompts that the target has to read.
 func (d *Dispatcher) receiveTargetUse(now time.Time, sender *peer, use *fleetpb.TargetUse) {
 	d.setPeerRuns(sender, use.GetTarget(), use.GetRunning())
-	if use.Left != nil {
-		d.markLeaving(now, startKey{use.GetTarget(), use.GetLeft()})
-	}
+	d.receiveLeaving(now, use)
 	state := d.targetsByHash[use.GetTarget()]
 	if state == nil {
 		return
@@ -245,12 +255,12 @@
 	}
 	d.averageReadSpeeds(now)
 	d.updateOwnFractions(now)
-	var envelopes []message.Envelope
 	lines := d.queueLines()
 	readSpeeds := make(map[string]float64, len(d.services))
 	for name, s := range d.services {
 		readSpeeds[name] = s.readSpeed
 	}
+	envelopes := d.relayMessages(now)
 	near, far := d.messagePeriods()
 	for name, p := range d.peers {
 		if now.Before(p.nextMessageAt) {
--- a/internal/dispatch/ratelimit.go
+++ b/internal/dispatch/ratelimit.go
@@ -157,17 +157,6 @@
 	d.divideRateLimits(now)
 }
 
-// SetRegional sets whether the fleet is so large that routers are linked within their regions only.
-func (d *Dispatcher) SetRegional(regional bool) {
-	d.regional = regional
-	for _, state := range d.targets {
-		state.unheard = d.isUnheard(state.Region)
-	}
-}
-
-// isUnheard reports whether this router hears no router of a region.
-func (d *Dispatcher) isUnheard(region string) bool { return d.regional && region != d.locality.Region }
-
 // divideRateLimits divides the limits of all targets anew, because the known routers have changed.
 func (d *Dispatcher) divideRateLimits(now time.Time) {
 	for _, state := range d.targets {
--- a/internal/dispatch/regional_test.go
+++ b/internal/dispatch/regional_test.go
@@ -1,6 +1,9 @@
 package dispatch_test
 
 import (
+	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -37,3 +40,73 @@
 	t.Logf("%.3f of the capacity used in time", served)
 	qt.Check(t, served >= 0.6, qt.IsTrue)
 }
+
+const (
+	// largeFleetLength is the time that the loads of a large fleet are played.
+	largeFleetLength = 7 * time.Second
+	// routersPerZoneOf198 is the number of routers in each of the six availability zones of a fleet that is too large for links between all.
+	routersPerZoneOf198 = 33
+	// relayLossTime is the time from the loss of relays until others have taken their place.
+	relayLossTime = 2 * time.Second
+)
+
+// newCrowdedRegion returns a fleet of 198 routers in three regions, and loads in which eight customers have their callers in the first region
+// and ask for two fifths of what the fleet has, and another one asks at all routers for twice as much as it has.
+func newCrowdedRegion(seed uint64) (*simFleet, []load) {
+	const locals = 8
+	f := newLinkedSimFleet(seed, routersPerZoneOf198, 4, 8, true)
+	f.reportsLoad = true
+	loads := make([]load, 0, 1+locals)
+	loads = append(loads, load{customer: "wide", perSecond: f.capacity() * 2, until: largeFleetLength})
+	for i := range locals {
+		loads = append(loads, load{customer: fmt.Sprint("local", i), at: "r0", perSecond: f.capacity() * 0.05, until: largeFleetLength})
+	}
+	return f, loads
+}
+
+// TestCustomerOfOneRegionGetsItsShareOfTheFleet guards against customers of a crowded region that get a share of its capacity only, while a
+// customer of all regions gets many times as much, because the regions do not hear what customers use elsewhere. Half of the relays of the
+// region are lost meanwhile.
+func TestCustomerOfOneRegionGetsItsShareOfTheFleet(t *testing.T) {
+	f, loads := newCrowdedRegion(0)
+	f.after(relayLossTime, func() { f.loseRelays("r0") })
+	f.run(largeFleetLength, loads)
+	checkShares(t, f)
+	f.logTraffic(t)
+}
+
+// TestLeavingTargetIsKnownInAllRegions guards against routers of other regions that learn only from a refused request that a target leaves.
+func TestLeavingTargetIsKnownInAllRegions(t *testing.T) {
+	f := newLinkedSimFleet(0, 3, 1, 8, true)
+	f.after(time.Second, func() { f.routers[0].dispatcher.RecordLeaving(f.now, f.targets["r2b-t0"].Target) })
+	f.run(2*time.Second, nil)
+	for _, router := range f.routers {
+		qt.Check(t, router.dispatcher.Notices(f.now), qt.HasLen, 1, qt.Commentf(router.name))
+	}
+}
+
+// loseRelays takes every second router of a region down that is linked with other regions.
+func (f *simFleet) loseRelays(region string) {
+	relays := slices.DeleteFunc(slices.Clone(f.routers), func(router *simRouter) bool {
+		linksOtherRegion := func(name string) bool { return f.byName[name].Region != region }
+		return router.Region != region || !slices.ContainsFunc(slices.Collect(maps.Keys(router.links)), linksOtherRegion)
+	})
+	for i := 0; i < len(relays); i += 2 {
+		f.takeDown(relays[i])
+	}
+	f.after(relayLossTime, f.linkRouters)
+}
+
+// logTraffic logs the bytes that routers sent per second.
+func (f *simFleet) logTraffic(t *testing.T) {
+	t.Helper()
+	all, far, most := 0, 0, 0
+	for _, router := range f.routers {
+		all += router.sentBytes
+		far += router.sentFarBytes
+		most = max(most, router.sentBytes)
+	}
+	perSecond := func(bytes int) float64 { return float64(bytes) / 1000 / float64(f.seconds) }
+	t.Logf("%d routers: %.1f KB/s sent by each, %.1f by the one that sent most, %.1f by all together to other regions",
+		len(f.routers), perSecond(all/len(f.routers)), perSecond(most), perSecond(far))
+}
--- a/internal/gateway/peerlinks.go
+++ b/internal/gateway/peerlinks.go
@@ -15,14 +15,16 @@
 	"github.com/chicorydale/chicorydale/internal/event"
 	"github.com/chicorydale/chicorydale/internal/fleetpb"
 	"github.com/chicorydale/chicorydale/internal/link"
+	"github.com/chicorydale/chicorydale/internal/membership"
 	"github.com/chicorydale/chicorydale/internal/metric"
 	"github.com/chicorydale/chicorydale/internal/topiclog"
 )
 
 const (
-	// maxFullMesh is the maximum number of routers that are all linked with each other. In a larger fleet, a router links
-	// with the routers of its region. If these are too many as well, it links with those of its availability zone.
+	// maxFullMesh is the maximum number of routers that are all linked with each other.
 	maxFullMesh = 128
+	// relayRetryPause is the time for which another router takes the place of a relay of another group that cannot be reached.
+	relayRetryPause = 10 * time.Second
 	// tickInterval is the time between checks for messages that are due.
 	tickInterval = 25 * time.Millisecond
 	// heartbeatInterval is the time after which a peer that was sent no message gets a heartbeat.
@@ -74,6 +76,11 @@
 	announced bool
 	// routers holds the records of all routers by name, this router's included.
 	routers map[string]routerRecord
+	// groups divides the routers into groups, within which all are linked.
+	groups membership.LinkGroups
+	// unreachable holds the routers that could not be reached since the last session with them, with the time until which they are not
+	// chosen as relays. Those of this router's group are not chosen before there is a session, since their links are always wanted.
+	unreachable map[string]time.Time
 }
 
 // newPeerLinks returns the links of a router, none of which is open yet.
@@ -96,6 +103,7 @@
 		}),
 		announceAgain: make(chan struct{}, 1),
 		routers:       make(map[string]routerRecord),
+		unreachable:   make(map[string]time.Time),
 		lastSent:      make(map[string]time.Time),
 	}
 }
@@ -145,15 +153,27 @@
 		p.routers[record.Key] = router
 	}
 	if len(records) > 0 {
+		p.updateGroups()
 		p.updateLinks()
 		p.budgets.setRouterCount(len(p.routers))
+		groups := p.groups
 		p.scheduler.withDispatcher(func(dispatcher *dispatch.Dispatcher, now time.Time) {
 			dispatcher.SetRouters(now, p.routersByZone())
-			dispatcher.SetRegional(len(p.routers) > maxFullMesh)
+			dispatcher.SetLinkGroups(now, func(at dispatch.Locality) string { return groups.Name(at.Region, at.Zone) })
 		})
 	}
 }
 
+// updateGroups divides the known routers into groups. The caller must hold p.mu.
+func (p *peerLinks) updateGroups() {
+	routers := make([]membership.Router, 0, len(p.routers))
+	for name, router := range p.routers {
+		routers = append(routers, membership.Router{Name: name, Region: router.Region, Zone: router.Zone})
+	}
+	self := membership.Router{Name: p.routerName, Region: p.ownRecord.Region, Zone: p.ownRecord.Zone}
+	p.groups = membership.NewLinkGroups(self, routers, maxFullMesh)
+}
+
 // routersByZone returns the number of known routers in each availability zone. The caller must hold p.mu.
 func (p *peerLinks) routersByZone() map[string]int {
 	byZone := make(map[string]int)
@@ -178,30 +198,64 @@
 
 // updateLinks selects the peers to link with from the known routers. The caller must hold p.mu.
 func (p *peerLinks) updateLinks() {
-	var wanted []string
-	var peers []link.Peer
-	regionSize, zoneSize := 0, 0
-	for _, router := range p.routers {
-		if router.Region == p.ownRecord.Region {
-			regionSize++
-		}
-		if router.Zone == p.ownRecord.Zone {
-			zoneSize++
-		}
-	}
+	peers := make([]link.Peer, 0, len(p.routers))
 	for name, router := range p.routers {
-		if name == p.routerName {
-			continue
+		if name != p.routerName {
+			peers = append(peers, link.Peer{Name: name, Address: router.Address, Region: router.Region})
 		}
-		peers = append(peers, link.Peer{Name: name, Address: router.Address, Region: router.Region})
-		linked := len(p.routers) <= maxFullMesh ||
-			router.Region == p.ownRecord.Region && regionSize <= maxFullMesh ||
-			router.Zone == p.ownRecord.Zone
-		if linked {
-			wanted = append(wanted, name)
+	}
+	p.hub.SetPeers(p.groups.Links(p.isUnreachable), peers)
+	shards := p.groups.Shards(p.isUnreachable)
+	p.scheduler.withDispatcher(func(dispatcher *dispatch.Dispatcher, _ time.Time) { dispatcher.SetReportedCustomers(shards.Contains) })
+}
+
+// isUnreachable reports whether a router could not be reached lately. The caller must hold p.mu.
+func (p *peerLinks) isUnreachable(name string) bool {
+	_, found := p.unreachable[name]
+	return found
+}
+
+// setReachable records that there is a session with a router.
+func (p *peerLinks) setReachable(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.isUnreachable(name) {
+		delete(p.unreachable, name)
+		p.updateLinks()
+	}
+}
+
+// setUnreachable records that a session with a router has failed or could not be opened.
+func (p *peerLinks) setUnreachable(now time.Time, name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	changed := !p.isUnreachable(name)
+	p.unreachable[name] = now.Add(relayRetryPause)
+	if changed {
+		p.updateLinks()
+	}
+}
+
+// retryRelays lets relays of other groups be chosen again when their pause has passed.
+func (p *peerLinks) retryRelays(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	changed := false
+	for name, retryAt := range p.unreachable {
+		if now.After(retryAt) && !p.isInOwnGroup(name) {
+			delete(p.unreachable, name)
+			changed = true
 		}
 	}
-	p.hub.SetPeers(wanted, peers)
+	if changed {
+		p.updateLinks()
+	}
+}
+
+// isInOwnGroup reports whether a known router is in this router's group. The caller must hold p.mu.
+func (p *peerLinks) isInOwnGroup(name string) bool {
+	router, known := p.routers[name]
+	return known && p.groups.Name(router.Region, router.Zone) == p.groups.Name(p.ownRecord.Region, p.ownRecord.Zone)
 }
 
 // announce writes this router's record, and again whenever the store has lost it, until ctx ends.
@@ -264,6 +318,7 @@
 			p.handleLinkEvent(linkEvent)
 		case <-ticker.C:
 			now := time.Now()
+			p.retryRelays(now)
 			p.sendDue(now, p.measureLateness(now))
 		}
 	}
@@ -282,6 +337,7 @@
 	switch {
 	case linkEvent.Connected:
 		event.LinkUp.Log(p.logger, linkEvent.Peer)
+		p.setReachable(linkEvent.Peer)
 		p.lastSent[linkEvent.Peer] = time.Now()
 		p.sharing.peerConnected(linkEvent.Peer, linkEvent.Zone == p.ownRecord.Zone)
 		p.suspects.peerConnected(linkEvent.Peer)
@@ -294,6 +350,9 @@
 		})
 	case linkEvent.Disconnected:
 		event.LinkDown.Log(p.logger, linkEvent.Peer)
+		if !linkEvent.Released {
+			p.setUnreachable(time.Now(), linkEvent.Peer)
+		}
 		delete(p.lastSent, linkEvent.Peer)
 		p.sharing.peerDisconnected(linkEvent.Peer)
 		p.suspects.peerDisconnected(linkEvent.Peer)
@@ -301,6 +360,7 @@
 		p.loads.peerDisconnected(linkEvent.Peer)
 		p.scheduler.withDispatcher(func(dispatcher *dispatch.Dispatcher, now time.Time) { dispatcher.RemovePeer(now, linkEvent.Peer) })
 	case linkEvent.ConnectFailed:
+		p.setUnreachable(time.Now(), linkEvent.Peer)
 	default:
 		p.handleMessages(linkEvent.Peer, linkEvent.Bodies)
 	}
