Pass crash records on between regions

Cause: crash records go over direct links only. Now a router that is linked with another group passes on each record that changes what it knows. A record that changes nothing goes no further, so the passing on ends. An answer clears the records in all groups, also where the router that recorded the crash is in another one. TestRelaysPassRecordsOn fails without this. Ruled out: that records go back and forth after their expiry (they are dropped on receipt). Not measured: messages in a fleet that sees many crashes at once.

--- a/internal/gateway/peerlinks.go
+++ b/internal/gateway/peerlinks.go
@@ -258,6 +258,18 @@
 	return known && p.groups.Name(router.Region, router.Zone) == p.groups.Name(p.ownRecord.Region, p.ownRecord.Zone)
 }
 
+// linksOtherGroup reports whether this router is linked with one of another group. It belongs to the goroutine of handleEvents.
+func (p *peerLinks) linksOtherGroup() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name := range p.lastSent {
+		if _, known := p.routers[name]; known && !p.isInOwnGroup(name) {
+			return true
+		}
+	}
+	return false
+}
+
 // announce writes this router's record, and again whenever the store has lost it, until ctx ends.
 func (p *peerLinks) announce(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -341,6 +353,7 @@
 		p.lastSent[linkEvent.Peer] = time.Now()
 		p.sharing.peerConnected(linkEvent.Peer, linkEvent.Zone == p.ownRecord.Zone)
 		p.suspects.peerConnected(linkEvent.Peer)
+		p.suspects.setRelays(p.linksOtherGroup())
 		p.origins.peerConnected(linkEvent.Peer, linkEvent.Zone)
 		if linkEvent.Zone == p.ownRecord.Zone {
 			p.loads.peerConnected(linkEvent.Peer)
@@ -356,6 +369,7 @@
 		delete(p.lastSent, linkEvent.Peer)
 		p.sharing.peerDisconnected(linkEvent.Peer)
 		p.suspects.peerDisconnected(linkEvent.Peer)
+		p.suspects.setRelays(p.linksOtherGroup())
 		p.origins.peerDisconnected(linkEvent.Peer)
 		p.loads.peerDisconnected(linkEvent.Peer)
 		p.scheduler.withDispatcher(func(dispatcher *dispatch.Dispatcher, now time.Time) { dispatcher.RemovePeer(now, linkEvent.Peer) })
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -131,6 +131,11 @@
 	s.withTracker(func(tracker *quarantine.Tracker, _ time.Time) { tracker.Disconnected(peer) })
 }
 
+// setRelays sets whether this router passes the records of its peers on.
+func (s *suspects) setRelays(relays bool) {
+	s.withTracker(func(tracker *quarantine.Tracker, _ time.Time) { tracker.SetRelays(relays) })
+}
+
 // receiveStored handles the crash records of a fingerprint in the store. Without any, its quarantine has ended.
 func (s *suspects) receiveStored(fingerprint uint64, records []*fleetpb.CrashRecord) {
 	s.withTracker(func(tracker *quarantine.Tracker, now time.Time) {
--- a/internal/quarantine/sharing.go
+++ b/internal/quarantine/sharing.go
@@ -32,16 +32,29 @@
 		}
 		crashRecord.Expiry = min(crashRecord.GetExpiry(), latestExpiry)
 		found, merged, changed := t.add(now, crashRecord)
-		if changed && merged.own {
+		if changed && (merged.own || t.relays) {
 			t.send(crashRecord)
 		}
 		if found.crashCount > 0 && t.wasAnswered(now, found.fingerprint) {
-			t.sendTo(from, t.clear(found)...)
+			t.tellCleared(from, t.clear(found))
 		}
 	}
 	return invalid
 }
 
+// tellCleared tells the peer that sent records that they are cleared, and all peers if this router passes records on.
+func (t *Tracker) tellCleared(from string, cleared []*fleetpb.CrashRecord) {
+	if t.relays {
+		t.send(cleared...)
+		return
+	}
+	t.sendTo(from, cleared...)
+}
+
+// SetRelays sets whether this router passes on what changes by the records of a peer, because its peers are not all linked with each other.
+// A record that changes nothing goes no further, so that each relay passes it on once.
+func (t *Tracker) SetRelays(relays bool) { t.relays = relays }
+
 // Connected records a new link to a peer, which is sent all records.
 func (t *Tracker) Connected(peer string) {
 	t.unsent[peer] = nil
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -36,6 +36,8 @@
 	unsent map[string][]*fleetpb.CrashRecord
 	// hasUnsent is set if unsent may hold records.
 	hasUnsent bool
+	// relays is set if this router passes on the records of its peers.
+	relays bool
 	// changed holds the suspects whose records have changed since the last call of TakeUnsaved.
 	changed map[uint64]*suspect
 	// changes are the beginnings and ends of quarantines since the last call of TakeChanges.
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -399,6 +399,47 @@
 	}
 }
 
+// exchange delivers the messages of trackers until none has any.
+func exchange(trackers map[string]*quarantine.Tracker) {
+	for delivered := true; delivered; {
+		delivered = false
+		for _, name := range slices.Sorted(maps.Keys(trackers)) {
+			for _, envelope := range trackers[name].Tick(startTime) {
+				delivered = true
+				trackers[envelope.To].Receive(startTime, name, envelope.Body.GetCrashRecords().GetRecords())
+			}
+		}
+	}
+}
+
+// TestRelaysPassRecordsOn guards against crashes seen in two regions that do not add up, and against answers in one region that do not clear
+// a part in the other one. The routers a and b, and c and d, are linked, and the relays b and c connect them.
+func TestRelaysPassRecordsOn(t *testing.T) {
+	trackers := make(map[string]*quarantine.Tracker)
+	for seed, name := range []string{"a", "b", "c", "d"} {
+		trackers[name] = quarantine.New(quarantine.DefaultLimits(), uint64(seed))
+		trackers[name].SetRelays(name == "b" || name == "c")
+	}
+	for _, link := range [][2]string{{"a", "b"}, {"b", "c"}, {"c", "d"}} {
+		trackers[link[0]].Connected(link[1])
+		trackers[link[1]].Connected(link[0])
+	}
+	part := []uint64{badPart}
+	for i := range 5 {
+		name := []string{"a", "d"}[i%2]
+		trackers[name].RecordCrash(startTime, quarantine.Crash{ID: fmt.Sprint("t", i)}, part)
+	}
+	exchange(trackers)
+	for name, tracker := range trackers {
+		qt.Check(t, tracker.Quarantined(part), qt.DeepEquals, part, qt.Commentf(name))
+	}
+	trackers["d"].RecordAnswer(startTime, part)
+	exchange(trackers)
+	for name, tracker := range trackers {
+		qt.Check(t, tracker.Quarantined(part), qt.HasLen, 0, qt.Commentf(name))
+	}
+}
+
 // TestInvalidRecordsAreDropped guards against records of a peer that would make a message invalid or never expire.
 func TestInvalidRecordsAreDropped(t *testing.T) {
 	tracker := quarantine.New(quarantine.DefaultLimits(), 1)
