--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/chicorydale/chicorydale/internal/dispatch"
+	"github.com/chicorydale/chicorydale/internal/link"
 	"github.com/chicorydale/chicorydale/internal/metric"
 	"github.com/chicorydale/chicorydale/internal/overload"
 	"github.com/chicorydale/chicorydale/internal/quarantine"
@@ -124,6 +125,21 @@
 	return PeerLinks{newPeerLinks(settings, topic, zerolog.Nop(), metric.New(), users)}
 }
 
+// Links returns the names of the routers that this one should be linked with.
+func (p PeerLinks) Links() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.groups.Links(p.isUnreachable)
+}
+
+// FailLink handles a link that could not be opened.
+func (p PeerLinks) FailLink(name string) {
+	p.handleLinkEvent(link.Event{Peer: name, ConnectFailed: true})
+}
+
+// RetryRelays does the periodic work on relays at a time.
+func (p PeerLinks) RetryRelays(now time.Time) { p.retryRelays(now) }
+
 // Announce writes the router's record, and again whenever the store has lost it, until ctx ends.
 func (p PeerLinks) Announce(ctx context.Context) { p.announce(ctx) }
 
