Measure the messages between routers in fleets of three sizes

The simulated fleet takes the product's limit of 128 routers now, so that 504 form groups by availability zone.

--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -30,6 +30,8 @@
 	slotTime = 530 * time.Millisecond
 	// requestsPerClump is the number of requests that a caller sends at the same time.
 	requestsPerClump = 3
+	// maxFullMesh is the number of routers that are all linked with each other at most.
+	maxFullMesh = 128
 	// zonesPerRegion is the number of availability zones of a region.
 	zonesPerRegion = 2
 	// sessionsPerCustomer is the number of sessions that a customer's requests belong to.
@@ -161,7 +163,7 @@
 	}
 	f.maxFullMesh = len(f.routers)
 	if regional {
-		f.maxFullMesh = routersPerZone * zonesPerRegion
+		f.maxFullMesh = min(routersPerZone*zonesPerRegion, maxFullMesh)
 	}
 	f.linkRouters()
 	for i, router := range f.routers {
--- a/internal/dispatch/regional_test.go
+++ b/internal/dispatch/regional_test.go
@@ -50,11 +50,11 @@
 	relayLossTime = 2 * time.Second
 )
 
-// newCrowdedRegion returns a fleet of 198 routers in three regions, and loads in which eight customers have their callers in the first region
+// newCrowdedRegion returns a fleet of three regions, and loads in which eight customers have their callers in the first region
 // and ask for two fifths of what the fleet has, and another one asks at all routers for twice as much as it has.
-func newCrowdedRegion(seed uint64) (*simFleet, []load) {
+func newCrowdedRegion(routersPerZone, targetsPerZone int, regional bool) (*simFleet, []load) {
 	const locals = 8
-	f := newLinkedSimFleet(seed, routersPerZoneOf198, 4, 8, true)
+	f := newLinkedSimFleet(0, routersPerZone, targetsPerZone, 8, regional)
 	f.reportsLoad = true
 	loads := make([]load, 0, 1+locals)
 	loads = append(loads, load{customer: "wide", perSecond: f.capacity() * 2, until: largeFleetLength})
@@ -68,11 +68,10 @@
 // customer of all regions gets many times as much, because the regions do not hear what customers use elsewhere. Half of the relays of the
 // region are lost meanwhile.
 func TestCustomerOfOneRegionGetsItsShareOfTheFleet(t *testing.T) {
-	f, loads := newCrowdedRegion(0)
+	f, loads := newCrowdedRegion(routersPerZoneOf198, 4, true)
 	f.after(relayLossTime, func() { f.loseRelays("r0") })
 	f.run(largeFleetLength, loads)
 	checkShares(t, f)
-	f.logTraffic(t)
 }
 
 // TestLeavingTargetIsKnownInAllRegions guards against routers of other regions that learn only from a refused request that a target leaves.
@@ -97,9 +96,25 @@
 	f.after(relayLossTime, f.linkRouters)
 }
 
-// logTraffic logs the bytes that routers sent per second.
-func (f *simFleet) logTraffic(t *testing.T) {
-	t.Helper()
+// BenchmarkControlTraffic measures the messages between routers in fleets of several sizes, with the loads of a crowded region.
+func BenchmarkControlTraffic(b *testing.B) {
+	for _, size := range []struct {
+		routersPerZone, targetsPerZone int
+		regional                       bool
+	}{{10, 1, false}, {routersPerZoneOf198, 4, true}, {84, 10, true}} {
+		b.Run(fmt.Sprint(size.routersPerZone*zonesPerRegion*3), func(b *testing.B) {
+			for b.Loop() {
+				f, loads := newCrowdedRegion(size.routersPerZone, size.targetsPerZone, size.regional)
+				f.run(largeFleetLength, loads)
+				f.reportTraffic(b)
+			}
+		})
+	}
+}
+
+// reportTraffic reports the bytes of messages that the routers sent per second.
+func (f *simFleet) reportTraffic(b *testing.B) {
+	b.Helper()
 	all, far, most := 0, 0, 0
 	for _, router := range f.routers {
 		all += router.sentBytes
@@ -107,6 +122,7 @@
 		most = max(most, router.sentBytes)
 	}
 	perSecond := func(bytes int) float64 { return float64(bytes) / 1000 / float64(f.seconds) }
-	t.Logf("%d routers: %.1f KB/s sent by each, %.1f by the one that sent most, %.1f by all together to other regions",
-		len(f.routers), perSecond(all/len(f.routers)), perSecond(most), perSecond(far))
+	b.ReportMetric(perSecond(all/len(f.routers)), "KB/s/router")
+	b.ReportMetric(perSecond(most), "KB/s/busiest")
+	b.ReportMetric(perSecond(far/len(f.routers)), "far-KB/s/router")
 }
