Look for the reachable routers of a group once for all its relays

Links and Shards copied and filtered the members of a group once for each part of the customers. No change of behaviour.

--- a/internal/membership/linkgroups.go
+++ b/internal/membership/linkgroups.go
@@ -72,11 +72,12 @@
 		}
 	}
 	for shard, isRelay := range g.Shards(isUnreachable) {
+		if !isRelay {
+			continue
+		}
 		for group := range g.members {
-			if !isRelay || group == own {
-				continue
-			}
-			if relay := g.relay(group, shard, isUnreachable); relay != "" && !slices.Contains(links, relay) {
+			relay := chooseRelay(g.reachable(group, isUnreachable), group, shard)
+			if group != own && relay != "" && !slices.Contains(links, relay) {
 				links = append(links, relay)
 			}
 		}
@@ -87,8 +88,13 @@
 // Shards returns the parts of the customers that this router is the relay of in its group.
 func (g LinkGroups) Shards(isUnreachable func(name string) bool) RelayShards {
 	var shards RelayShards
+	if g.whole {
+		return shards
+	}
+	own := g.ownName()
+	members := g.reachable(own, isUnreachable)
 	for shard := range shards {
-		shards[shard] = !g.whole && g.relay(g.ownName(), shard, isUnreachable) == g.self.Name
+		shards[shard] = chooseRelay(members, own, shard) == g.self.Name
 	}
 	return shards
 }
@@ -96,8 +102,12 @@
 // ownName returns the name of this router's group.
 func (g LinkGroups) ownName() string { return g.Name(g.self.Region, g.self.Zone) }
 
-// relay returns the name of the relay of a group for a part of the customers, empty if no router of the group can be reached.
-func (g LinkGroups) relay(group string, shard int, isUnreachable func(name string) bool) string {
-	reachable := slices.DeleteFunc(slices.Clone(g.members[group]), func(member candidate) bool { return isUnreachable(member.name) })
-	return chooseRouter(reachable, xxhash.Sum64String(group+"#"+strconv.Itoa(shard)))
+// reachable returns the routers of a group that can be reached.
+func (g LinkGroups) reachable(group string, isUnreachable func(name string) bool) []candidate {
+	return slices.DeleteFunc(slices.Clone(g.members[group]), func(member candidate) bool { return isUnreachable(member.name) })
+}
+
+// chooseRelay returns the name of the relay among the routers of a group for a part of the customers, empty if there are none.
+func chooseRelay(members []candidate, group string, shard int) string {
+	return chooseRouter(members, xxhash.Sum64String(group+"#"+strconv.Itoa(shard)))
 }
