Read the rest of refused bodies, so that callers see the refusal

Cause: callers write the whole body before they read the answer. A refused request has unread bytes. The HTTP server closes its connection at once if the request was its last one, and after half a second, in which it does not read, otherwise. Closing with unread bytes resets the connection: the caller's write fails, and it never reads the answer. All refusals of large bodies were concerned, not only those for lack of memory.

Ruled out: the memory budget (the answer is the same without it), and the load shedder, which reads what it refuses (unreadrefusal.go).

Change: the refusal is sent with its length, the memory of the body is given back, and the rest of the body is read for 2 s and 16 MiB at most. Callers that wait for consent to send a body send none, so nothing is read from them. lingerClose could not serve, since the HTTP server owns the connection; the handler reads instead.

--- a/internal/gateway/bodyreader.go
+++ b/internal/gateway/bodyreader.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
+	"time"
 
 	"github.com/chicorydale/chicorydale/internal/overload"
 )
@@ -11,6 +13,13 @@
 // firstBodyBytes is the size of the first buffer of a body. A caller that sends slowly holds no more than it has sent, times two.
 const firstBodyBytes = 4 << 10
 
+const (
+	// refusedBodyTimeout is how long the rest of a refused request's body is read.
+	refusedBodyTimeout = 2 * time.Second
+	// maxRefusedBodyBytes is the number of bytes that are read meanwhile at most.
+	maxRefusedBodyBytes = 16 << 20
+)
+
 // errNoBodyMemory says that there is no memory for the rest of a body.
 var errNoBodyMemory = errors.New("there is no memory for the body")
 
@@ -65,3 +74,20 @@
 	}
 	return append(make([]byte, 0, size), buffer...), nil
 }
+
+// discardBody sends what was written of a refusal and reads the rest of the request's body. Callers send a body completely before they read
+// the answer, and closing a connection with unread bytes resets it, so they would never see the refusal.
+func (x *exchange) discardBody() {
+	x.releaseBody()
+	if x.controller.Flush() != nil || x.controller.SetReadDeadline(time.Now().Add(refusedBodyTimeout)) != nil {
+		return // The caller has left.
+	}
+	_, _ = io.CopyN(io.Discard, x.r.Body, maxRefusedBodyBytes) // The caller may leave, or send no more.
+}
+
+// hasUnreadBody reports whether the caller may still be sending the body of the request. One that waits for the server's consent to send it
+// never begins after a refusal, and the load shedder, which has no controller of a connection, refuses only requests that it has read whole.
+func (x *exchange) hasUnreadBody() bool {
+	awaitsConsent := x.r.Header.Get("Expect") != "" && x.bodyMemory == nil
+	return x.controller != nil && x.body == nil && x.r.Body != http.NoBody && !awaitsConsent
+}
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -57,10 +57,14 @@
 	if err != nil {
 		event.Panicked.Log(x.gateway.logger, err, "")
 	}
+	header.Set("Content-Length", strconv.Itoa(len(body)))
 	x.w.WriteHeader(status)
 	if _, err := x.w.Write(body); err != nil {
 		event.CallerLeft.Log(x.gateway.logger, x.info.ID, x.stats.targetName, time.Since(x.arrivedAt).Milliseconds())
 	}
+	if x.hasUnreadBody() {
+		defer x.discardBody()
+	}
 	if !x.gateway.refusalLog.allowLine(time.Now(), refusalKey{x.customer, refusalErr.Code, refusalErr.Message}) {
 		return
 	}
