Bound the answers that are held by the memory budget of bodies

Cause: only the size of each answer was limited. 1,024 callers that read slowly would hold 256 MiB.

Change: buffers of answers take memory from the budget of bodies, an eighth of it at most, so that requests always find some. An answer without memory is relayed as it arrives, since work that has begun must not pay for it; what is lost is the retry of an answer that breaks off. A server error without memory is retried if it may be, and its text is dropped.

Weighed: to count answers as small bodies (callers that read slowly would get small requests of others refused), and to let answers wait for memory (they would reach their callers late).

TestBurstOfAnswersStaysInBudget and TestAnswersLeaveRoomForRequests use the new functions and cannot be built without them.

Not bounded yet: the incomplete event of each stream, up to 256 KiB (eventsplitter.go).

--- a/internal/gateway/bodyreader_bench_test.go
+++ b/internal/gateway/bodyreader_bench_test.go
@@ -63,6 +63,14 @@
 			b.ReportMetric(float64(served.Load())/float64(b.N*callers), "served")
 		})
 	}
+	b.Run("1024-answers", func(b *testing.B) {
+		for b.Loop() {
+			budget := overload.NewBodyBudget(memoryLimit * 3 / 10)
+			buffered, held := bufferAnswers(budget, 1024, 256<<10)
+			b.ReportMetric(float64(held)/(1<<20), "held-MB")
+			b.ReportMetric(float64(buffered)/1024, "buffered")
+		}
+	})
 	b.Run("1000-slow", func(b *testing.B) {
 		for b.Loop() {
 			budget := overload.NewBodyBudget(memoryLimit * 3 / 10)
@@ -90,3 +98,15 @@
 	}
 	return budget.Held()
 }
+
+// bufferAnswers returns how many of the answers whose callers all read slowly are buffered, and the size of what is held of all of them.
+func bufferAnswers(budget *overload.BodyBudget, answers, answerBytes int) (buffered, heldBytes int) {
+	for range answers {
+		body, whole := gateway.BufferAnswer(budget.Open("slow"), io.LimitReader(zeros{}, int64(answerBytes)))
+		heldBytes += cap(body)
+		if whole {
+			buffered++
+		}
+	}
+	return buffered, heldBytes
+}
--- a/internal/gateway/bodyreader_test.go
+++ b/internal/gateway/bodyreader_test.go
@@ -41,6 +41,30 @@
 	qt.Check(t, held <= callers*(4<<10), qt.IsTrue, qt.Commentf("%d", held))
 }
 
+// TestBurstOfAnswersStaysInBudget guards against a router that is killed because many callers read their answers slowly: each answer was held up
+// to 256 KiB, whatever their number.
+func TestBurstOfAnswersStaysInBudget(t *testing.T) {
+	const answers, answerBytes, budgetBytes = 256, 200 << 10, 16 << 20
+	budget := overload.NewBodyBudget(budgetBytes)
+	buffered, held := bufferAnswers(budget, answers, answerBytes)
+	qt.Check(t, buffered > 0, qt.IsTrue)
+	qt.Check(t, int64(held) <= budget.Held() && held <= budgetBytes, qt.IsTrue, qt.Commentf("%d buffered, %d held, %d counted", buffered, held, budget.Held()))
+}
+
+// TestAnswerOfUnknownLength guards against an answer that is cut, or taken for whole, at the limits of the memory and of the size.
+func TestAnswerOfUnknownLength(t *testing.T) {
+	const maxBytes = 256 << 10
+	for _, size := range []int{0, 1, 4 << 10, 4<<10 + 1, maxBytes - 1, maxBytes, maxBytes + 1, 2 * maxBytes} {
+		for _, budgetBytes := range []int64{0, 64 << 10, 16 << 20} {
+			source := bytes.NewReader(make([]byte, size))
+			body, whole := gateway.BufferAnswer(overload.NewBodyBudget(budgetBytes).Open("customer"), source)
+			comment := qt.Commentf("%d bytes, budget %d", size, budgetBytes)
+			qt.Check(t, len(body)+source.Len(), qt.Equals, size, comment)
+			qt.Check(t, whole, qt.Equals, size <= maxBytes && (budgetBytes != 64<<10 || size < 8<<10), comment)
+		}
+	}
+}
+
 // TestBodyOfUnknownLength guards against a body that is cut or refused because its length was not announced.
 func TestBodyOfUnknownLength(t *testing.T) {
 	const maxBytes = 1 << 20
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -183,3 +183,9 @@
 	reader := &bodyReader{source: source, maxBytes: maxBytes, announced: announced, reservation: reservation}
 	return reader.readAll(ctx)
 }
+
+// BufferAnswer reads an answer of an unknown length with the memory of a reservation. It reports whether the answer was read completely.
+func BufferAnswer(reservation *overload.BodyReservation, source io.Reader) (body []byte, whole bool) {
+	body, err := bufferBody(source, -1, reservation)
+	return body, err == nil
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -12,6 +12,7 @@
 	"github.com/chicorydale/chicorydale/internal/event"
 	"github.com/chicorydale/chicorydale/internal/forward"
 	"github.com/chicorydale/chicorydale/internal/metric"
+	"github.com/chicorydale/chicorydale/internal/overload"
 	"github.com/chicorydale/chicorydale/internal/refusal"
 	"github.com/chicorydale/chicorydale/internal/route"
 )
@@ -31,6 +32,9 @@
 // errResponseTooLarge says that a response body is larger than maxBufferedBytes.
 var errResponseTooLarge = errors.New("the response is too large to buffer")
 
+// errNoAnswerMemory says that there is no memory for the rest of a response body.
+var errNoAnswerMemory = errors.New("there is no memory to buffer the response")
+
 // bufferedResponse is a response that was read completely.
 type bufferedResponse struct {
 	status     int
@@ -50,13 +54,15 @@
 func (x *exchange) relayBuffered(decision dispatch.Decision, response *forward.Response) (retry bool) {
 	x.gateway.scheduler.firstByteReceived(decision.ID, response.Info.Load)
 	x.recordFirstByte()
-	body, err := bufferBody(response)
+	body, err := bufferBody(response, response.ContentLength, x.openBodyMemory())
 	if err == nil {
 		err = x.checkAnswerEnd(decision, response)
 	}
 	switch {
-	case errors.Is(err, errResponseTooLarge) && !claimsNotRun(response.StatusCode):
-		x.relayLarge(decision, response, body)
+	case errors.Is(err, errNoAnswerMemory) && x.retryFailure(decision, response.StatusCode):
+		return true
+	case isNotBuffered(err) && !claimsNotRun(response.StatusCode):
+		x.relayUnbuffered(decision, response, body)
 		return false
 	case err != nil:
 		return x.handleBrokenAttempt(decision, err)
@@ -69,21 +75,39 @@
 		x.writeBuffered(buffered)
 		return false
 	}
-	x.finishAttempt(decision, dispatch.Failed)
-	retry = x.takeRetry()
-	x.logFailedAttempt(decision, dispatch.Failed, &serverError{status: response.StatusCode}, retry)
-	if retry {
-		x.gateway.metrics.CountRetry(metric.RetryFailed)
+	if x.retryFailure(decision, response.StatusCode) {
 		x.failedResponse = buffered
 		return true
 	}
+	x.finishAttempt(decision, dispatch.Failed)
+	x.logFailedAttempt(decision, dispatch.Failed, &serverError{status: response.StatusCode}, false)
 	x.writeBuffered(buffered)
 	return false
 }
 
-// relayLarge relays a response that is too large to buffer, starting with the bytes that were buffered. Once its first
+// openBodyMemory returns the memory of the request's body and its answers.
+func (x *exchange) openBodyMemory() *overload.BodyReservation {
+	if x.bodyMemory == nil {
+		x.bodyMemory = x.gateway.bodies.Open(x.customer)
+	}
+	return x.bodyMemory
+}
+
+// retryFailure reports whether the request should be sent to another target because the status of this one is a server error. If so, it ends
+// the attempt.
+func (x *exchange) retryFailure(decision dispatch.Decision, status int) bool {
+	if status < http.StatusInternalServerError || !x.takeRetry() {
+		return false
+	}
+	x.finishAttempt(decision, dispatch.Failed)
+	x.logFailedAttempt(decision, dispatch.Failed, &serverError{status: status}, true)
+	x.gateway.metrics.CountRetry(metric.RetryFailed)
+	return true
+}
+
+// relayUnbuffered relays a response that is not buffered completely, starting with the bytes that were. Once its first
 // byte has been sent, it cannot be replaced by the response of another target.
-func (x *exchange) relayLarge(decision dispatch.Decision, response *forward.Response, buffered []byte) {
+func (x *exchange) relayUnbuffered(decision dispatch.Decision, response *forward.Response, buffered []byte) {
 	if response.ContentLength >= 0 {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
 	}
@@ -136,17 +160,48 @@
 	return n, err
 }
 
-// bufferBody reads the body of a response completely. If it is larger than maxBufferedBytes, it returns
-// errResponseTooLarge with the bytes that were read.
-func bufferBody(response *forward.Response) ([]byte, error) {
-	if response.ContentLength > maxBufferedBytes {
+// bufferBody reads the body of a response completely. If it is larger than maxBufferedBytes or there is no memory for it, it returns
+// errResponseTooLarge or errNoAnswerMemory with the bytes that were read. The length is negative if the response does not tell it.
+func bufferBody(source io.Reader, length int64, memory *overload.BodyReservation) ([]byte, error) {
+	if length > maxBufferedBytes {
 		return nil, errResponseTooLarge
 	}
-	body, err := io.ReadAll(io.LimitReader(response, maxBufferedBytes+1))
-	if err == nil && len(body) > maxBufferedBytes {
-		err = errResponseTooLarge
+	most := int64(maxBufferedBytes + 1)
+	if length >= 0 {
+		most = length + 1 // The additional byte makes the last read see io.EOF.
+	}
+	source = io.LimitReader(source, maxBufferedBytes+1)
+	var body []byte
+	for {
+		if len(body) == cap(body) && !growAnswer(&body, most, memory) {
+			return body, errNoAnswerMemory
+		}
+		n, err := source.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case len(body) > maxBufferedBytes:
+			return body, errResponseTooLarge
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return body, err
+		}
+	}
+}
+
+// growAnswer replaces a full buffer by a larger one with the same content, of the given size at most. It reports false if there is no memory.
+func growAnswer(buffer *[]byte, most int64, memory *overload.BodyReservation) bool {
+	size := min(max(2*int64(cap(*buffer)), firstBodyBytes), most)
+	if !memory.GrowAnswer(size - int64(cap(*buffer))) {
+		return false
 	}
-	return body, err
+	*buffer = append(make([]byte, 0, size), *buffer...)
+	return true
+}
+
+// isNotBuffered reports whether a response was not read completely because it would take too much memory.
+func isNotBuffered(err error) bool {
+	return errors.Is(err, errResponseTooLarge) || errors.Is(err, errNoAnswerMemory)
 }
 
 // writeBuffered sends a buffered response to the caller.
--- a/internal/overload/bodybudget.go
+++ b/internal/overload/bodybudget.go
@@ -13,19 +13,22 @@
 	// use.
 	largeFraction    = 0.75
 	customerFraction = 0.75
+	// answerFraction is the part of the budget that answers may use. The rest of it remains for small bodies.
+	answerFraction = 0.125
 )
 
-// BodyBudget bounds the memory that the bodies of requests hold together. Small bodies get memory at once or not at all; large ones wait for
-// it, those of the customer that holds least first. It is safe for concurrent use.
+// BodyBudget bounds the memory that the bodies of requests and the answers to them hold together. Small bodies get memory at once or not at
+// all; large ones wait for it, those of the customer that holds least first. It is safe for concurrent use.
 type BodyBudget struct {
-	limit, largeLimit, customerLimit int64
+	limit, largeLimit, customerLimit, answerLimit int64
 
 	mu sync.Mutex
-	// held is what all bodies hold, heldLarge what large ones do, and heldBy what the large ones of each customer do.
-	held, heldLarge int64
-	heldBy          map[string]int64
-	waiting         []*bodyWaiter
-	refused         int64
+	// held is what all bodies and answers hold, heldLarge what large bodies do, heldAnswers what answers do, and heldBy what the large bodies
+	// of each customer do.
+	held, heldLarge, heldAnswers int64
+	heldBy                       map[string]int64
+	waiting                      []*bodyWaiter
+	refused                      int64
 }
 
 // bodyWaiter is a large body that waits for memory.
@@ -39,14 +42,15 @@
 func NewBodyBudget(bytes int64) *BodyBudget {
 	large := int64(float64(bytes) * largeFraction)
 	return &BodyBudget{
-		limit: bytes, largeLimit: large, customerLimit: int64(float64(large) * customerFraction), heldBy: make(map[string]int64),
+		limit: bytes, largeLimit: large, customerLimit: int64(float64(large) * customerFraction),
+		answerLimit: int64(float64(bytes) * answerFraction), heldBy: make(map[string]int64),
 	}
 }
 
 // Limit returns the size of the budget in bytes, zero if there is no limit.
 func (b *BodyBudget) Limit() int64 { return b.limit }
 
-// Held returns the number of bytes that bodies hold.
+// Held returns the number of bytes that bodies and answers hold.
 func (b *BodyBudget) Held() int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -106,11 +110,11 @@
 	return next
 }
 
-// BodyReservation is the memory that the body of one request holds. It belongs to the goroutine of the request.
+// BodyReservation is the memory that the body of one request and the answers to it hold. It belongs to the goroutine of the request.
 type BodyReservation struct {
-	budget       *BodyBudget
-	customer     string
-	small, large int64
+	budget                *BodyBudget
+	customer              string
+	small, large, answers int64
 }
 
 // GrowSmall holds more bytes for a small body. It reports false if there is no memory.
@@ -127,6 +131,21 @@
 	return true
 }
 
+// GrowAnswer holds more bytes for an answer. It reports false if there is no memory: the answer is then relayed as it arrives, so it need not
+// wait.
+func (r *BodyReservation) GrowAnswer(bytes int64) bool {
+	b := r.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.limit > 0 && (b.held+bytes > b.limit || b.heldAnswers+bytes > b.answerLimit) {
+		return false
+	}
+	b.held += bytes
+	b.heldAnswers += bytes
+	r.answers += bytes
+	return true
+}
+
 // GrowLarge holds more bytes for a large body, and waits for them until ctx ends. It reports false if there is no memory until then, or if
 // there can never be enough.
 func (r *BodyReservation) GrowLarge(ctx context.Context, bytes int64) bool {
@@ -194,8 +213,9 @@
 	b := r.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.held -= r.small
+	b.held -= r.small + r.answers
+	b.heldAnswers -= r.answers
 	b.holdLarge(r.customer, -r.large)
-	r.small, r.large = 0, 0
+	r.small, r.large, r.answers = 0, 0, 0
 	b.grantWaiting()
 }
--- a/internal/overload/bodybudget_test.go
+++ b/internal/overload/bodybudget_test.go
@@ -40,6 +40,23 @@
 	qt.Check(t, growLarge(budget.Open("fourth"), budgetBytes), qt.IsFalse)
 }
 
+// TestAnswersLeaveRoomForRequests guards against requests that get no memory because answers, which callers read slowly, hold it.
+func TestAnswersLeaveRoomForRequests(t *testing.T) {
+	budget := overload.NewBodyBudget(budgetBytes)
+	answer := budget.Open("slow")
+	for answer.GrowAnswer(4 << 10) {
+	}
+	qt.Check(t, budget.Held() > 0 && budget.Held() <= budgetBytes/8, qt.IsTrue, qt.Commentf("%d", budget.Held()))
+	large := budget.Open("first")
+	for growLarge(large, 4<<20) {
+	}
+	qt.Check(t, budget.Open("second").GrowSmall(overload.SmallBodyBytes), qt.IsTrue)
+	large.Release()
+	answer.Release()
+	qt.Check(t, budget.Held(), qt.Equals, int64(overload.SmallBodyBytes))
+	qt.Check(t, answer.GrowAnswer(4<<10), qt.IsTrue)
+}
+
 // TestWaitingBodiesGetMemoryInTurn guards against a large body that waits although there is memory, against a customer with few bodies that
 // waits behind one with many, and against memory that is lost when a wait ends.
 func TestWaitingBodiesGetMemoryInTurn(t *testing.T) {
