Test: measure pauses of targets at the target

TestPausedTargetOfGatewayGetsNoRequests was seen red beside load. The test is at fault: it measured the pause from its own clock after the caller had got the refusal, 50 ms shorter than the pause, and took a request that it had sent before the end of the pause, and that the router handled after it, for a request in the pause.

--- a/internal/emulator/targetserver/server.go
+++ b/internal/emulator/targetserver/server.go
@@ -83,8 +83,9 @@
 	running int
 	// deadlines holds the values of the header X-Deadline-Ms of the requests that ran, by attempt id.
 	deadlines map[string]string
-	// arrivals is the number of requests that reached the target, run or not.
-	arrivals int
+	// arrivedAt holds the times of the requests that reached the target, run or not; refusedAt is the time of the last refusal.
+	arrivedAt []time.Time
+	refusedAt time.Time
 	// crashPart is the part of a prompt on which the target crashes, crashMode the mode of its last response, crash what ends the
 	// target then.
 	crashPart string
@@ -160,8 +161,10 @@
 func (s *Server) startAnswer(header http.Header, refused bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !refused {
-		s.arrivals++
+	if refused {
+		s.refusedAt = time.Now()
+	} else {
+		s.arrivedAt = append(s.arrivedAt, time.Now())
 	}
 	if len(s.leaving) > 0 {
 		header["Server-Leaving"] = s.leaving
@@ -207,7 +210,21 @@
 func (s *Server) Arrivals() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.arrivals
+	return len(s.arrivedAt)
+}
+
+// ArrivedAt returns when the request with an index, counted from 0, reached the target.
+func (s *Server) ArrivedAt(index int) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.arrivedAt[index]
+}
+
+// RefusedAt returns the time of the last refusal, before the caller can have got it. It is zero if there was none.
+func (s *Server) RefusedAt() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refusedAt
 }
 
 // AbandonedStreams returns the number of streams that ended because the caller disconnected.
