--- a/internal/e2e/crash_test.go
+++ b/internal/e2e/crash_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/chicorydale/chicorydale/internal/emulator/fault"
+	"github.com/chicorydale/chicorydale/internal/timerlag"
 	"github.com/chicorydale/chicorydale/pkg/client"
 )
 
@@ -55,6 +56,7 @@
 // are retried on a target without it and must return a complete response.
 func TestCrashingRequestIsQuarantinedWithoutLog(t *testing.T) {
 	t.Parallel()
+	timerlag.Log(t)
 	f := newCrashFleet(t, "150ms", "e1", "e2", "e3")
 	injectFault(t, f.logService, fault.Fault{Down: true})
 	crashing := startStream(t.Context(), f.routers[0].client(customerAlpha), "quick", crashWord, 10)
--- a/internal/e2e/flood_test.go
+++ b/internal/e2e/flood_test.go
@@ -10,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/chicorydale/chicorydale/internal/timerlag"
 	"github.com/chicorydale/chicorydale/pkg/client"
 )
 
@@ -26,6 +27,7 @@
 // against excess calls that are not refused promptly with a time to retry at.
 func TestFloodDoesNotDelayOtherCustomers(t *testing.T) {
 	t.Parallel()
+	timerlag.Log(t)
 	const (
 		// callersPerRouter is the number of calls that the flood keeps open at each router, far more than may wait there.
 		callersPerRouter = 60
--- a/internal/gateway/topicsharing_test.go
+++ b/internal/gateway/topicsharing_test.go
@@ -18,6 +18,7 @@
 	"github.com/chicorydale/chicorydale/internal/boottime"
 	"github.com/chicorydale/chicorydale/internal/fleetpb"
 	"github.com/chicorydale/chicorydale/internal/gateway"
+	"github.com/chicorydale/chicorydale/internal/timerlag"
 	"github.com/chicorydale/chicorydale/internal/topiclog"
 )
 
@@ -380,6 +381,7 @@
 // because testing/synctest does not simulate the boot-time clock.
 func TestTopicSharingReaderWithoutStore(t *testing.T) {
 	t.Parallel()
+	timerlag.Log(t)
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
 	z := newTestZone(ctx, 3)
--- a/internal/router/mesh_test.go
+++ b/internal/router/mesh_test.go
@@ -9,12 +9,14 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/chicorydale/chicorydale/internal/emulator/transcript"
+	"github.com/chicorydale/chicorydale/internal/timerlag"
 )
 
 // TestFleetTooLargeForFullMesh guards against calls and bookings that wait until their deadline in a fleet that is too large
 // for links between all routers, because no link is opened to the router that holds the role they need.
 func TestFleetTooLargeForFullMesh(t *testing.T) {
 	t.Parallel()
+	timerlag.Log(t)
 	const routers = 20
 	f := newFleet(t)
 	for i := range routers {
