Test claims of probes with fixed seeds

TestClaimOfUnsentProbeIsTakenBackOnce drew the delays of its routers anew in each run: all allowed probes were sent in 55 to 60 of 60 runs over eighteen processes, where 52 were wanted, so that it could have failed by chance.

--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"maps"
-	"math/rand/v2"
 	"net"
 	"slices"
 	"strconv"
@@ -130,9 +129,9 @@
 // SendGate is what decides at one router whether a request with a quarantined fingerprint is sent.
 type SendGate struct{ x *exchange }
 
-// NewSendGate returns the gate of a router that claims probes in the topic.
-func NewSendGate(topic topiclog.ConditionalTopic, fingerprint uint64) SendGate {
-	suspects := newSuspects(quarantine.New(quarantine.DefaultLimits(), rand.Uint64()), zerolog.Nop())
+// NewSendGate returns the gate of a router that claims probes in the topic. The seed determines the delays of its probes.
+func NewSendGate(topic topiclog.ConditionalTopic, fingerprint, seed uint64) SendGate {
+	suspects := newSuspects(quarantine.New(quarantine.DefaultLimits(), seed), zerolog.Nop())
 	g := &Gateway{suspects: suspects, claims: &probeClaims{topic: topic, suspects: suspects, logger: zerolog.Nop()}, logger: zerolog.Nop()}
 	return SendGate{&exchange{gateway: g, fingerprints: []uint64{fingerprint}}}
 }
--- a/internal/gateway/probeclaims_test.go
+++ b/internal/gateway/probeclaims_test.go
@@ -107,7 +107,7 @@
 // sent to it after that.
 func TestWaitingRequestIsRefusedOnceQuarantined(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		gate := gateway.NewSendGate(&claimTopic{keys: make(map[string][]byte)}, 1)
+		gate := gateway.NewSendGate(&claimTopic{keys: make(map[string][]byte)}, 1, 1)
 		qt.Assert(t, gate.Admit(), qt.IsTrue)
 		crashThrice(gate)
 		qt.Check(t, gate.Authorize(t.Context()), qt.IsFalse)
@@ -119,7 +119,7 @@
 func TestPausedRouterSendsNoProbe(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		topic := &claimTopic{keys: make(map[string][]byte), pause: 1100 * time.Millisecond}
-		gate := gateway.NewSendGate(topic, 1)
+		gate := gateway.NewSendGate(topic, 1, 1)
 		crashThrice(gate)
 		for !gate.Admit() {
 			time.Sleep(time.Second)
@@ -136,7 +136,7 @@
 		topic := &claimTopic{keys: make(map[string][]byte)}
 		gates := make([]gateway.SendGate, 9)
 		for i := range gates {
-			gates[i] = gateway.NewSendGate(topic, 1)
+			gates[i] = gateway.NewSendGate(topic, 1, uint64(i))
 		}
 		crashThrice(gates...)
 		sendAll := func() (sent int) {
@@ -176,7 +176,7 @@
 			topic := &claimTopic{keys: make(map[string][]byte), faults: random}
 			gates := make([]gateway.SendGate, 9)
 			for i := range gates {
-				gates[i] = gateway.NewSendGate(topic, 1)
+				gates[i] = gateway.NewSendGate(topic, 1, seed*100+uint64(i))
 			}
 			crashThrice(gates...)
 			sent := 0
@@ -205,5 +205,5 @@
 		})
 	}
 	t.Logf("%d probes reached no target; all %d were sent in %d of %d runs", unsent, allowed, exhausted, seeds)
-	qt.Check(t, exhausted >= seeds*7/8, qt.IsTrue, qt.Commentf("all allowed probes were sent in %d of %d runs only", exhausted, seeds))
+	qt.Check(t, exhausted >= seeds*9/10, qt.IsTrue, qt.Commentf("all allowed probes were sent in %d of %d runs only", exhausted, seeds))
 }
