Send streams of handed over callers in few parts

The peer knows that the connection was handed over; it reads such a stream at most every 100 ms now, and sends what has come in one part. The first event goes on at once, and a full buffer is not waited for.

Ruled out: the same at the late router (its process is woken for each part that arrives).

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -20,6 +20,9 @@
 const (
 	// maxBufferedBytes is the maximum size of a response body that is read completely before it is sent to the caller.
 	maxBufferedBytes = 256 << 10
+	// handedOverReadPeriod is the time between reads of a stream whose caller another router has handed over. That router is short of processor
+	// time, and passes each part on.
+	handedOverReadPeriod = 100 * time.Millisecond
 	// streamBufferBytes is the size of the buffer through which a stream is relayed.
 	streamBufferBytes = 4 << 10
 	// maxDiscardedBytes limits how much of an unused response body is read.
@@ -256,9 +259,14 @@
 	resumable := x.route.MaxAttempts > 1 && x.route.Kind.Retryable()
 	first := true
 	progress := newStreamProgress(time.Now(), x.lastEventAt, x.route, resumable)
+	isHandedOver, n := wasHandedOver(x.r.Context()), 0
 	for {
+		if isHandedOver && n > 0 && n < len(*buffer) {
+			sleepUntil(x.r.Context(), time.Now().Add(handedOverReadPeriod))
+		}
 		response.SetReadDeadline(progress.readDeadline(), x.deadline)
-		n, err := response.Read(*buffer)
+		var err error
+		n, err = response.Read(*buffer)
 		if n > 0 {
 			x.recordStreamData(decision, load, first)
 			first = false
