Keep few connections waiting for a late router

A router that accepts more slowly than callers come has thousands of connections in the kernel's queue (the limit of the system).

Now 256 connections wait at most; the kernel ignores further ones, whose callers try other routers after their limit for a new connection. The limit is set by a second listen(2) on the open listener, which Linux defines as a change of the limit; if it fails, the limit of the system stays.

Callers that are ignored lose up to a second.

--- a/internal/gateway/acceptor.go
+++ b/internal/gateway/acceptor.go
@@ -20,6 +20,9 @@
 	acceptLogInterval = time.Second
 	// queuePollInterval is the time between checks whether connections wait to be accepted.
 	queuePollInterval = 10 * time.Millisecond
+	// maxWaitingConns is the number of connections of callers that may wait to be accepted. The kernel ignores further ones, whose callers try
+	// other routers; in a longer queue, all of them would wait until they have left.
+	maxWaitingConns = 256
 )
 
 // acceptor is a listener that keeps accepting when the process or the system has run out of file descriptors: it closes
@@ -83,6 +86,19 @@
 	}
 }
 
+// limitBacklog limits the number of connections that may wait to be accepted on a listener.
+func limitBacklog(listener net.Listener) {
+	conn, ok := listener.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) { _ = unix.Listen(int(fd), maxWaitingConns) }) // The limit of the system stays if this fails.
+}
+
 // closeWhenEmpty closes the listener when no connection waits to be accepted, or when ctx ends. The kernel resets the connections that
 // wait when the listener is closed.
 func (a *acceptor) closeWhenEmpty(ctx context.Context) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -297,6 +297,7 @@
 
 // newAcceptors returns acceptors for all listeners of callers' connections.
 func (g *Gateway) newAcceptors() []*acceptor {
+	limitBacklog(g.listeners[0])
 	acceptors := make([]*acceptor, 0, 2*acceptorsPerListener)
 	for range acceptorsPerListener {
 		acceptors = append(acceptors, g.newAcceptor(g.listeners[0], false))
--- a/internal/gateway/handover_export_test.go
+++ b/internal/gateway/handover_export_test.go
@@ -94,6 +94,12 @@
 // EndUnused ends the connections on which nothing has arrived, and returns the number of open ones.
 func (h Handovers) EndUnused() int { return h.endUnused() }
 
+// MaxWaitingConns exports the number of connections that may wait to be accepted.
+const MaxWaitingConns = maxWaitingConns
+
+// LimitBacklog limits the connections that wait to be accepted on a listener.
+func LimitBacklog(listener net.Listener) { limitBacklog(listener) }
+
 // RefuseUnread refuses the request on an accepted connection at a router that is late.
 func RefuseUnread(conn *net.TCPConn, lateness time.Duration) {
 	probe := &readProbe{last: lateness}
