Let a late router admit a share of its new connections, by customer

The refusal looks at what has arrived in the socket's buffer and parses it once (it did that before, for the size of the request only), which tells customer and deadline. Retry-After grows with the lateness and with how little time the peers have left, up to a third of the time until the caller's deadline.

Open: a peer does not know the customer of a handed over connection that it refuses (what it gets begins with the time that the caller has waited), and counts all of them as one customer.

--- a/internal/gateway/handedoverrequest.go
+++ b/internal/gateway/handedoverrequest.go
@@ -36,6 +36,8 @@
 // requestHead is what the head of a request tells.
 type requestHead struct {
 	id string
+	// customer is the name of the customer, "" if it is not known.
+	customer string
 	// deadline is zero if it is not known.
 	deadline time.Time
 	// bytes is the size of the whole request, 0 if the head does not tell it, and math.MaxInt64 if the head is not complete.
@@ -279,6 +281,9 @@
 	}
 	info, _ := g.adapters.Codec.ParseRequest(r, since) // The peer refuses an invalid request.
 	parsed.id = info.ID
+	if owner, known := table.CustomerByKey(info.APIKey); known {
+		parsed.customer = owner.Name
+	}
 	if matched, found := table.Match(r.Host, r.URL.EscapedPath()); found {
 		parsed.deadline = requestDeadline(matched, info, since)
 	}
--- a/internal/gateway/handoverend.go
+++ b/internal/gateway/handoverend.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/chicorydale/chicorydale/internal/event"
-	"github.com/chicorydale/chicorydale/internal/overload"
 )
 
 // handoverEnd tells how a handed over connection has ended.
@@ -63,7 +62,7 @@
 	answer := unknownAnswer
 	if p.request.isIncomplete(p.handovers.parse) {
 		status = http.StatusServiceUnavailable
-		answer = unreadRefusal(overload.RetryDelay(p.handovers.probe.delay(time.Now())))
+		answer = unreadRefusal(p.handovers.retryDelay(time.Now(), time.Time{}))
 	}
 	if _, err := p.caller.Write([]byte(answer)); err != nil {
 		status = 0
--- a/internal/gateway/handovers.go
+++ b/internal/gateway/handovers.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
@@ -43,7 +44,7 @@
 // is safe for concurrent use.
 type handovers struct {
 	logger zerolog.Logger
-	// parse tells what is known of a request that a peer has.
+	// parse tells what the head of a request says.
 	parse   parseHead
 	dialer  net.Dialer
 	maxOpen int
@@ -73,9 +74,11 @@
 	stopped bool
 }
 
-// newHandovers returns handovers without peers. Connections that cannot be handed over go to kept. parse tells what is known of a request that a
-// peer has.
-func newHandovers(logger zerolog.Logger, maxOpenFiles int, seed uint64, kept *connQueue, probe *readProbe, parse parseHead) *handovers {
+// newHandovers returns handovers without peers, of a router that may use a part of a core. Connections that cannot be handed over go to kept.
+// parse tells what the head of a request says.
+func newHandovers(
+	logger zerolog.Logger, maxOpenFiles int, seed uint64, share float64, kept *connQueue, probe *readProbe, parse parseHead,
+) *handovers {
 	return &handovers{
 		logger:      logger,
 		parse:       parse,
@@ -84,7 +87,7 @@
 		buffers:     sync.Pool{New: func() any { return new(make([]byte, handoverBufferBytes)) }},
 		kept:        kept,
 		probe:       probe,
-		admission:   overload.NewAdmission(seed),
+		admission:   overload.NewAdmission(seed, share),
 		policy:      overload.NewHandover(seed),
 		peers:       make(map[string]handoverPeer),
 		failedUntil: make(map[string]time.Time),
@@ -179,11 +182,26 @@
 	h.policy.RecordStartDelay(now, max(now.Sub(acceptedAt), h.probe.delay(now)))
 }
 
-// shouldRefuse reports whether a new connection is to be refused unread, because this process is too late for it.
-func (h *handovers) shouldRefuse(now time.Time) bool {
+// mayRefuse reports whether this process is so late that new connections may be refused unread.
+func (h *handovers) mayRefuse(now time.Time) bool { return overload.MayRefuse(h.probe.delay(now)) }
+
+// shouldRefuse reports whether a new connection of a customer is to be refused unread, because this process is too late for it.
+func (h *handovers) shouldRefuse(now time.Time, customer string) bool {
+	lateness := h.probe.delay(now)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.admission.ShouldRefuse(h.probe.delay(now))
+	h.policy.RecordStartDelay(now, lateness) // A router that refuses all connections begins none.
+	return h.admission.ShouldRefuse(now, lateness, customer, h.policy.ConnCost(now))
+}
+
+// retryDelay returns the time after which a caller that is refused is told to come back. Its deadline is zero if that is not known.
+func (h *handovers) retryDelay(now, deadline time.Time) time.Duration {
+	timeLeft := time.Duration(0)
+	if !deadline.IsZero() {
+		timeLeft = deadline.Sub(now)
+	}
+	_, spare := h.state(now)
+	return overload.RetryDelay(h.probe.delay(now), spare, timeLeft, rand.Float64())
 }
 
 // connAccepted records that a connection of a caller was accepted. handedOver is set if a peer has handed it over.
--- a/internal/gateway/unreadrefusal_test.go
+++ b/internal/gateway/unreadrefusal_test.go
@@ -101,6 +101,48 @@
 	}
 }
 
+// TestLateRouterHandsOverSomeConnections guards against a late router that refuses all new connections although a peer has time for some.
+func TestLateRouterHandsOverSomeConnections(t *testing.T) {
+	const callers = 40
+	late, peer := listen(t), listen(t)
+	settings := gateway.Settings{MaxOpenFiles: 1000, ProcessorShare: 0.02}
+	instance := gateway.New(settings, gateway.Adapters{Codec: codec{}}, zerolog.Nop(), func() uint64 { return 0 })
+	listener := gateway.NewReservingListener(instance, late, time.Second, peer.Addr().String())
+	go func() { _, _ = listener.Accept() }()
+	go answerAll(peer, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+	counts := make(map[int]int)
+	for range callers {
+		conn, err := net.Dial("tcp", late.Addr().String())
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, conn.SetDeadline(time.Now().Add(handoverTimeout)), qt.IsNil)
+		_, err = io.WriteString(conn, "GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n")
+		qt.Assert(t, err, qt.IsNil)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		qt.Assert(t, err, qt.IsNil)
+		counts[response.StatusCode]++
+		_ = conn.Close()
+	}
+	qt.Check(t, counts[http.StatusOK] > 0, qt.IsTrue, qt.Commentf("%v", counts))
+	qt.Check(t, counts[http.StatusServiceUnavailable] > 0, qt.IsTrue, qt.Commentf("%v", counts))
+	qt.Check(t, counts[http.StatusOK]+counts[http.StatusServiceUnavailable], qt.Equals, callers)
+}
+
+// answerAll sends an answer to the request on each connection of a listener until that is closed.
+func answerAll(listener net.Listener, answer string) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = io.WriteString(conn, answer)
+			}
+			_ = conn.Close()
+		}()
+	}
+}
+
 // TestHandedOverRequestIsNotDropped guards against a request that gets no answer because the router which has read it hands it over to a late
 // one, which closes the connection before the request has arrived.
 func TestHandedOverRequestIsNotDropped(t *testing.T) {
--- a/internal/overload/handover.go
+++ b/internal/overload/handover.go
@@ -19,6 +19,8 @@
 	minSpare = 30 * time.Millisecond
 	// connCost is the processor time that a handed over connection is taken to cost its receiver until the receiver's next report.
 	connCost = 1200 * time.Microsecond
+	// handoverCost is the processor time that a connection is taken to cost the router that hands it over, with the events of its answer.
+	handoverCost = 700 * time.Microsecond
 	// creditPeriod is the time for which connections may be handed to a peer at once, on the strength of one report.
 	creditPeriod = time.Second
 	// reportTTL is the time for which the report of a peer is used. Peers report at least once a second.
@@ -112,6 +114,17 @@
 	return "", KeepWithoutPeer
 }
 
+// ConnCost returns the processor time that a new connection of this late router is taken to cost it: less if a peer has time for it.
+func (h *Handover) ConnCost(now time.Time) time.Duration {
+	for _, load := range h.peers {
+		load.refill(now)
+		if load.usable(now) > 0 {
+			return handoverCost
+		}
+	}
+	return connCost
+}
+
 // Spare returns the processor time per second that all peers with a report in use have left.
 func (h *Handover) Spare(now time.Time) time.Duration {
 	total := time.Duration(0)
