--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -142,7 +142,7 @@
 		return g.newAcceptor(nil, false).newCallerConn(conn, acceptedAt)
 	})
 	g.handovers = newHandovers(
-		logger, settings.MaxOpenFiles, settings.Seed, g.kept, probe, g.parseHandedOver,
+		logger, settings.MaxOpenFiles, settings.Seed, settings.ProcessorShare, g.kept, probe, g.parseHandedOver,
 	)
 	g.refuser = newUnreadRefuser(g.handovers, settings.MaxOpenFiles)
 	loads := &loadReports{
@@ -301,6 +301,7 @@
 
 // newAcceptors returns acceptors for all listeners of callers' connections.
 func (g *Gateway) newAcceptors() []*acceptor {
+	limitBacklog(g.listeners[0])
 	acceptors := make([]*acceptor, 0, 2*acceptorsPerListener)
 	for range acceptorsPerListener {
 		acceptors = append(acceptors, g.newAcceptor(g.listeners[0], false))
--- a/internal/gateway/handoverend.go
+++ b/internal/gateway/handoverend.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/chicorydale/chicorydale/internal/event"
-	"github.com/chicorydale/chicorydale/internal/overload"
 )
 
 // handoverEnd tells how a handed over connection has ended.
@@ -79,7 +78,7 @@
 		p.logUnanswered(p.answer(http.StatusBadGateway, unknownAnswer), cause)
 		return
 	}
-	retryDelay := overload.RetryDelay(p.handovers.probe.delay(time.Now()))
+	retryDelay := p.handovers.retryDelay(time.Now(), time.Time{})
 	p.logUnanswered(p.answer(http.StatusServiceUnavailable, unreadRefusal(retryDelay)), cause)
 }
 
--- a/internal/gateway/unreadrefusal.go
+++ b/internal/gateway/unreadrefusal.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"bufio"
-	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -10,8 +8,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"github.com/chicorydale/chicorydale/internal/overload"
 )
 
 const (
@@ -21,7 +17,7 @@
 	// maxLingerBytes is the number of bytes that are read meanwhile at most.
 	maxLingerBytes = 8 << 20
 	// refusalBufferBytes is the size of the buffer for what has arrived of a refused request.
-	refusalBufferBytes = 4 << 10
+	refusalBufferBytes = 16 << 10
 	// refusedConnFraction is the fraction of the file descriptors that refused connections may use until their requests have arrived.
 	refusedConnFraction = 0.25
 )
@@ -45,14 +41,24 @@
 	}
 }
 
-// refuse refuses the request on a connection, at once or when it arrives. The buffer is used until it returns. It reports false if nothing has
-// arrived and too many connections wait for their requests.
-func (r *unreadRefuser) refuse(conn *net.TCPConn, buffer []byte) bool {
-	if received := readReceived(conn, buffer); len(received) > 0 {
-		r.answer(conn, received)
-		return true
+// refuseIfLate refuses the request on a new connection if this router is too late for its customer. The buffer is used until it returns. It
+// reports whether it did; otherwise the connection is to be served.
+func (r *unreadRefuser) refuseIfLate(conn *net.TCPConn, buffer []byte, now time.Time) bool {
+	arrived := peekArrived(conn, buffer)
+	head := r.handovers.parse(arrived, now)
+	return r.handovers.shouldRefuse(now, head.customer) && r.refuse(conn, head, buffer, len(arrived) > 0)
+}
+
+// refuse refuses the request with the given head at once if a part of it has arrived, or else when it arrives. It reports false if too many
+// connections wait for their requests.
+func (r *unreadRefuser) refuse(conn *net.TCPConn, head requestHead, buffer []byte, hasArrived bool) bool {
+	if !hasArrived {
+		return r.handle(conn, true, r.awaitRequest)
+	}
+	if r.sendRefusal(conn, head, buffer) || !r.handle(conn, false, lingerClose) {
+		_ = conn.Close() // The answer was sent.
 	}
-	return r.handle(conn, true, r.awaitRequest)
+	return true
 }
 
 // handle runs a function for a connection in a goroutine of its own, and reports false if too many of them run. awaitsRequest is set if the function
@@ -109,46 +115,24 @@
 	}
 	r.requestArrived(conn)
 	now := time.Now()
-	if !r.handovers.shouldRefuse(now) {
+	buffer := make([]byte, refusalBufferBytes)
+	head := r.handovers.parse(peekArrived(conn, buffer), now)
+	switch {
+	case r.handovers.mayRefuse(now) && r.handovers.shouldRefuse(now, head.customer):
+		r.sendRefusal(conn, head, buffer)
+		lingerClose(conn)
+	case !r.handovers.take(conn, now):
 		r.handovers.keep(conn, now)
-		return
-	}
-	r.refuseArrived(conn, readReceived(conn, make([]byte, refusalBufferBytes)))
-}
-
-// answer refuses the request of which some bytes were read.
-func (r *unreadRefuser) answer(conn *net.TCPConn, received []byte) {
-	if r.sendRefusal(conn); isWholeRequest(received) || !r.handle(conn, false, lingerClose) {
-		_ = conn.Close() // The answer was sent.
-	}
-}
-
-// refuseArrived is answer for a connection that is handled already.
-func (r *unreadRefuser) refuseArrived(conn *net.TCPConn, received []byte) {
-	if r.sendRefusal(conn); isWholeRequest(received) {
-		_ = conn.Close() // The answer was sent.
-		return
 	}
-	lingerClose(conn)
 }
 
-// sendRefusal sends the refusal of a request.
-func (r *unreadRefuser) sendRefusal(conn *net.TCPConn) {
+// sendRefusal refuses the request with the given head. It reports whether all of it has arrived, so that the connection may be closed at once.
+func (r *unreadRefuser) sendRefusal(conn *net.TCPConn, head requestHead, buffer []byte) (isWhole bool) {
 	r.handovers.counts.refused.Add(1)
-	retryDelay := overload.RetryDelay(r.handovers.probe.delay(time.Now()))
+	discarded := discardArrived(conn, buffer)
+	retryDelay := r.handovers.retryDelay(time.Now(), head.deadline)
 	_, _ = conn.Write([]byte(unreadRefusal(retryDelay))) // A caller that has left gets no answer.
-}
-
-// isWholeRequest reports whether bytes are exactly one request.
-func isWholeRequest(received []byte) bool {
-	reader := bytes.NewReader(received)
-	buffered := bufio.NewReader(reader)
-	r, err := http.ReadRequest(buffered)
-	if err != nil {
-		return false
-	}
-	headBytes := len(received) - reader.Len() - buffered.Buffered()
-	return requestBytes(r, headBytes) == int64(len(received))
+	return head.bytes == discarded
 }
 
 // requestBytes returns the size of a whole request with the given head, 0 if the head does not tell it. size is the length of the head.
@@ -172,15 +156,35 @@
 	_ = conn.Close()
 }
 
-// readReceived reads what has arrived on a connection into the buffer, without waiting.
-func readReceived(conn *net.TCPConn, buffer []byte) []byte {
+// peekArrived copies what has arrived on a connection into the buffer, without waiting or consuming it.
+func peekArrived(conn *net.TCPConn, buffer []byte) []byte {
+	n := 0
+	controlConn(conn, func(fd int) { n, _, _ = syscall.Recvfrom(fd, buffer, syscall.MSG_PEEK|syscall.MSG_DONTWAIT) })
+	return buffer[:max(n, 0)]
+}
+
+// discardArrived reads what has arrived on a connection, without waiting, and returns the number of bytes.
+func discardArrived(conn *net.TCPConn, buffer []byte) (total int64) {
+	controlConn(conn, func(fd int) {
+		for {
+			n, _, err := syscall.Recvfrom(fd, buffer, syscall.MSG_DONTWAIT)
+			if err != nil || n <= 0 {
+				return
+			}
+			total += int64(n)
+			if n < len(buffer) {
+				return
+			}
+		}
+	})
+	return total
+}
+
+// controlConn calls a function with the file descriptor of a connection, unless it is closed.
+func controlConn(conn *net.TCPConn, do func(fd int)) {
 	raw, err := conn.SyscallConn()
 	if err != nil {
-		return nil
-	}
-	n := 0
-	if raw.Control(func(fd uintptr) { n, _, _ = syscall.Recvfrom(int(fd), buffer, syscall.MSG_DONTWAIT) }) != nil {
-		return nil
+		return
 	}
-	return buffer[:max(n, 0)]
+	_ = raw.Control(func(fd uintptr) { do(int(fd)) }) // A closed connection has no data.
 }
