Count the time that a request waits in the kernel's queue

Cause: a late router took the accept as the beginning of the wait, so the deadline that a target was given began anew after the wait in the kernel's queue. Now the kernel tells since when the data has been there (TCP_INFO); where it does not, the time of the accept counts as before. What a caller spends on repeated connection attempts can't be seen.

TestTimeInKernelQueueCounts saw 0.18 ms and TestHandoverTellsTimeInKernelQueue 0 s of 300 ms before, both pass now. Ruled out: the time in the preamble of a hand-over, which TestDeadlineCountsFromFirstRouter checks.

--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -82,7 +82,7 @@
 	}
 	since := time.Now()
 	if early {
-		since = c.acceptedAt
+		since = requestArrival(c.TCPConn, c.acceptedAt)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/gateway/callerconns_export_test.go
+++ b/internal/gateway/callerconns_export_test.go
@@ -51,6 +51,7 @@
 ) CallerServer {
 	accepted := &lastConn{Listener: g.newAcceptor(tcpListener, false)}
 	server := g.newServer(handler)
+	server.ConnContext = contextWithConn
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
 		hold(state, true)
 		g.callerConns.stateChanged(conn, state)
@@ -125,3 +126,6 @@
 	}()
 	return signal.polled
 }
+
+// RequestSince returns the time from which the caller of a request may have waited.
+func RequestSince(r *http.Request) time.Time { return requestSince(r.Context(), time.Now()) }
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -134,7 +134,7 @@
 	defer p.handovers.buffers.Put(buffer)
 	since := time.Time{}
 	if hasData(p.caller) {
-		since = p.acceptedAt
+		since = requestArrival(p.caller, p.acceptedAt)
 	}
 	for {
 		n, _, err := latedata.Read(p.caller, *buffer)
