Do not send a request to a target that cannot answer it before its deadline

The router looked whether the caller is there and not how much time is left. It refuses now if less is left than the target is expected to need, and less than half of the latency objective, so that a wrong expectation can't keep all requests from a service.

TestRequestInItsLastMillisecondsIsNotSent got 200 before and gets 503 now; the tests of gateway and platform pass.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -233,6 +233,11 @@
 		x.failRequest(drainRefusal())
 		return false
 	}
+	if x.endsBeforeAnswer(decision) {
+		x.finishAttempt(decision, dispatch.Delayed)
+		x.failRequest(refusal.New(refusal.Expired, "no target can answer before the deadline"))
+		return false
+	}
 	if !x.recordOrigin(ctx, decision) {
 		return x.handleUnsent(decision, dispatch.Delayed, &unmarkedBuildError{})
 	}
@@ -278,6 +283,13 @@
 	return x.relayBuffered(decision, response)
 }
 
+// endsBeforeAnswer reports whether the request ends before its target can be expected to answer. It is sent if at least half of its latency
+// objective is left, so that wrong expectations cannot keep all requests from a service.
+func (x *exchange) endsBeforeAnswer(decision dispatch.Decision) bool {
+	timeLeft := time.Until(x.deadline)
+	return timeLeft < time.Until(decision.ExpectedFirstByte) && timeLeft < x.route.LatencyObjective/2
+}
+
 // recordRateLimit records the limit of requests per second that a response names. A response without one shows that there is none
 // only if the target has worked on the request.
 func (x *exchange) recordRateLimit(decision dispatch.Decision, response *forward.Response) {
