Count what a late router refuses unread, by customer

Line 117 names the customer, the number and the cost of what was refused unread in a second, and what this router knows of its usage, demand and share. The head of a request tells service and cost as well, also behind the preamble of a connection that a peer has handed over, whose customer was not known before. The readers of heads are reused.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -376,10 +376,15 @@
 
 // requestCost returns the expected cost of a request, in prompt tokens.
 func requestCost(request *Request) float64 {
-	if request.PromptTokens == 0 && request.MaxOutputTokens == 0 {
+	return RequestTokens(request.PromptTokens, request.MaxOutputTokens)
+}
+
+// RequestTokens returns the cost of a request with a number of prompt tokens and of output tokens at most, in the units of fair shares.
+func RequestTokens(promptTokens, maxOutputTokens int) float64 {
+	if promptTokens == 0 && maxOutputTokens == 0 {
 		return emptyRequestCost
 	}
-	return float64(request.PromptTokens + outputTokenCost*request.MaxOutputTokens)
+	return float64(promptTokens + outputTokenCost*maxOutputTokens)
 }
 
 // dequeue removes a request from the waiting ones.
--- a/internal/dispatch/fairness.go
+++ b/internal/dispatch/fairness.go
@@ -34,6 +34,30 @@
 	return d.accounts.usage(now, s, customer) < d.accounts.fairShare(now, s.nameHash)*farBelowShare
 }
 
+// ShareState compares what a customer has got of a service at all routers with its fair share.
+type ShareState struct {
+	// Usage and Demand are what the customer has lately got and asked for at all routers, as far as known, and FairShare is the max-min fair share
+	// of the service. A prompt token counts once, an output token twice.
+	Usage, Demand, FairShare float64
+	// Exceeded is set if the customer has exceeded its share while requests compete for capacity, FarBelow if it got far less than it.
+	Exceeded, FarBelow bool
+}
+
+// ShareState returns the state of a customer at a service, both by name.
+func (d *Dispatcher) ShareState(now time.Time, serviceName, customer string) ShareState {
+	s, found := d.services[serviceName]
+	if !found {
+		return ShareState{}
+	}
+	state := ShareState{FairShare: d.accounts.fairShare(now, s.nameHash)}
+	if acct, known := d.accounts.byKey[accountKey(s, customer)]; known {
+		state.Usage, state.Demand = acct.fleetUsage(now), acct.fleetDemand(now)
+	}
+	state.Exceeded = state.Usage > state.FairShare*(1+shareTolerance) && d.hasContention(now, s)
+	state.FarBelow = state.Usage < state.FairShare*farBelowShare
+	return state
+}
+
 // hasContention reports whether requests compete for the capacity of a service, at this router, at a peer or in another group.
 // Requests that wait elsewhere do not count while many targets are available here, since those routers may be cut off from them.
 func (d *Dispatcher) hasContention(now time.Time, s *service) bool {
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -37,6 +37,9 @@
 		"without_peer", "at_limit", "unconfirmed", "after_failure", "open", "peers_spare_ms", "refused",
 		"answered_by_peer", "answered_here", "broken_off",
 	}}
+	CustomerUnread = Event{117, levelInfo, "customer_unread", []string{
+		"service", "customer", "refused", "tokens", "usage", "demand", "fair_share",
+	}}
 )
 
 // Events of the configuration that this router applies.
@@ -157,7 +160,7 @@
 func All() []Event {
 	return []Event{
 		Started, Ready, NotReady, Draining, Drained, DrainCut, Stopped, Failed, Panicked, TickLate,
-		Reloaded, SettingsKept, LogGap, ProcessState, AcceptFailed, HostLate,
+		Reloaded, SettingsKept, LogGap, ProcessState, AcceptFailed, HostLate, CustomerUnread,
 		ConfigApplied, TableApplied,
 		LogDown, LogUp, LogExpired, LogUnsettled, HostsDown, HostsUp, HostsChanged,
 		StoreDown, StoreUp, RecordInvalid, OriginsLoaded, OriginsUnsaved,
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -36,7 +36,7 @@
 	if refusalErr := x.readBody(table.Limits().MaxBodyBytes); refusalErr != nil {
 		return refusalErr
 	}
-	x.service = matched.SelectService(x.affinityKey())
+	x.service = matched.SelectService(affinityKey(&x.info))
 	if x.service == "" {
 		return refusal.New(refusal.NoTarget, "the route has no service").WithRetryAt(x.arrivedAt.Add(retryAfter))
 	}
@@ -51,11 +51,11 @@
 
 // affinityKey returns the key by which all requests of a session go to the same service: the last shared part of the
 // prompt, which belongs to the session, or the ID of the request.
-func (x *exchange) affinityKey() uint64 {
-	if len(x.info.PromptParts) > 0 {
-		return x.info.PromptParts[len(x.info.PromptParts)-1].ID
+func affinityKey(info *RequestInfo) uint64 {
+	if len(info.PromptParts) > 0 {
+		return info.PromptParts[len(info.PromptParts)-1].ID
 	}
-	return xxhash.Sum64String(x.info.ID)
+	return xxhash.Sum64String(info.ID)
 }
 
 // authenticate finds the customer of the request. It accepts API keys only while the configuration is recent enough for
--- a/internal/gateway/handedoverrequest.go
+++ b/internal/gateway/handedoverrequest.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/chicorydale/chicorydale/internal/dispatch"
 )
 
 const (
@@ -34,8 +36,12 @@
 // requestHead is what the head of a request tells.
 type requestHead struct {
 	id string
-	// customer is the name of the customer, "" if it is not known.
-	customer string
+	// customer and service are the names of the customer and of the service that its route selects, "" if they are not known.
+	customer, service string
+	// tokens is the cost of the request, in the units of fair shares.
+	tokens float64
+	// takesUpStream is set if the caller goes on with a stream that has begun before.
+	takesUpStream bool
 	// deadline is zero if it is not known.
 	deadline time.Time
 	// bytes is the size of the whole request, 0 if the head does not tell it, and math.MaxInt64 if the head is not complete.
@@ -255,11 +261,16 @@
 	return r.passedBytes == 0 || r.passedBytes < r.parsed.bytes
 }
 
+// headReaders holds readers of type *bufio.Reader, since a late router parses the heads of all requests that it refuses.
+var headReaders = sync.Pool{New: func() any { return bufio.NewReader(nil) }}
+
 // parseHandedOver returns what the first bytes of a request tell that a peer has, given the time from which its caller has waited. The deadline
 // is zero if they hold no complete head of a request with a route.
 func (g *Gateway) parseHandedOver(head []byte, since time.Time) requestHead {
 	reader := bytes.NewReader(head)
-	buffered := bufio.NewReader(reader)
+	buffered, _ := headReaders.Get().(*bufio.Reader)
+	defer headReaders.Put(buffered)
+	buffered.Reset(reader)
 	r, err := http.ReadRequest(buffered)
 	switch {
 	case errors.Is(err, io.ErrUnexpectedEOF) && len(head) < maxHeaderBytes: // No later bytes of the head were left out.
@@ -273,12 +284,13 @@
 		return parsed
 	}
 	info, _ := g.adapters.Codec.ParseRequest(r, since) // The peer refuses an invalid request.
-	parsed.id = info.ID
+	parsed.id, parsed.takesUpStream = info.ID, info.ResumedID != "" || info.LastEventID != ""
+	parsed.tokens = dispatch.RequestTokens(info.PromptTokens, info.MaxOutputTokens)
 	if owner, known := table.CustomerByKey(info.APIKey); known {
 		parsed.customer = owner.Name
 	}
 	if matched, found := table.Match(r.Host, r.URL.EscapedPath()); found {
-		parsed.deadline = requestDeadline(matched, info, since)
+		parsed.deadline, parsed.service = requestDeadline(matched, info, since), matched.SelectService(affinityKey(&info))
 	}
 	return parsed
 }
--- a/internal/gateway/handovers.go
+++ b/internal/gateway/handovers.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -57,6 +58,7 @@
 	// probe measures how late this process is.
 	probe  *readProbe
 	counts handoverCounts
+	unread unreadCounts
 
 	mu        sync.Mutex
 	policy    *overload.Handover
@@ -195,6 +197,22 @@
 	return h.admission.ShouldRefuse(now, lateness, customer, h.policy.ConnCost(now))
 }
 
+// parseArrived returns what the first bytes of a connection tell, which a peer may have handed over.
+func (h *handovers) parseArrived(arrived []byte, now time.Time) requestHead {
+	request, waited := splitWait(arrived)
+	head := h.parse(request, now.Add(-waited))
+	if preamble := int64(len(arrived) - len(request)); head.bytes > 0 && head.bytes < math.MaxInt64 {
+		head.bytes += preamble
+	}
+	return head
+}
+
+// recordRefused counts a request that was refused unread.
+func (h *handovers) recordRefused(head *requestHead) {
+	h.counts.refused.Add(1)
+	h.unread.add(head)
+}
+
 // retryDelay returns the time after which a caller that is refused is told to come back. Its deadline is zero if that is not known.
 func (h *handovers) retryDelay(now, deadline time.Time) time.Duration {
 	timeLeft := time.Duration(0)
--- a/internal/gateway/maintenance.go
+++ b/internal/gateway/maintenance.go
@@ -37,6 +37,7 @@
 			g.updateGauges()
 			g.logProcessState()
 			g.logLateness(now)
+			g.logUnread()
 			g.refusalLog.logSuppressed()
 			ready = g.logReadiness(ready)
 			dropped = g.logDroppedLines(dropped)
--- a/internal/gateway/processstate.go
+++ b/internal/gateway/processstate.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/chicorydale/chicorydale/internal/dispatch"
 	"github.com/chicorydale/chicorydale/internal/event"
 	"github.com/chicorydale/chicorydale/internal/metric"
 	"github.com/chicorydale/chicorydale/internal/refusal"
@@ -61,3 +62,21 @@
 	open, spare := g.handovers.state(now)
 	event.HostLate.Log(g.logger, withoutPeer, atLimit, unconfirmed, afterFailure, open, spare.Milliseconds(), refused, byPeer, byRouter, brokenOff)
 }
+
+// logUnread logs what was refused unread since the last call, by customer, beside what the fleet knows of the customer.
+func (g *Gateway) logUnread() {
+	counts := g.handovers.unread.take(maxCustomerLines)
+	if len(counts) == 0 {
+		return
+	}
+	states := make([]dispatch.ShareState, len(counts))
+	g.scheduler.withDispatcher(func(dispatcher *dispatch.Dispatcher, now time.Time) {
+		for i, count := range counts {
+			states[i] = dispatcher.ShareState(now, count.service, count.customer)
+		}
+	})
+	for i, count := range counts {
+		event.CustomerUnread.Log(g.logger, count.service, count.customer, count.requests, int(count.tokens), int(states[i].Usage),
+			int(states[i].Demand), int(states[i].FairShare))
+	}
+}
--- a/internal/gateway/unreadrefusal.go
+++ b/internal/gateway/unreadrefusal.go
@@ -45,7 +45,7 @@
 // reports whether it did; otherwise the connection is to be served.
 func (r *unreadRefuser) refuseIfLate(conn *net.TCPConn, buffer []byte, now time.Time) bool {
 	arrived := peekArrived(conn, buffer)
-	head := r.handovers.parse(arrived, now)
+	head := r.handovers.parseArrived(arrived, now)
 	return r.handovers.shouldRefuse(now, head.customer) && r.refuse(conn, head, buffer, len(arrived) > 0)
 }
 
@@ -116,7 +116,7 @@
 	r.requestArrived(conn)
 	now := time.Now()
 	buffer := make([]byte, refusalBufferBytes)
-	head := r.handovers.parse(peekArrived(conn, buffer), now)
+	head := r.handovers.parseArrived(peekArrived(conn, buffer), now)
 	switch {
 	case r.handovers.mayRefuse(now) && r.handovers.shouldRefuse(now, head.customer):
 		r.sendRefusal(conn, head, buffer)
@@ -128,7 +128,7 @@
 
 // sendRefusal refuses the request with the given head. It reports whether all of it has arrived, so that the connection may be closed at once.
 func (r *unreadRefuser) sendRefusal(conn *net.TCPConn, head requestHead, buffer []byte) (isWhole bool) {
-	r.handovers.counts.refused.Add(1)
+	r.handovers.recordRefused(&head)
 	discarded := discardArrived(conn, buffer)
 	retryDelay := r.handovers.retryDelay(time.Now(), head.deadline)
 	_, _ = conn.Write([]byte(unreadRefusal(retryDelay))) // A caller that has left gets no answer.
--- a/internal/gateway/waitpreamble.go
+++ b/internal/gateway/waitpreamble.go
@@ -48,6 +48,18 @@
 			return 0, err
 		}
 	}
-	waited := time.Duration(binary.BigEndian.Uint32(preamble[1:])) * time.Millisecond
-	return min(waited, maxWait), nil
+	return decodeWait(preamble[:]), nil
+}
+
+// splitWait separates the preamble from the first bytes of a connection, and returns the time in it. It is zero without a preamble.
+func splitWait(arrived []byte) (request []byte, waited time.Duration) {
+	if len(arrived) < waitPreambleBytes || arrived[0] != waitMark {
+		return arrived, 0
+	}
+	return arrived[waitPreambleBytes:], decodeWait(arrived)
+}
+
+// decodeWait returns the time in a preamble.
+func decodeWait(preamble []byte) time.Duration {
+	return min(time.Duration(binary.BigEndian.Uint32(preamble[1:]))*time.Millisecond, maxWait)
 }
