Give new connections of a router a budget of processor time, and refuse at half the cost

Cause: a router on time begins all that comes, but a connection costs most of its time later, with the events of its answer; then the router is late and begins no more than a fixed reserve, while it spends its time on refusals (1,700 to 2,300 a second). So it swings between both.

Now a budget (overload.connBudget) is charged for each connection, also while the router is on time; it follows the lateness of the process, and is divided among customers as the reserve was. A request that has arrived whole is refused on a socket that the runtime does not know: accept, look, read, answer, close, five system calls in place of ten. The models charge that cost now.

Ruled out in the model: longer delays for refused callers (nothing gained), a budget that grows at a lateness of 30 ms or more (it swings again).

--- a/internal/gateway/acceptor.go
+++ b/internal/gateway/acceptor.go
@@ -51,17 +51,22 @@
 // errors of the listener.
 func (a *acceptor) Accept() (net.Conn, error) {
 	for {
+		if conn := a.acceptLate(); conn != nil {
+			return conn, nil
+		}
 		conn, err := a.Listener.Accept()
 		now := time.Now()
 		if tcpConn, ok := conn.(*net.TCPConn); ok && err == nil {
-			if a.handovers.mayRefuse(now) && a.refuse(tcpConn, now) {
+			if !a.handovers.mayRefuse(now) {
+				a.handovers.begin(now)
+			} else if a.refuse(tcpConn, now) {
 				a.yieldAfterRefusals()
 				continue
 			}
-			if !a.handedOver && a.handovers.take(tcpConn, now) {
-				continue
+			if kept := a.keep(tcpConn, now); kept != nil {
+				return kept, nil
 			}
-			return a.newCallerConn(tcpConn, now), nil
+			continue
 		}
 		if !errors.Is(err, syscall.EMFILE) && !errors.Is(err, syscall.ENFILE) {
 			return conn, err
@@ -75,10 +80,57 @@
 	}
 }
 
+// acceptLate accepts the connections that wait while this router is late, and refuses or hands over their requests. It returns a connection that is
+// to be served, or nil if none waits.
+func (a *acceptor) acceptLate() net.Conn {
+	for {
+		now := time.Now()
+		if !a.handovers.mayRefuse(now) {
+			return nil
+		}
+		accepted, found := acceptSocket(a.Listener)
+		if !found {
+			return nil
+		}
+		refused, conn, err := a.refuseSocket(accepted, now)
+		if err != nil {
+			continue // The connection is closed.
+		}
+		if refused {
+			a.yieldAfterRefusals()
+			continue
+		}
+		if kept := a.keep(conn, now); kept != nil {
+			return kept
+		}
+	}
+}
+
+// refuseSocket refuses the request on an accepted connection that this router would begin to handle too late. It reports whether it did, and returns
+// the connection otherwise. An error says that the connection is closed.
+func (a *acceptor) refuseSocket(accepted socket, now time.Time) (refused bool, conn *net.TCPConn, err error) {
+	if arrived := accepted.peek(a.received[:]); len(arrived) > 0 {
+		return a.refuser.refuseSocket(accepted, arrived, a.received[:], now)
+	}
+	if conn, err = accepted.tcpConn(); err != nil {
+		return false, nil, err
+	}
+	return a.refuse(conn, now), conn, nil
+}
+
+// keep hands a connection over, or returns it as one that is to be served.
+func (a *acceptor) keep(conn *net.TCPConn, now time.Time) net.Conn {
+	if !a.handedOver && a.handovers.take(conn, now) {
+		return nil
+	}
+	return a.newCallerConn(conn, now)
+}
+
 // refuse refuses the request on a connection that this router would begin to handle too late. It reports whether it did. A router that hands
 // connections over waits for a confirmation on those that have no data.
 func (a *acceptor) refuse(conn *net.TCPConn, now time.Time) bool {
 	if a.handedOver && !hasData(conn) {
+		a.handovers.begin(now)
 		return false
 	}
 	return a.refuser.refuseIfLate(conn, a.received[:], now)
--- a/internal/gateway/handover_export_test.go
+++ b/internal/gateway/handover_export_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/rs/zerolog"
 	"golang.org/x/sys/unix"
+
+	"github.com/chicorydale/chicorydale/internal/overload"
 )
 
 // Handovers is handovers for tests, at a router that is always late.
@@ -123,7 +125,7 @@
 func NewLateListener(g *Gateway, listener net.Listener, lateness time.Duration, handedOver bool) net.Listener {
 	g.peers.probe.last = lateness
 	now := time.Now()
-	for !g.handovers.admission.ShouldRefuse(now, lateness, "", time.Hour) {
+	for !g.handovers.admission.ShouldRefuse(now, "", time.Hour) {
 		continue
 	}
 	return g.newAcceptor(listener, handedOver)
@@ -146,8 +148,13 @@
 	return g.newAcceptor(listener, false)
 }
 
-// EndLateness makes the process of a gateway handle data at once.
-func EndLateness(g *Gateway) { g.peers.probe.received(g.peers.probe.sentAt) }
+// EndLateness makes the process of a gateway handle data at once, after it has earned what it had spent on connections.
+func EndLateness(g *Gateway) {
+	g.peers.probe.received(g.peers.probe.sentAt)
+	g.handovers.mu.Lock()
+	defer g.handovers.mu.Unlock()
+	g.handovers.admission = overload.NewAdmission(1)
+}
 
 // ReadProbe exports the probe of a process.
 type ReadProbe struct{ *readProbe }
--- a/internal/gateway/handovers.go
+++ b/internal/gateway/handovers.go
@@ -90,7 +90,7 @@
 		buffers:     sync.Pool{New: func() any { return new(make([]byte, handoverBufferBytes)) }},
 		kept:        kept,
 		probe:       probe,
-		admission:   overload.NewAdmission(seed, share),
+		admission:   overload.NewAdmission(share),
 		policy:      overload.NewHandover(seed),
 		peers:       make(map[string]handoverPeer),
 		failedUntil: make(map[string]time.Time),
@@ -185,8 +185,20 @@
 	h.policy.RecordStartDelay(now, max(now.Sub(acceptedAt), h.probe.delay(now)))
 }
 
-// mayRefuse reports whether this process is so late that new connections may be refused unread.
-func (h *handovers) mayRefuse(now time.Time) bool { return overload.MayRefuse(h.probe.delay(now)) }
+// mayRefuse reports whether new connections may be refused unread, because this process is late or has begun more than it can finish.
+func (h *handovers) mayRefuse(now time.Time) bool {
+	lateness := h.probe.delay(now)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.admission.MayRefuse(now, lateness)
+}
+
+// begin records a new connection that is not refused although nothing was read of it.
+func (h *handovers) begin(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.admission.Begin(now, h.policy.ConnCost(now))
+}
 
 // shouldRefuse reports whether a new connection of a customer is to be refused unread, because this process is too late for it.
 func (h *handovers) shouldRefuse(now time.Time, customer string) bool {
@@ -194,7 +206,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.policy.RecordStartDelay(now, lateness) // A router that refuses all connections begins none.
-	return h.admission.ShouldRefuse(now, lateness, customer, h.policy.ConnCost(now))
+	return h.admission.ShouldRefuse(now, customer, h.policy.ConnCost(now))
 }
 
 // parseArrived returns what the first bytes of a connection tell, which a peer may have handed over.
--- a/internal/gateway/unreadrefusal.go
+++ b/internal/gateway/unreadrefusal.go
@@ -49,6 +49,22 @@
 	return r.handovers.shouldRefuse(now, head.customer) && r.refuse(conn, head, buffer, len(arrived) > 0)
 }
 
+// refuseSocket does the same for a connection on which data has arrived. It returns the connection unless the request was refused and the
+// connection is closed.
+func (r *unreadRefuser) refuseSocket(accepted socket, arrived, buffer []byte, now time.Time) (refused bool, conn *net.TCPConn, err error) {
+	head := r.handovers.parseArrived(arrived, now)
+	mustRefuse := r.handovers.shouldRefuse(now, head.customer)
+	if mustRefuse && head.bytes == int64(len(arrived)) {
+		r.handovers.recordRefused(&head)
+		accepted.answer(len(arrived), buffer, unreadRefusal(r.handovers.retryDelay(now, head.deadline)))
+		return true, nil, nil
+	}
+	if conn, err = accepted.tcpConn(); err != nil {
+		return false, nil, err
+	}
+	return mustRefuse && r.refuse(conn, head, buffer, true), conn, nil
+}
+
 // refuse refuses the request with the given head at once if a part of it has arrived, or else when it arrives. It reports false if too many
 // connections wait for their requests.
 func (r *unreadRefuser) refuse(conn *net.TCPConn, head requestHead, buffer []byte, hasArrived bool) bool {
--- a/internal/overload/starvation_test.go
+++ b/internal/overload/starvation_test.go
@@ -24,6 +24,8 @@
 	relayCost   = 400 * time.Microsecond
 	// refuseUnreadCost is the processor time for refusing an accepted connection, of whose request the head is read.
 	refuseUnreadCost = 15 * time.Microsecond
+	// acceptSocketCost is the processor time for accepting a connection that is not registered with the poller of the runtime.
+	acceptSocketCost = 10 * time.Microsecond
 	// acceptCost, handoverCost and passCost are the processor time for accepting a connection, for handing it over to a peer, and for
 	// passing the answer on.
 	acceptCost   = 20 * time.Microsecond
@@ -100,7 +102,7 @@
 func newStarvedRouter(seed uint64, length time.Duration) *starvedRouter {
 	r := &starvedRouter{
 		now: startTime, random: rand.New(rand.NewPCG(seed, 5)), shedder: overload.New(), handover: overload.NewHandover(seed),
-		admission: overload.NewAdmission(seed, coreShare),
+		admission: overload.NewAdmission(coreShare),
 		asked:     make(map[string][]int), begun: make(map[string][]int),
 	}
 	for at := startTime; at.Sub(startTime) < length; at = at.Add(linkPeriod) {
@@ -212,9 +214,12 @@
 // request once more.
 func (r *starvedRouter) receive(customer string, arrivedAt time.Time, mayReturn bool) time.Duration {
 	acceptedAt := r.now
-	if lateness := r.now.Sub(arrivedAt); r.admission.ShouldRefuse(r.now, lateness, customer, r.handover.ConnCost(r.now)) {
+	cost := r.handover.ConnCost(r.now)
+	if !r.admission.MayRefuse(r.now, r.now.Sub(arrivedAt)) {
+		r.admission.Begin(r.now, cost)
+	} else if r.admission.ShouldRefuse(r.now, customer, cost) {
 		r.returnAfter(customer, r.now, mayReturn)
-		return acceptCost + refuseUnreadCost
+		return acceptSocketCost + refuseUnreadCost
 	}
 	peer, choice := r.handover.Pick(r.now, r.unstarted)
 	handedOver := choice == overload.HandOver
--- a/internal/overload/zone_test.go
+++ b/internal/overload/zone_test.go
@@ -26,7 +26,11 @@
 // playFlood plays a zone in which the balancer sends a customer with many callers and one with few to the same small router, which is
 // returned. The crowd sends load times as many requests as the zone has time for.
 func playFlood(seed uint64, load float64) (zone *zoneModel, flooded *zoneRouter) {
-	zone = newZoneModel(seed, zoneSeconds*time.Second, zoneShares)
+	return playFloodedZone(newZoneModel(seed, zoneSeconds*time.Second, zoneShares), load)
+}
+
+// playFloodedZone plays that in a given zone.
+func playFloodedZone(zone *zoneModel, load float64) (played *zoneModel, flooded *zoneRouter) {
 	flooded = zone.routers[len(zone.routers)-1]
 	rates := map[string]float64{zone.callerOf(flooded, "crowd"): crowdRate * load, zone.callerOf(flooded, "desk"): deskRate}
 	for _, r := range zone.routers {
@@ -86,6 +90,19 @@
 	}
 }
 
+// TestReturningCrowdLeavesTimeForOthers guards against a router that begins far more than it can finish for a crowd whose callers come back to it, and
+// refuses nearly all of a small customer afterwards or begins its requests too late.
+func TestReturningCrowdLeavesTimeForOthers(t *testing.T) {
+	for seed := range uint64(5) {
+		zone := newZoneModel(seed, zoneSeconds*time.Second, zoneShares)
+		zone.callersReturn = true
+		_, flooded := playFloodedZone(zone, 0.5)
+		desk := zone.callerOf(flooded, "desk")
+		owed, got := counted(zone.asked[desk]), counted(zone.begun[desk])
+		qt.Check(t, 2*got >= owed, qt.IsTrue, qt.Commentf("seed %d: got %d of %d, by seconds %v", seed, got, owed, zone.begun[desk]))
+	}
+}
+
 // TestFloodedZoneServesInTime guards against a zone that begins the requests of a crowd too late to be of use: it then begins no fewer requests
 // than before, but those of callers who have come back several times.
 func TestFloodedZoneServesInTime(t *testing.T) {
--- a/internal/overload/zonemodel_test.go
+++ b/internal/overload/zonemodel_test.go
@@ -18,9 +18,9 @@
 	// acceptCalls, dialCalls, passCalls and closeCalls are the system calls for accepting a connection, for opening one, for passing a part
 	// on, and for closing one.
 	acceptCalls, dialCalls, passCalls, closeCalls = 4, 9, 4, 2
-	// refuseUnreadCalls are the system calls for refusing an accepted connection unread, keepCalls those for looking at its request when it
+	// refuseUnreadCalls are the system calls for accepting and refusing a connection unread, keepCalls those for looking at its request when it
 	// is not refused.
-	refuseUnreadCalls, keepCalls = 6, 1
+	refuseUnreadCalls, keepCalls = 5, 1
 	// refusalsPerTurn is the number of refusals after which a goroutine lets others run.
 	refusalsPerTurn = 16
 	// backlog is the size of the kernel's queue of new connections. Further ones are dropped.
@@ -113,6 +113,8 @@
 	retryDelay delayRule
 	// maxTries is the number of attempts that callers make who are not insistent.
 	maxTries int
+	// callersReturn is set if all callers come back to the router that has refused them, and not only the insistent ones.
+	callersReturn bool
 }
 
 // zoneRouter is a router of a zoneModel. It runs its tasks in the order in which they became ready, one at a time.
@@ -194,7 +196,7 @@
 	for i, share := range shares {
 		zone.routers = append(zone.routers, &zoneRouter{
 			zone: zone, index: i, share: share, maxOpen: maxOpenOf(share), handover: overload.NewHandover(seed + uint64(i)),
-			shedder: overload.New(), rotation: overload.NewRotation(), admission: overload.NewAdmission(seed+uint64(i), share),
+			shedder: overload.New(), rotation: overload.NewRotation(), admission: overload.NewAdmission(share),
 			idleSince: startTime, passed: make([]int, int(length/time.Second)+1),
 		})
 	}
@@ -311,7 +313,11 @@
 		z.connect(request, conn.first)
 		return
 	}
-	z.after(delay, func() { z.connect(request, z.otherRouter(conn.first)) })
+	next := conn.first
+	if !z.callersReturn {
+		next = z.otherRouter(conn.first)
+	}
+	z.after(delay, func() { z.connect(request, next) })
 }
 
 // otherRouter returns a random router, but not the given one unless that is alone.
@@ -455,8 +461,6 @@
 		}
 		conn := r.unaccepted[0]
 		r.unaccepted = r.unaccepted[1:]
-		cost.code += acceptCost
-		cost.kernel += acceptCalls * syscallCost
 		if r.shouldRefuse(conn) {
 			r.refused(conn)
 			refusals++
@@ -464,7 +468,8 @@
 			cost.kernel += refuseUnreadCalls * syscallCost
 		} else {
 			r.admit(conn)
-			cost.kernel += keepCalls * syscallCost
+			cost.code += acceptCost
+			cost.kernel += (acceptCalls + keepCalls) * syscallCost
 		}
 		if refusals == refusalsPerTurn || cost.code+cost.kernel >= turn {
 			r.queue(r.acceptAll)
@@ -477,12 +482,13 @@
 
 // shouldRefuse reports whether a connection is refused unread.
 func (r *zoneRouter) shouldRefuse(conn *zoneConn) bool {
-	lateness := r.late()
-	if !overload.MayRefuse(lateness) {
+	lateness, cost := r.late(), r.handover.ConnCost(r.zone.now)
+	if !r.admission.MayRefuse(r.zone.now, lateness) {
+		r.admission.Begin(r.zone.now, cost)
 		return false
 	}
 	r.handover.RecordStartDelay(r.zone.now, lateness)
-	return r.admission.ShouldRefuse(r.zone.now, lateness, conn.request.customer, r.handover.ConnCost(r.zone.now))
+	return r.admission.ShouldRefuse(r.zone.now, conn.request.customer, cost)
 }
 
 // refused tells the caller of a connection that its request was refused.
