Let a late router serve customers by what the fleet knows of their shares

Now the accept asks the same accounts as the dispatcher (ShareState, kept for 50 ms by service and customer): above its share while requests compete, a late router refuses at once; three fourths of the budget go to the customers far below their shares, if there are any.

Not built, and why: refused unread requests do not count as demand of the shares. In a max-min share they would only lower the limit of the others; if the router of their customer cannot pass more on, targets stay idle until there is no contention, and then the others are let in again.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -142,7 +142,7 @@
 		return g.newAcceptor(nil, false).newCallerConn(conn, acceptedAt)
 	})
 	g.handovers = newHandovers(
-		logger, settings.MaxOpenFiles, settings.Seed, settings.ProcessorShare, g.kept, probe, g.parseHandedOver,
+		logger, settings.MaxOpenFiles, settings.Seed, settings.ProcessorShare, g.kept, probe, g.parseHandedOver, newStandings(scheduler).of,
 	)
 	g.refuser = newUnreadRefuser(g.handovers, settings.MaxOpenFiles)
 	loads := &loadReports{
--- a/internal/gateway/handover_export_test.go
+++ b/internal/gateway/handover_export_test.go
@@ -31,7 +31,7 @@
 		parsed.id, parsed.deadline = "id", since.Add(timeout)
 		return parsed
 	}
-	h := newHandovers(zerolog.Nop(), 1000, 1, 1, kept, new(readProbe), parse)
+	h := newHandovers(zerolog.Nop(), 1000, 1, 1, kept, new(readProbe), parse, withinShare)
 	h.setPeer(time.Now(), peer, at, time.Second)
 	return Handovers{h}, kept
 }
@@ -41,6 +41,9 @@
 	return (&Gateway{config: new(configView)}).parseHandedOver(head, since)
 }
 
+// withinShare is the standing of all customers.
+func withinShare(time.Time, *requestHead) overload.Standing { return overload.WithinShare }
+
 // EndOverdue ends the requests that were due at a time and have no complete answer.
 func (h Handovers) EndOverdue(now time.Time) { h.endOverdue(now) }
 
@@ -113,7 +116,7 @@
 // RefuseUnread refuses the request on an accepted connection at a router that is late and whose peer has processor time.
 func RefuseUnread(conn *net.TCPConn, lateness time.Duration) {
 	now := time.Now()
-	h := newHandovers(zerolog.Nop(), 1000, 1, 1, nil, &readProbe{last: lateness}, parseWithoutConfig)
+	h := newHandovers(zerolog.Nop(), 1000, 1, 1, nil, &readProbe{last: lateness}, parseWithoutConfig, withinShare)
 	h.setPeer(now, "peer", handoverPeer{}, time.Second)
 	buffer := make([]byte, refusalBufferBytes)
 	arrived := peekArrived(conn, buffer)
@@ -125,7 +128,7 @@
 func NewLateListener(g *Gateway, listener net.Listener, lateness time.Duration, handedOver bool) net.Listener {
 	g.peers.probe.last = lateness
 	now := time.Now()
-	for !g.handovers.admission.ShouldRefuse(now, "", time.Hour) {
+	for !g.handovers.admission.ShouldRefuse(now, "", overload.WithinShare, time.Hour) {
 		continue
 	}
 	return g.newAcceptor(listener, handedOver)
--- a/internal/gateway/handovers.go
+++ b/internal/gateway/handovers.go
@@ -47,10 +47,12 @@
 type handovers struct {
 	logger zerolog.Logger
 	// parse tells what the head of a request says.
-	parse   parseHead
-	dialer  net.Dialer
-	maxOpen int
-	buffers sync.Pool
+	parse parseHead
+	// standing tells what the customer of a request has got of its share.
+	standing func(now time.Time, head *requestHead) overload.Standing
+	dialer   net.Dialer
+	maxOpen  int
+	buffers  sync.Pool
 	// kept receives the connections that could not be handed over.
 	kept *connQueue
 	// unstarted is the number of accepted connections that the process has not begun to handle.
@@ -78,13 +80,15 @@
 }
 
 // newHandovers returns handovers without peers, of a router that may use a part of a core. Connections that cannot be handed over go to kept.
-// parse tells what the head of a request says.
+// parse tells what the head of a request says, standing what its customer has got.
 func newHandovers(
 	logger zerolog.Logger, maxOpenFiles int, seed uint64, share float64, kept *connQueue, probe *readProbe, parse parseHead,
+	standing func(now time.Time, head *requestHead) overload.Standing,
 ) *handovers {
 	return &handovers{
 		logger:      logger,
 		parse:       parse,
+		standing:    standing,
 		dialer:      net.Dialer{Timeout: handoverDialTimeout, KeepAlive: -1, Control: setHandoverTimeout},
 		maxOpen:     int(float64(maxOpenFiles) * handoverConnFraction / 2),
 		buffers:     sync.Pool{New: func() any { return new(make([]byte, handoverBufferBytes)) }},
@@ -200,13 +204,13 @@
 	h.admission.Begin(now, h.policy.ConnCost(now))
 }
 
-// shouldRefuse reports whether a new connection of a customer is to be refused unread, because this process is too late for it.
-func (h *handovers) shouldRefuse(now time.Time, customer string) bool {
-	lateness := h.probe.delay(now)
+// shouldRefuse reports whether the request with the given head is to be refused unread, because this process is too late for it.
+func (h *handovers) shouldRefuse(now time.Time, head *requestHead) bool {
+	lateness, standing := h.probe.delay(now), h.standing(now, head)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.policy.RecordStartDelay(now, lateness) // A router that refuses all connections begins none.
-	return h.admission.ShouldRefuse(now, customer, h.policy.ConnCost(now))
+	return h.admission.ShouldRefuse(now, head.customer, standing, h.policy.ConnCost(now))
 }
 
 // parseArrived returns what the first bytes of a connection tell, which a peer may have handed over.
--- a/internal/gateway/unreadcounts.go
+++ b/internal/gateway/unreadcounts.go
@@ -6,11 +6,6 @@
 	"sync"
 )
 
-// standingKey identifies a customer at a service, both by name.
-type standingKey struct {
-	service, customer string
-}
-
 // unreadCounts counts the requests that were refused unread, by service and customer. It is safe for concurrent use.
 type unreadCounts struct {
 	mu    sync.Mutex
--- a/internal/gateway/unreadrefusal.go
+++ b/internal/gateway/unreadrefusal.go
@@ -46,14 +46,13 @@
 func (r *unreadRefuser) refuseIfLate(conn *net.TCPConn, buffer []byte, now time.Time) bool {
 	arrived := peekArrived(conn, buffer)
 	head := r.handovers.parseArrived(arrived, now)
-	return r.handovers.shouldRefuse(now, head.customer) && r.refuse(conn, head, buffer, len(arrived) > 0)
+	return r.handovers.shouldRefuse(now, &head) && r.refuse(conn, head, buffer, len(arrived) > 0)
 }
 
-// refuseSocket does the same for a connection on which data has arrived. It returns the connection unless the request was refused and the
-// connection is closed.
+// refuseSocket does the same for a connection on which data has arrived. It reports false if the connection is to be served.
 func (r *unreadRefuser) refuseSocket(accepted socket, arrived, buffer []byte, now time.Time) (refused bool, conn *net.TCPConn, err error) {
 	head := r.handovers.parseArrived(arrived, now)
-	mustRefuse := r.handovers.shouldRefuse(now, head.customer)
+	mustRefuse := r.handovers.shouldRefuse(now, &head)
 	if mustRefuse && head.bytes == int64(len(arrived)) {
 		r.handovers.recordRefused(&head)
 		accepted.answer(len(arrived), buffer, unreadRefusal(r.handovers.retryDelay(now, head.deadline)))
@@ -134,7 +133,7 @@
 	buffer := make([]byte, refusalBufferBytes)
 	head := r.handovers.parseArrived(peekArrived(conn, buffer), now)
 	switch {
-	case r.handovers.mayRefuse(now) && r.handovers.shouldRefuse(now, head.customer):
+	case r.handovers.mayRefuse(now) && r.handovers.shouldRefuse(now, &head):
 		r.sendRefusal(conn, head, buffer)
 		lingerClose(conn)
 	case !r.handovers.take(conn, now):
--- a/internal/overload/admission.go
+++ b/internal/overload/admission.go
@@ -36,7 +36,8 @@
 func (a *Admission) Begin(now time.Time, cost time.Duration) { a.budget.spend(now, cost) }
 
 // ShouldRefuse reports whether a new connection of a customer for which MayRefuse is true is to be refused unread. cost is the processor time that
-// this router needs for the connection otherwise.
-func (a *Admission) ShouldRefuse(now time.Time, customer string, cost time.Duration) bool {
-	return !a.budget.take(now, customer, cost)
+// this router needs for the connection otherwise. A customer above its share is refused as it would be after its request was read, which takes
+// most of the processor time.
+func (a *Admission) ShouldRefuse(now time.Time, customer string, standing Standing, cost time.Duration) bool {
+	return standing == AboveShare || !a.budget.take(now, customer, standing, cost)
 }
--- a/internal/overload/connbudget.go
+++ b/internal/overload/connbudget.go
@@ -1,6 +1,10 @@
 package overload
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 const (
 	// initialFraction, minFraction and maxFraction set the processor time per second that new connections may cost, as fractions of the router's
@@ -11,7 +15,8 @@
 	adaptPeriod = 50 * time.Millisecond
 	growth      = 1.05
 	decline     = 0.97
-	// evenFraction is the part of the budget that is divided evenly among customers. The rest goes to whoever comes first.
+	// evenFraction is the part of the budget that is divided evenly among the customers far below their shares, or among all if there are none.
+	// The rest goes to whoever comes first.
 	evenFraction = 0.75
 	// maxUnspent limits the credit that is not used, and maxOverdraft what may be spent beyond it, by the time in which it is earned.
 	maxUnspent   = 250 * time.Millisecond
@@ -23,7 +28,8 @@
 )
 
 // connBudget is the processor time that new connections may cost a router. It follows the lateness of the process, since the costs are estimates. A
-// part is divided evenly among customers while connections are refused, so that many connections of one of them leave room for the few of another.
+// part is divided evenly among customers while connections are refused, so that many connections of one of them leave room for the few of another,
+// and first among those that get far less than their share of the fleet.
 type connBudget struct {
 	// share is the part of a core that the router may use, rate the part of a core that is earned now.
 	share, rate float64
@@ -39,6 +45,7 @@
 // customerBudget is the part of a customer that has lately opened connections.
 type customerBudget struct {
 	credit      time.Duration
+	standing    Standing
 	activeUntil time.Time
 }
 
@@ -78,13 +85,13 @@
 
 // take reports whether there is credit for a connection of a customer that costs some processor time, and uses it. The credit may become
 // negative, since one connection may cost more than the whole budget of a small router.
-func (b *connBudget) take(now time.Time, customer string, cost time.Duration) bool {
+func (b *connBudget) take(now time.Time, customer string, standing Standing, cost time.Duration) bool {
 	own, found := b.customers[customer]
 	if !found {
 		own = new(customerBudget)
 		b.customers[customer] = own
 	}
-	own.activeUntil = now.Add(activePeriod)
+	own.activeUntil, own.standing = now.Add(activePeriod), standing
 	b.refill(now)
 	switch {
 	case own.credit > 0:
@@ -107,15 +114,16 @@
 	b.refilledAt = now
 	b.removeInactive(now)
 	earned := b.earnedIn(min(elapsed, maxUnspent))
+	entitled := b.entitled()
 	evenly := time.Duration(0)
-	if len(b.customers) > 0 {
+	if len(entitled) > 0 {
 		evenly = time.Duration(evenFraction * float64(earned))
 	}
 	limit := b.earnedIn(maxUnspent)
 	maxOwn := time.Duration(evenFraction * float64(limit))
 	b.shared += earned - evenly
-	for _, own := range b.customers {
-		own.credit += evenly / time.Duration(len(b.customers))
+	for _, own := range entitled {
+		own.credit += evenly / time.Duration(len(entitled))
 		unused := max(own.credit-maxOwn, 0)
 		own.credit -= unused
 		b.shared += unused
@@ -123,6 +131,16 @@
 	b.shared = min(b.shared, limit)
 }
 
+// entitled returns the active customers far below their shares, or all active ones if there are none.
+func (b *connBudget) entitled() []*customerBudget {
+	all := slices.Collect(maps.Values(b.customers))
+	below := slices.DeleteFunc(slices.Clone(all), func(own *customerBudget) bool { return own.standing != BelowShare })
+	if len(below) > 0 {
+		return below
+	}
+	return all
+}
+
 // earnedIn returns the processor time that is earned in a time.
 func (b *connBudget) earnedIn(elapsed time.Duration) time.Duration {
 	return time.Duration(b.rate * float64(elapsed))
--- a/internal/overload/starvation_test.go
+++ b/internal/overload/starvation_test.go
@@ -217,7 +217,7 @@
 	cost := r.handover.ConnCost(r.now)
 	if !r.admission.MayRefuse(r.now, r.now.Sub(arrivedAt)) {
 		r.admission.Begin(r.now, cost)
-	} else if r.admission.ShouldRefuse(r.now, customer, cost) {
+	} else if r.admission.ShouldRefuse(r.now, customer, overload.WithinShare, cost) {
 		r.returnAfter(customer, r.now, mayReturn)
 		return acceptSocketCost + refuseUnreadCost
 	}
--- a/internal/overload/zonemodel_test.go
+++ b/internal/overload/zonemodel_test.go
@@ -488,7 +488,7 @@
 		return false
 	}
 	r.handover.RecordStartDelay(r.zone.now, lateness)
-	return r.admission.ShouldRefuse(r.zone.now, conn.request.customer, cost)
+	return r.admission.ShouldRefuse(r.zone.now, conn.request.customer, overload.WithinShare, cost)
 }
 
 // refused tells the caller of a connection that its request was refused.
