Read the streams of handed over callers every 150 ms

Parts are now read 150 ms after the last one in place of 100, so a stream of two seconds has 13 in place of 19. Events come up to 50 ms later than before; the users' pages allow 250 ms. No new test: the delay is a constant, TestSlowStreamIsNotCut and the tests of handed over streams pass.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -22,7 +22,7 @@
 	maxBufferedBytes = 256 << 10
 	// handedOverReadPeriod is the time between reads of a stream whose caller another router has handed over. That router is short of processor
 	// time, and passes each part on.
-	handedOverReadPeriod = 100 * time.Millisecond
+	handedOverReadPeriod = 150 * time.Millisecond
 	// streamBufferBytes is the size of the buffer through which a stream is relayed.
 	streamBufferBytes = 4 << 10
 	// maxDiscardedBytes limits how much of an unused response body is read.
