Refuse the request on a socket for which no descriptor is left

A late router accepts sockets that the runtime does not know, and takes a second descriptor for those that it serves.

--- a/internal/gateway/acceptor.go
+++ b/internal/gateway/acceptor.go
@@ -112,7 +112,7 @@
 	if arrived := accepted.peek(a.received[:]); len(arrived) > 0 {
 		return a.refuser.refuseSocket(accepted, arrived, a.received[:], now)
 	}
-	if conn, err = accepted.tcpConn(); err != nil {
+	if conn, err = accepted.tcpConn(func() {}); err != nil {
 		return false, nil, err
 	}
 	return a.refuse(conn, now), conn, nil
--- a/internal/gateway/socket.go
+++ b/internal/gateway/socket.go
@@ -42,25 +42,29 @@
 	return buffer[:n]
 }
 
-// answer consumes a request of the given size, which has arrived completely, sends an answer to it and closes the connection. The buffer is used
-// until it returns.
+// answer consumes what has arrived of a request, of the given size, and sends an answer to it. The buffer is used until it returns.
 func (s socket) answer(size int, buffer []byte, answer string) {
 	_, _, _ = unix.Recvfrom(int(s), buffer[:size], unix.MSG_DONTWAIT) // Unread bytes would reset the connection.
 	_ = unix.Send(int(s), []byte(answer), unix.MSG_NOSIGNAL)          // A caller that has left gets no answer.
-	_ = unix.Close(int(s))
 }
 
-// tcpConn returns the connection, which then belongs to the runtime.
-func (s socket) tcpConn() (*net.TCPConn, error) {
+// close closes the connection.
+func (s socket) close() { _ = unix.Close(int(s)) }
+
+// tcpConn returns the connection, which then belongs to the runtime. If that fails, because no descriptor is free, it calls onFailure and closes
+// the connection.
+func (s socket) tcpConn(onFailure func()) (*net.TCPConn, error) {
 	file := os.NewFile(uintptr(s), "")
 	defer func() { _ = file.Close() }() // The connection has a descriptor of its own.
 	conn, err := net.FileConn(file)
 	if err != nil {
+		onFailure()
 		return nil, err
 	}
 	tcpConn, ok := conn.(*net.TCPConn)
 	if !ok {
-		_ = conn.Close() // Only connections of TCP listeners are accepted.
+		onFailure()
+		_ = conn.Close() // Only connections of TCP listeners are expected.
 		return nil, errNotTCP
 	}
 	_ = tcpConn.SetKeepAlive(false) // Connections that the runtime accepts have none either.
--- a/internal/gateway/socket_test.go
+++ b/internal/gateway/socket_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -59,3 +60,24 @@
 	go func() { _, _ = listener.Accept() }()
 	running.Wait()
 }
+
+// TestConnectionWithoutDescriptorGetsRefusal guards against a request that gets no byte, because the process has no descriptor left to serve its
+// connection. A connection that is none of TCP takes the same way.
+func TestConnectionWithoutDescriptorGetsRefusal(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "socket")
+	unixListener, err := net.Listen("unix", path)
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = unixListener.Close() }()
+	instance := gateway.New(gateway.Settings{MaxOpenFiles: 1000}, gateway.Adapters{Codec: codec{}}, zerolog.Nop(), func() uint64 { return 0 })
+	conn, err := net.Dial("unix", path)
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	qt.Assert(t, conn.SetDeadline(time.Now().Add(handoverTimeout)), qt.IsNil)
+	_, err = io.WriteString(conn, simpleRequest)
+	qt.Assert(t, err, qt.IsNil)
+	listener := gateway.NewReservingListener(instance, unixListener, time.Second, "127.0.0.1:1")
+	go func() { _, _ = listener.Accept() }()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+}
--- a/internal/gateway/unreadrefusal.go
+++ b/internal/gateway/unreadrefusal.go
@@ -56,9 +56,11 @@
 	if mustRefuse && head.bytes == int64(len(arrived)) {
 		r.handovers.recordRefused(&head)
 		accepted.answer(len(arrived), buffer, unreadRefusal(r.handovers.retryDelay(now, head.deadline)))
+		accepted.close()
 		return true, nil, nil
 	}
-	if conn, err = accepted.tcpConn(); err != nil {
+	refuse := func() { accepted.answer(len(arrived), buffer, unreadRefusal(retryAfter)) }
+	if conn, err = accepted.tcpConn(refuse); err != nil {
 		return false, nil, err
 	}
 	return mustRefuse && r.refuse(conn, head, buffer, true), conn, nil
