Answer a request after a panic of its handler

It gets a 500 now that says that it may have run, unless the head of a response was sent; the dispatcher forgets it. TestRequestIsAnsweredAfterPanic saw EOF before. The shutdown of internal/router still ends requests without a byte.

--- a/internal/gateway/callerconns_export_test.go
+++ b/internal/gateway/callerconns_export_test.go
@@ -129,3 +129,6 @@
 
 // RequestSince returns the time from which the caller of a request may have waited.
 func RequestSince(r *http.Request) time.Time { return requestSince(r.Context(), time.Now()) }
+
+// Handler returns the handler of callers' requests.
+func Handler(g *Gateway) http.Handler { return http.HandlerFunc(g.serve) }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -69,6 +69,9 @@
 	events eventBoundary
 	// failedResponse is a server error of a target, which is relayed if no other target responds.
 	failedResponse *bufferedResponse
+	// pending is the last decision that was asked for, zero before the first one. headSent is set before the head of a response is sent to the caller.
+	pending  pendingDecision
+	headSent bool
 	// responseStarted reports whether a part of the response has been sent to the caller.
 	responseStarted bool
 	// brokenOff reports whether the response was ended before it was complete, although the caller was there.
@@ -126,9 +129,9 @@
 		return
 	}
 	request := x.dispatchRequest()
-	pending := x.gateway.scheduler.submit(request)
+	x.pending = x.gateway.scheduler.submit(request)
 	for {
-		decision, ok := x.awaitDecision(ctx, pending)
+		decision, ok := x.awaitDecision(ctx, x.pending)
 		if !ok {
 			x.abortDisconnected()
 			return
@@ -150,7 +153,7 @@
 			request.Build = decision.Target.Build
 		}
 		request.ExcludedTargets = append(slices.Clone(request.ExcludedTargets), decision.Target.Name)
-		pending = x.gateway.scheduler.resubmit(pending.id, request)
+		x.pending = x.gateway.scheduler.resubmit(x.pending.id, request)
 	}
 }
 
@@ -341,6 +344,12 @@
 	return other
 }
 
+// writeHead sends the head of the response to the caller.
+func (x *exchange) writeHead(status int) {
+	x.headSent = true
+	x.w.WriteHeader(status)
+}
+
 // finishAttempt reports the outcome of an attempt to the scheduler.
 func (x *exchange) finishAttempt(decision dispatch.Decision, outcome dispatch.Outcome) {
 	x.gateway.scheduler.finishAttempt(decision.ID, outcome)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/chicorydale/chicorydale/internal/metric"
 	"github.com/chicorydale/chicorydale/internal/overload"
 	"github.com/chicorydale/chicorydale/internal/quarantine"
+	"github.com/chicorydale/chicorydale/internal/refusal"
 	"github.com/chicorydale/chicorydale/internal/registry"
 	"github.com/chicorydale/chicorydale/internal/topiclog"
 )
@@ -342,8 +343,8 @@
 	x.serve()
 }
 
-// recoverPanic logs a panic of the request handler, except http.ErrAbortHandler, and panics with http.ErrAbortHandler so
-// that the server closes the connection. It must be deferred.
+// recoverPanic logs a panic of the request handler, except http.ErrAbortHandler, and refuses the request if nothing was answered yet. Otherwise it panics
+// with http.ErrAbortHandler so that the server closes the connection. It must be deferred.
 func (x *exchange) recoverPanic() {
 	value := recover()
 	if value == nil {
@@ -351,6 +352,11 @@
 	}
 	if err, ok := value.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
 		event.Panicked.Log(x.gateway.logger, fmt.Sprint(value), stackTrace())
+		x.gateway.scheduler.cancel(x.pending)
+		if !x.headSent {
+			x.refuse(refusal.New(refusal.Internal, "an unexpected error of the router").WithExecutionUnknown())
+			return
+		}
 	}
 	if !x.r.ProtoAtLeast(1, 1) {
 		// HTTP/1.0 has no chunks, so the response of a closed connection would look complete.
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -59,7 +59,7 @@
 		event.Panicked.Log(x.gateway.logger, err, "")
 	}
 	header.Set("Content-Length", strconv.Itoa(len(body)))
-	x.w.WriteHeader(status)
+	x.writeHead(status)
 	if _, err := x.w.Write(body); err != nil {
 		event.CallerLeft.Log(x.gateway.logger, x.info.ID, x.stats.targetName, time.Since(x.arrivedAt).Milliseconds())
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -219,7 +219,7 @@
 		x.abortDisconnected()
 		return
 	}
-	x.w.WriteHeader(response.status)
+	x.writeHead(response.status)
 	written, err := x.w.Write(response.body)
 	x.stats.bodyBytes += int64(written)
 	x.stats.status = response.status
@@ -388,7 +388,7 @@
 	if x.controller.SetWriteDeadline(x.deadline) != nil {
 		return false
 	}
-	x.w.WriteHeader(response.StatusCode)
+	x.writeHead(response.StatusCode)
 	return true
 }
 
