Log how long requests wait in the kernel until their connections are accepted

Line 116 has queued_ms, the longest such wait since the last line. The connection of a caller knows the hand-overs in place of a callback.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -35,7 +35,7 @@
 
 	HostLate = Event{116, levelWarn, "host_late", []string{
 		"without_peer", "at_limit", "unconfirmed", "after_failure", "open", "peers_spare_ms", "refused",
-		"answered_by_peer", "answered_here", "broken_off",
+		"answered_by_peer", "answered_here", "broken_off", "queued_ms",
 	}}
 	CustomerUnread = Event{117, levelInfo, "customer_unread", []string{
 		"service", "customer", "refused", "tokens", "usage", "demand", "fair_share",
--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -21,8 +21,8 @@
 	cuts        *cutLog
 	acceptedAt  time.Time
 	readStarted bool
-	// started is called when the process begins to handle the connection.
-	started func(acceptedAt time.Time)
+	// handovers is told when the process begins to handle the connection, and how long its request has waited to be accepted.
+	handovers *handovers
 	// handedOver is set if another router has handed the connection over.
 	handedOver bool
 
@@ -48,7 +48,7 @@
 func (c *callerConn) Read(p []byte) (int, error) {
 	if !c.readStarted {
 		c.readStarted = true
-		c.started(c.acceptedAt)
+		c.handovers.connStarted(c.acceptedAt)
 		if c.handedOver {
 			if err := confirmHandover(c.TCPConn); err != nil {
 				return 0, err
@@ -82,7 +82,7 @@
 	}
 	since := time.Now()
 	if early {
-		since = requestArrival(c.TCPConn, c.acceptedAt)
+		since = c.handovers.requestArrival(c.TCPConn, c.acceptedAt)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -134,7 +134,7 @@
 	defer p.handovers.buffers.Put(buffer)
 	since := time.Time{}
 	if hasData(p.caller) {
-		since = requestArrival(p.caller, p.acceptedAt)
+		since = p.handovers.requestArrival(p.caller, p.acceptedAt)
 	}
 	for {
 		n, _, err := latedata.Read(p.caller, *buffer)
--- a/internal/gateway/handovercounts.go
+++ b/internal/gateway/handovercounts.go
@@ -1,6 +1,9 @@
 package gateway
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+	"time"
+)
 
 // handoverCounts counts new connections by what happened to them, since the counts were last logged. It is safe for concurrent use.
 type handoverCounts struct {
@@ -15,4 +18,15 @@
 	// answeredByPeer, answeredByRouter and brokenOff are the numbers of handed over requests that the peer has answered, that this router has
 	// answered in its place, and whose answers the peer has broken off.
 	answeredByPeer, answeredByRouter, brokenOff atomic.Int64
+	// longestQueued is the longest time, in nanoseconds, that a request has waited in the kernel until its connection was accepted.
+	longestQueued atomic.Int64
+}
+
+// recordQueued records how long a request has waited in the kernel until its connection was accepted.
+func (c *handoverCounts) recordQueued(waited time.Duration) {
+	for longest := c.longestQueued.Load(); int64(waited) > longest; longest = c.longestQueued.Load() {
+		if c.longestQueued.CompareAndSwap(longest, int64(waited)) {
+			return
+		}
+	}
 }
--- a/internal/gateway/handovers.go
+++ b/internal/gateway/handovers.go
@@ -213,6 +213,13 @@
 	return h.admission.ShouldRefuse(now, head.customer, standing, h.policy.ConnCost(now))
 }
 
+// requestArrival returns when the data that waits on a new connection has arrived, and records how long it waited to be accepted.
+func (h *handovers) requestArrival(conn *net.TCPConn, acceptedAt time.Time) time.Time {
+	arrivedAt := requestArrival(conn, acceptedAt)
+	h.counts.recordQueued(acceptedAt.Sub(arrivedAt))
+	return arrivedAt
+}
+
 // parseArrived returns what the first bytes of a connection tell, which a peer may have handed over.
 func (h *handovers) parseArrived(arrived []byte, now time.Time) requestHead {
 	request, waited := splitWait(arrived)
--- a/internal/gateway/processstate.go
+++ b/internal/gateway/processstate.go
@@ -55,12 +55,14 @@
 	refused, withoutPeer, atLimit := counts.refused.Swap(0), counts.keptWithoutPeer.Swap(0), counts.keptAtLimit.Swap(0)
 	unconfirmed, afterFailure := counts.keptUnconfirmed.Swap(0), counts.keptAfterFailure.Swap(0)
 	byPeer, byRouter, brokenOff := counts.answeredByPeer.Swap(0), counts.answeredByRouter.Swap(0), counts.brokenOff.Swap(0)
+	queued := time.Duration(counts.longestQueued.Swap(0))
 	if refused+withoutPeer+atLimit+unconfirmed+afterFailure+byRouter+brokenOff == 0 {
 		return
 	}
 	g.metrics.CountRefusals(refusal.Overloaded, refused)
 	open, spare := g.handovers.state(now)
-	event.HostLate.Log(g.logger, withoutPeer, atLimit, unconfirmed, afterFailure, open, spare.Milliseconds(), refused, byPeer, byRouter, brokenOff)
+	event.HostLate.Log(g.logger, withoutPeer, atLimit, unconfirmed, afterFailure, open, spare.Milliseconds(), refused, byPeer, byRouter, brokenOff,
+		queued.Milliseconds())
 }
 
 // logUnread logs what was refused unread since the last call, by customer, beside what the fleet knows of the customer.
