Count the time for which a late process leaves a request unread

A request counts now as having waited as long as the process takes to read what arrives (the pipe's delay, which is measured on the same path), but not from before its connection was accepted or its predecessor answered. The handed over connections do the same.

TestTimeUntilLateReadCounts saw no wait before (0 of 0.3 s) and passes now; the other tests of the package pass. Weighed: a request that arrives just before the read counts as older than it is, by the lateness of a late router at most.

--- a/internal/gateway/acceptor.go
+++ b/internal/gateway/acceptor.go
@@ -148,7 +148,7 @@
 func (a *acceptor) newCallerConn(conn *net.TCPConn, acceptedAt time.Time) net.Conn {
 	a.handovers.connAccepted(a.handedOver)
 	return &callerConn{
-		TCPConn: conn, shedder: a.shedder, cuts: a.cuts, acceptedAt: acceptedAt, handovers: a.handovers, handedOver: a.handedOver,
+		TCPConn: conn, shedder: a.shedder, cuts: a.cuts, acceptedAt: acceptedAt, awaitedSince: acceptedAt, handovers: a.handovers, handedOver: a.handedOver,
 	}
 }
 
--- a/internal/gateway/arrival_test.go
+++ b/internal/gateway/arrival_test.go
@@ -60,3 +60,24 @@
 	got := time.Duration(binary.BigEndian.Uint32(preamble[1:])) * time.Millisecond
 	qt.Check(t, got >= queueTime*9/10 && got < handoverTimeout, qt.IsTrue, qt.Commentf("%v", got))
 }
+
+// TestTimeUntilLateReadCounts guards against the same if the request arrives after the accept: a late process reads it as late as its other data.
+func TestTimeUntilLateReadCounts(t *testing.T) {
+	listener := listen(t)
+	gw := gateway.New(gateway.Settings{MaxOpenFiles: 100}, gateway.Adapters{Codec: codec{}}, zerolog.Nop(), func() uint64 { return 0 })
+	gateway.SetLateness(gw, queueTime)
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = caller.Close() }()
+	qt.Assert(t, caller.SetDeadline(time.Now().Add(handoverTimeout)), qt.IsNil)
+	waited := make(chan time.Duration, 1)
+	server := gateway.ServeCallers(gw, listener, func(http.ConnState, bool) {}, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		waited <- time.Since(gateway.RequestSince(r))
+	}))
+	defer func() { _ = server.Close() }()
+	time.Sleep(2 * queueTime)
+	_, err = io.WriteString(caller, simpleRequest)
+	qt.Assert(t, err, qt.IsNil)
+	got := <-waited
+	qt.Check(t, got >= queueTime && got < 2*queueTime, qt.IsTrue, qt.Commentf("%v", got))
+}
--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -31,7 +31,9 @@
 	// set from the first byte of its answer on.
 	received      int
 	receivedSince time.Time
-	answered      bool
+	// awaitedSince is the time from which the current request could have arrived.
+	awaitedSince time.Time
+	answered     bool
 	// sentBefore is set if the first request was there before this process read the connection. waitingSince is then the time from which its
 	// caller may have waited.
 	sentBefore   bool
@@ -80,7 +82,7 @@
 	if !early && waited == 0 {
 		return nil // The caller may open a connection long before it sends a request.
 	}
-	since := time.Now()
+	since := c.handovers.readSince(c.acceptedAt)
 	if early {
 		since = c.handovers.requestArrival(c.TCPConn, c.acceptedAt)
 	}
@@ -108,7 +110,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 && c.received == 0 {
-		c.receivedSince = time.Now()
+		c.receivedSince = c.handovers.readSince(c.awaitedSince)
 	}
 	c.received += n
 	if n > 0 && !c.endingSince.IsZero() {
@@ -130,7 +132,7 @@
 func (c *callerConn) awaitRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.received, c.answered, c.sentBefore = 0, false, false
+	c.received, c.answered, c.sentBefore, c.awaitedSince = 0, false, false, time.Now()
 }
 
 // endRepeatInterval is the minimum time between attempts to end a connection.
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -139,6 +139,9 @@
 	for {
 		n, _, err := latedata.Read(p.caller, *buffer)
 		if n > 0 {
+			if since.IsZero() {
+				since = p.handovers.readSince(p.acceptedAt)
+			}
 			err = errors.Join(err, p.passPart(target, (*buffer)[:n], since))
 		}
 		switch {
--- a/internal/gateway/handover_export_test.go
+++ b/internal/gateway/handover_export_test.go
@@ -134,6 +134,9 @@
 	return g.newAcceptor(listener, handedOver)
 }
 
+// SetLateness makes the process of a gateway handle data late.
+func SetLateness(g *Gateway, lateness time.Duration) { g.peers.probe.last = lateness }
+
 // EndUnusedConns returns the number of open connections of a gateway, and ends those without a request if it drains.
 func EndUnusedConns(g *Gateway, drains bool) int {
 	if drains {
--- a/internal/gateway/handovers.go
+++ b/internal/gateway/handovers.go
@@ -213,13 +213,23 @@
 	return h.admission.ShouldRefuse(now, head.customer, standing, h.policy.ConnCost(now))
 }
 
-// requestArrival returns when the data that waits on a new connection has arrived, and records how long it waited to be accepted.
+// requestArrival returns when the data that waits on a new connection has arrived, and records how long it waited to be accepted: at least as long
+// as this process takes to read what arrives.
 func (h *handovers) requestArrival(conn *net.TCPConn, acceptedAt time.Time) time.Time {
-	arrivedAt := requestArrival(conn, acceptedAt)
+	arrivedAt := earlier(requestArrival(conn, acceptedAt), acceptedAt.Add(-h.probe.delay(time.Now())))
 	h.counts.recordQueued(acceptedAt.Sub(arrivedAt))
 	return arrivedAt
 }
 
+// readSince returns when data that was just read may have arrived, after it was awaited since a time: a late process reads it late.
+func (h *handovers) readSince(awaitedSince time.Time) time.Time {
+	now := time.Now()
+	if arrivedAt := now.Add(-h.probe.delay(now)); arrivedAt.After(awaitedSince) {
+		return arrivedAt
+	}
+	return awaitedSince
+}
+
 // parseArrived returns what the first bytes of a connection tell, which a peer may have handed over.
 func (h *handovers) parseArrived(arrived []byte, now time.Time) requestHead {
 	request, waited := splitWait(arrived)
