Close the connections of a test target as its answers say

The test was wrong: its target closes each connection after an answer that promises to keep it, so a request that is sent before the close is seen meets a reset, and the client rightly reports that the outcome is unknown. With a pause of 5 ms before the close it failed each time. The target announces the close now, so that each request has a connection of its own, which is what the test counts; the number of questions that it allows is the same. It passed with that pause, and 20 times with the race detector. No change of the product.

--- a/internal/forward/start_test.go
+++ b/internal/forward/start_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -99,7 +100,8 @@
 			writeRaw(conn, startText(7))
 			return true
 		}
-		writeRaw(conn, responseText(id, "answer to "+id))
+		// Without this header, the client may send the next request before it sees that the connection is closed.
+		writeRaw(conn, strings.Replace(responseText(id, "answer to "+id), "\r\n", "\r\nConnection: close\r\n", 1))
 		return false
 	})
 	client := forward.NewClient(codec{})
