--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -39,10 +39,12 @@
 	down    bool
 	// appendedAt holds the time at which the store accepted each record of a topic.
 	appendedAt map[string][]time.Time
+	// readAt holds the time of the last read of each topic.
+	readAt map[string]time.Time
 }
 
 func newStore() *store {
-	return &store{changed: make(chan struct{}), topics: map[string][]record{}, appendedAt: map[string][]time.Time{}}
+	return &store{changed: make(chan struct{}), topics: map[string][]record{}, appendedAt: map[string][]time.Time{}, readAt: map[string]time.Time{}}
 }
 
 // start serves the store on a free port of an address and returns where.
@@ -108,6 +110,20 @@
 	s.changed = make(chan struct{})
 }
 
+// awaitRead waits until a topic is read next, for two seconds at most.
+func (s *store) awaitRead(topic string) {
+	began := time.Now()
+	for time.Since(began) < 2*time.Second {
+		s.mu.Lock()
+		readAt := s.readAt[topic]
+		s.mu.Unlock()
+		if readAt.After(began) {
+			return
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
 func (s *store) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -161,6 +177,9 @@
 	from, _ := strconv.Atoi(r.URL.Query().Get("from"))
 	waitMS, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	deadline := time.After(time.Duration(min(waitMS, 30000)) * time.Millisecond)
+	s.mu.Lock()
+	s.readAt[topic] = time.Now()
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
 		all, changed, era := s.topics[topic], s.changed, s.era
