--- a/review/standin-2/inplace.go
+++ b/review/standin-2/inplace.go
@@ -49,23 +49,9 @@
 		if err := added.start("127.0.0.1", "v1"); err != nil {
 			return nil, err
 		}
-		added.checkIn(env.store)
 		replicas = append(replicas, added)
 	}
-	ended := make(chan struct{})
-	defer close(ended)
-	go func() {
-		for {
-			select {
-			case <-ended:
-				return
-			case <-time.After(1200 * time.Millisecond):
-				for _, p := range replicas {
-					p.checkIn(env.store)
-				}
-			}
-		}
-	}()
+	defer keepStreamsRegistered(env.store, replicas)()
 	env.store.putJSON("keyed.op", "config", streamConfig(1))
 	var fronts []string
 	for i := range 2 {
--- a/review/standin-2/stream.go
+++ b/review/standin-2/stream.go
@@ -18,6 +18,9 @@
 	id, service, zone string
 	slots, events     int
 	pause             time.Duration
+	// slowEvent, if not zero, is an event that takes slowPause to make, wherever the stream goes on.
+	slowEvent int
+	slowPause time.Duration
 
 	mu       sync.Mutex
 	address  string
@@ -118,7 +121,15 @@
 			next = last + 1
 		}
 		controller := http.NewResponseController(w)
+		_ = controller.Flush()
 		for ; next <= p.events; next++ {
+			if next == p.slowEvent {
+				select {
+				case <-r.Context().Done():
+					return
+				case <-time.After(p.slowPause):
+				}
+			}
 			fmt.Fprintf(w, "id: %d\ndata: %s %d of %d\n\n", next, version, next, p.events)
 			if controller.Flush() != nil {
 				return
@@ -141,6 +152,8 @@
 	events   int
 	complete bool
 	sentAt   time.Time
+	// firstEnd is when the first try ended.
+	firstEnd time.Time
 }
 
 // readStream begins a stream at one of the routers and takes it up at the next one while it is broken off, twice at most.
@@ -164,6 +177,9 @@
 		before := s.events
 		outcome, wait := s.try(fronts[try%len(fronts)], header, total, deadline)
 		s.tries = append(s.tries, outcome)
+		if try == 0 {
+			s.firstEnd = time.Now()
+		}
 		if s.events > before && first == "" {
 			first = attempt
 		}
