--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -37,6 +37,8 @@
 	topics  map[string][]record
 	era     int
 	down    bool
+	// delay is how much later than usual the store answers.
+	delay time.Duration
 	// appendedAt holds the time at which the store accepted each record of a topic.
 	appendedAt map[string][]time.Time
 	// readAt holds the time of the last read of each topic.
@@ -124,6 +126,21 @@
 	}
 }
 
+// setDelay makes all answers from now on later by a time.
+func (s *store) setDelay(delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = delay
+}
+
+// awaitDelay waits as long as an answer is late.
+func (s *store) awaitDelay() {
+	s.mu.Lock()
+	delay := s.delay
+	s.mu.Unlock()
+	time.Sleep(delay)
+}
+
 func (s *store) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -166,6 +183,7 @@
 		writeJSON(w, map[string]int{"end_offset": offset})
 		return
 	}
+	s.awaitDelay()
 	writeJSON(w, map[string]int{"offset": offset, "end_offset": offset + len(records)})
 }
 
@@ -206,6 +224,7 @@
 			page = binary.BigEndian.AppendUint32(page, uint32(len(each.raw)))
 			page = append(page, each.raw...)
 		}
+		s.awaitDelay()
 		_, _ = w.Write(page)
 		return
 	}
@@ -235,6 +254,7 @@
 	for _, each := range newest {
 		items = append(items, each)
 	}
+	s.awaitDelay()
 	writeJSON(w, map[string]any{"items": items, "more_pages": false, "end_offset": len(all)})
 }
 
--- a/review/standin-2/stream.go
+++ b/review/standin-2/stream.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -143,6 +144,25 @@
 	}
 }
 
+// patience is how clients of streams retry.
+type patience struct {
+	deadline time.Duration
+	// tries is the number of tries in all. A client waits for backoff, or longer if Retry-After says so, before each further one.
+	tries   int
+	backoff time.Duration
+}
+
+// backoffSpread is the largest part by which a client waits longer than its backoff, so that clients don't come back at the same moment.
+const backoffSpread = 0.2
+
+// streamTry is one try of a client.
+type streamTry struct {
+	sentAt, endedAt time.Time
+	front, outcome  string
+	// takesUp is set if the client had a part of the stream before, wentOn if it got events in this try.
+	takesUp, wentOn bool
+}
+
 // clientStream is what a client got of one stream, over all its tries.
 type clientStream struct {
 	id       string
@@ -154,14 +174,21 @@
 	sentAt   time.Time
 	// firstEnd is when the first try ended.
 	firstEnd time.Time
+	// all holds the tries in order.
+	all []streamTry
 }
 
 // readStream begins a stream at one of the routers and takes it up at the next one while it is broken off, twice at most.
-func readStream(id string, fronts []string, total int, patience time.Duration) *clientStream {
+func readStream(id string, fronts []string, total int, deadline time.Duration) *clientStream {
+	return readStreamPatiently(id, fronts, total, patience{deadline: deadline, tries: 3})
+}
+
+// readStreamPatiently begins a stream at one of the routers and takes it up at the next one while it is broken off.
+func readStreamPatiently(id string, fronts []string, total int, how patience) *clientStream {
 	s := &clientStream{id: id, sentAt: time.Now()}
-	deadline := s.sentAt.Add(patience)
+	deadline := s.sentAt.Add(how.deadline)
 	first := ""
-	for try := 0; try < 3 && time.Now().Before(deadline) && !s.complete; try++ {
+	for try := 0; try < how.tries && time.Now().Before(deadline) && !s.complete; try++ {
 		attempt := fmt.Sprintf("%s-%d", id, try)
 		header := [][2]string{
 			{"X-Attempt-Id", attempt},
@@ -174,9 +201,10 @@
 		if s.lastID != "" {
 			header = append(header, [2]string{"Last-Event-Id", s.lastID}, [2]string{"Resumes", first})
 		}
-		before := s.events
+		before, sentAt, takesUp := s.events, time.Now(), s.lastID != ""
 		outcome, wait := s.try(fronts[try%len(fronts)], header, total, deadline)
 		s.tries = append(s.tries, outcome)
+		s.all = append(s.all, streamTry{sentAt, time.Now(), fronts[try%len(fronts)], outcome, takesUp, s.events > before})
 		if try == 0 {
 			s.firstEnd = time.Now()
 		}
@@ -186,7 +214,8 @@
 		if wait < 0 {
 			return s
 		}
-		time.Sleep(min(wait, time.Until(deadline)/3))
+		backoff := how.backoff + time.Duration(rand.Float64()*backoffSpread*float64(how.backoff))
+		time.Sleep(max(min(wait, time.Until(deadline)/3), backoff))
 	}
 	return s
 }
