--- a/internal/emulator/targetserver/server.go
+++ b/internal/emulator/targetserver/server.go
@@ -58,6 +58,9 @@
 	// Dripping runs requests and sends streams that stop inside their third event, of which one more byte comes every 100 ms until the caller
 	// closes the connection.
 	Dripping
+	// AtDeadline runs requests until their deadline and sends signed responses then: streams and the responses to safe requests with status 200,
+	// others with status 504. It is the time at which a target stops its work.
+	AtDeadline
 )
 
 // Run records one run of a request.
@@ -358,6 +361,9 @@
 	case EndlessEvent:
 		s.sendEndlessEvent(w)
 		return
+	case AtDeadline:
+		s.respondAtDeadline(w, r)
+		return
 	case Normal, Refusing, Truncating, RestartingStreams, Dripping:
 	}
 	w.Header().Set("X-Replica-Seal", "seal")
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -131,7 +131,7 @@
 	CustomerState = Event{612, levelInfo, "customer_state", []string{
 		"service", "customer", "asked", "started", "refused", "usage", "demand", "share",
 	}}
-	RequestCut = Event{613, levelWarn, "request_cut", []string{"bytes", "took_ms", "error"}}
+	RequestCut = Event{613, levelWarn, "request_cut", []string{"bytes", "took_ms", "error", "id", "partial", "write_error"}}
 )
 
 // Events of at-most-once claims.
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -33,6 +33,9 @@
 		return refusalErr
 	}
 	x.deadline = requestDeadline(matched, info, x.arrivedAt)
+	if conn := callerConnOf(x.r.Context()); conn != nil {
+		conn.requestParsed(info.ID, callerDeadline(info, x.deadline))
+	}
 	if refusalErr := x.readBody(table.Limits().MaxBodyBytes); refusalErr != nil {
 		return refusalErr
 	}
@@ -49,6 +52,14 @@
 	return earlier(info.Deadline, arrivedAt.Add(matched.Timeout))
 }
 
+// callerDeadline returns the time until which the caller of a request waits, given the deadline of the request: that of its route may be earlier.
+func callerDeadline(info RequestInfo, deadline time.Time) time.Time {
+	if info.Deadline.IsZero() {
+		return deadline
+	}
+	return info.Deadline
+}
+
 // affinityKey returns the key by which all requests of a session go to the same service: the last shared part of the
 // prompt, which belongs to the session, or the ID of the request.
 func affinityKey(info *RequestInfo) uint64 {
--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -28,9 +28,14 @@
 
 	mu sync.Mutex
 	// received is the number of bytes of the current request that were read, receivedSince the time of the first ones. answered is
-	// set from the first byte of its answer on.
+	// set from the first byte of its answer on, writeErr is the first error of a write of that answer.
 	received      int
 	receivedSince time.Time
+	writeErr      error
+	// requestID is the ID of the current request, awaitedUntil the time until which its caller waits for the answer. Both are zero until its head
+	// was parsed.
+	requestID    string
+	awaitedUntil time.Time
 	// awaitedSince is the time from which the current request could have arrived.
 	awaitedSince time.Time
 	answered     bool
@@ -120,12 +125,50 @@
 	c.readErr = err
 }
 
-// Write writes a part of an answer.
+// minWriteTime is how long a write waits at least for a caller that does not read.
+const minWriteTime = time.Second
+
+// Write writes a part of an answer. It waits for a caller that does not read until that leaves, and for minWriteTime at least: an answer that is
+// ready at the deadline of its request, or late, is sent nevertheless.
 func (c *callerConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(c.writeDeadline(time.Now())); err != nil {
+		return 0, err
+	}
+	n, err := c.TCPConn.Write(p)
+	c.recordWrite(n, err)
+	return n, err
+}
+
+// ReadFrom writes what it reads from a source. It hides the method of the TCP connection, which would not extend the deadline.
+func (c *callerConn) ReadFrom(source io.Reader) (int64, error) {
+	return io.Copy(struct{ io.Writer }{c}, source)
+}
+
+// writeDeadline returns the deadline of a write that begins now.
+func (c *callerConn) writeDeadline(now time.Time) time.Time {
 	c.mu.Lock()
-	c.answered = true
-	c.mu.Unlock()
-	return c.TCPConn.Write(p)
+	defer c.mu.Unlock()
+	if shortest := now.Add(minWriteTime); c.awaitedUntil.Before(shortest) {
+		return shortest
+	}
+	return c.awaitedUntil
+}
+
+// recordWrite records the outcome of a write.
+func (c *callerConn) recordWrite(n int, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answered = c.answered || n > 0
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
+}
+
+// requestParsed records the ID of the current request, and the time until which its caller waits for the answer.
+func (c *callerConn) requestParsed(id string, awaitedUntil time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requestID, c.awaitedUntil = id, awaitedUntil
 }
 
 // awaitRequest records that the last request has ended.
@@ -133,6 +176,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.received, c.answered, c.sentBefore, c.awaitedSince = 0, false, false, time.Now()
+	c.writeErr, c.requestID, c.awaitedUntil = nil, "", time.Time{}
 }
 
 // endRepeatInterval is the minimum time between attempts to end a connection.
@@ -150,14 +194,14 @@
 	}
 }
 
-// Close closes the connection. It logs if the caller waits for the answer to a request.
+// Close closes the connection. It logs if the caller waits for the answer to a request, or has got a part of one.
 func (c *callerConn) Close() error {
 	c.logCut()
 	return c.TCPConn.Close()
 }
 
-// logCut logs that the connection is closed after bytes of a request have arrived, read or not, and before any of its answer, unless the caller
-// has left.
+// logCut logs that the connection is closed after bytes of a request have arrived, read or not, and before any of its answer, or after a part of
+// the answer could not be written, unless the caller has left.
 func (c *callerConn) logCut() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -172,8 +216,14 @@
 		}
 		since = c.acceptedAt
 	}
-	if !c.answered && !isDisconnect(c.readErr) && !isDisconnected(c.TCPConn) {
-		c.cuts.log(time.Now(), since, c.received, c.readErr)
+	isAnswered := c.answered && c.writeErr == nil
+	hasLeft := isDisconnect(c.readErr) || c.writeErr != nil && !isTimeout(c.writeErr)
+	if isAnswered || hasLeft || isDisconnected(c.TCPConn) {
+		return
+	}
+	now := time.Now()
+	if c.cuts.allowLine(now) {
+		event.RequestCut.Log(c.cuts.logger, c.received, now.Sub(since).Milliseconds(), c.readErr, c.requestID, c.answered, c.writeErr)
 	}
 }
 
@@ -195,14 +245,13 @@
 	linesInSecond int
 }
 
-// log logs a connection on which a number of bytes has arrived since the given time, unless there were too many in this second.
-func (l *cutLog) log(now, since time.Time, bytes int, readErr error) {
+// allowLine reports whether a connection that is closed now may have a line, since there were not too many in this second.
+func (l *cutLog) allowLine(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if unixSecond := now.Unix(); unixSecond != l.currentSecond {
 		l.currentSecond, l.linesInSecond = unixSecond, 0
 	}
-	if l.linesInSecond++; l.linesInSecond <= maxCutLinesPerSecond {
-		event.RequestCut.Log(l.logger, bytes, now.Sub(since).Milliseconds(), readErr)
-	}
+	l.linesInSecond++
+	return l.linesInSecond <= maxCutLinesPerSecond
 }
--- a/internal/gateway/disconnect.go
+++ b/internal/gateway/disconnect.go
@@ -15,17 +15,23 @@
 	return context.WithValue(ctx, connContextKey{}, conn)
 }
 
+// callerConnOf returns the caller's connection of a request, given the request's context, and nil if it is not known.
+func callerConnOf(ctx context.Context) *callerConn {
+	conn, _ := ctx.Value(connContextKey{}).(*callerConn)
+	return conn
+}
+
 // wasHandedOver reports whether another router has handed over the connection of a request, given the request's context.
 func wasHandedOver(ctx context.Context) bool {
-	conn, ok := ctx.Value(connContextKey{}).(*callerConn)
-	return ok && conn.handedOver
+	conn := callerConnOf(ctx)
+	return conn != nil && conn.handedOver
 }
 
 // requestSince returns the time from which the caller of a request may have waited, given the request's context, and now if that is not
 // known.
 func requestSince(ctx context.Context, now time.Time) time.Time {
-	conn, ok := ctx.Value(connContextKey{}).(*callerConn)
-	if !ok {
+	conn := callerConnOf(ctx)
+	if conn == nil {
 		return now
 	}
 	return earlier(conn.requestStart(), now)
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -81,6 +81,15 @@
 	panic(http.ErrAbortHandler)
 }
 
+// abortUnwritten ends a request whose answer could not be written: the caller has left, or does not read. The connection logs the latter, also of
+// writes that fail after the request was handled.
+func (x *exchange) abortUnwritten(err error) {
+	if isTimeout(err) {
+		panic(http.ErrAbortHandler)
+	}
+	x.abortDisconnected()
+}
+
 // routeName returns the name of the route, or "" if no route was matched.
 func (x *exchange) routeName() string {
 	if x.route == nil {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -29,9 +29,6 @@
 	maxDiscardedBytes = 16 << 10
 )
 
-// errCallerGone says that the head of a response could not be sent to the caller.
-var errCallerGone = errors.New("the response could not be sent to the caller")
-
 // errResponseTooLarge says that a response body is larger than maxBufferedBytes.
 var errResponseTooLarge = errors.New("the response is too large to buffer")
 
@@ -114,17 +111,16 @@
 	if response.ContentLength >= 0 {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
 	}
-	if !x.startResponse(response) {
-		x.finishAttempt(decision, dispatch.Cancelled)
-		x.abortDisconnected()
-		return
-	}
+	x.startResponse(response)
 	source := &errorRecorder{Reader: io.MultiReader(bytes.NewReader(buffered), response)}
 	written, err := io.Copy(x.w, source)
 	x.stats.bodyBytes, x.stats.status = written, response.StatusCode
 	if err == nil {
 		source.err = x.checkAnswerEnd(decision, response)
 	}
+	if err == nil && source.err == nil {
+		err = x.controller.Flush()
+	}
 	switch {
 	case source.err != nil:
 		x.finishAttempt(decision, dispatch.Broken)
@@ -132,7 +128,7 @@
 		x.failRequest(refusal.New(refusal.TargetFailed, "the target broke off a long answer").WithExecutionUnknown())
 	case err != nil:
 		x.finishAttempt(decision, dispatch.Cancelled)
-		x.abortDisconnected()
+		x.abortUnwritten(err)
 	default:
 		x.finishAttempt(decision, dispatch.Done)
 		x.recordAnswer(response.StatusCode)
@@ -215,16 +211,12 @@
 	}
 	x.setResponseHeader(response.header)
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(response.body)))
-	if err := x.controller.SetWriteDeadline(x.deadline); err != nil {
-		x.abortDisconnected()
-		return
-	}
 	x.writeHead(response.status)
 	written, err := x.w.Write(response.body)
 	x.stats.bodyBytes += int64(written)
 	x.stats.status = response.status
-	if err != nil {
-		x.abortDisconnected()
+	if err = errors.Join(err, x.controller.Flush()); err != nil {
+		x.abortUnwritten(err)
 		return
 	}
 	x.logResponse()
@@ -330,19 +322,26 @@
 	}
 	x.finishAttempt(decision, dispatch.Done)
 	x.recordAnswer(response.StatusCode)
-	if !x.responseStarted && !x.startResponse(response) {
-		x.abortDisconnected()
+	if !x.responseStarted {
+		x.startResponse(response)
+	}
+	if err := x.writeRest(); err != nil {
+		x.abortUnwritten(err)
 		return false
 	}
+	x.stats.status = response.StatusCode
+	x.logResponse()
+	return false
+}
+
+// writeRest sends what is left of a stream that has ended.
+func (x *exchange) writeRest() error {
 	if rest := x.splitter.takeRest(); len(rest) > 0 {
 		if _, err := x.w.Write(rest); err != nil {
-			x.abortDisconnected()
-			return false
+			return err
 		}
 	}
-	x.stats.status = response.StatusCode
-	x.logResponse()
-	return false
+	return x.controller.Flush()
 }
 
 // handleForwardError ends an attempt whose stream could not be forwarded, because the caller is gone or because the target
@@ -353,7 +352,7 @@
 		return x.handleBrokenAttempt(decision, err)
 	}
 	x.finishAttempt(decision, dispatch.Cancelled)
-	x.abortDisconnected()
+	x.abortUnwritten(err)
 	return false
 }
 
@@ -366,17 +365,16 @@
 			return err
 		}
 	}
-	if !x.responseStarted && !x.startResponse(response) {
-		return errCallerGone
+	if !x.responseStarted {
+		x.startResponse(response)
 	}
 	n, err := x.w.Write(chunk)
 	x.stats.bodyBytes += int64(n)
 	return errors.Join(err, x.controller.Flush())
 }
 
-// startResponse sends the head of a response. It reports false if the write deadline of the caller's connection could not
-// be set.
-func (x *exchange) startResponse(response *forward.Response) bool {
+// startResponse sends the head of a response.
+func (x *exchange) startResponse(response *forward.Response) {
 	x.responseStarted = true
 	if x.route.Kind == route.ResumableStream {
 		x.gateway.origins.begin(x.streamID())
@@ -385,11 +383,7 @@
 	if response.ContentLength >= 0 && !x.route.Kind.Retryable() {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
 	}
-	if x.controller.SetWriteDeadline(x.deadline) != nil {
-		return false
-	}
 	x.writeHead(response.StatusCode)
-	return true
 }
 
 // recordFirstByte records the time of the first byte of a response. Later calls have no effect.
