--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -268,6 +268,12 @@
 	return listed && !state.Leaving && !state.notice.isPaused(now) && state.StartUnixMilli == chosen.StartUnixMilli
 }
 
+// HasTarget reports whether a healthy target can take a request now that was sent to another one before.
+func (d *Dispatcher) HasTarget(now time.Time, request Request) bool {
+	selected, found := d.getOrCreateService(request.Service).selectTarget(now, d.locality, &request, fullHeadroom)
+	return found && selected.target.isHealthy(now)
+}
+
 // OpenTargetNames returns the names of the listed targets that do not leave, in no particular order.
 func (d *Dispatcher) OpenTargetNames() []string {
 	names := make([]string, 0, len(d.targets))
--- a/internal/emulator/targetserver/server.go
+++ b/internal/emulator/targetserver/server.go
@@ -61,8 +61,15 @@
 	// AtDeadline runs requests until their deadline and sends signed responses then: streams and the responses to safe requests with status 200,
 	// others with status 504. It is the time at which a target stops its work.
 	AtDeadline
+	// SilentBeforeAnswer and SilentInStream run requests like Normal, but send nothing for SilentTime, before the head of the response or after the
+	// first event of a stream.
+	SilentBeforeAnswer
+	SilentInStream
 )
 
+// SilentTime is how long a target is silent in the modes SilentBeforeAnswer and SilentInStream.
+const SilentTime = 1200 * time.Millisecond
+
 // Run records one run of a request.
 type Run struct {
 	// ID is the attempt id; the others are the method, request URI, body and customer of the request as it arrived.
@@ -364,7 +371,11 @@
 	case AtDeadline:
 		s.respondAtDeadline(w, r)
 		return
-	case Normal, Refusing, Truncating, RestartingStreams, Dripping:
+	case SilentBeforeAnswer:
+		if !sleep(r, SilentTime) {
+			return
+		}
+	case Normal, Refusing, Truncating, RestartingStreams, Dripping, SilentInStream:
 	}
 	w.Header().Set("X-Replica-Seal", "seal")
 	if s.eventCount > 0 {
@@ -402,7 +413,11 @@
 			panic(http.ErrAbortHandler)
 		}
 		_, _ = io.WriteString(w, text)
-		if controller.Flush() != nil || !sleep(r, s.eventInterval) {
+		pause := s.eventInterval
+		if mode == SilentInStream && number == lastEvent+1 {
+			pause = SilentTime
+		}
+		if controller.Flush() != nil || !sleep(r, pause) {
 			s.mu.Lock()
 			s.abandonedStreams++
 			s.mu.Unlock()
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -25,6 +25,8 @@
 	Body []byte
 	// HeaderDeadline is when the head of the response must have arrived. If it is zero, only Deadline applies.
 	HeaderDeadline time.Time
+	// Silence ends the attempt before, if the target sends nothing.
+	Silence SilenceCheck
 	// Deadline is when the attempt ends, including the body of the response.
 	Deadline time.Time
 }
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -63,7 +63,7 @@
 	}
 	stopCancel := context.AfterFunc(ctx, func() { _ = targetConn.Close() })
 	response := &Response{client: c, conn: targetConn, endpoint: dest, stopCancel: stopCancel}
-	if err := targetConn.SetDeadline(earliest(attempt.HeaderDeadline, attempt.Deadline)); err != nil {
+	if err := targetConn.limitRead(attempt.Silence, earliest(attempt.HeaderDeadline, attempt.Deadline)); err != nil {
 		response.abort()
 		return nil, &UnsentError{Target: attempt.Target, Cause: err}
 	}
@@ -81,8 +81,8 @@
 		response.abort()
 		return nil, &OutcomeUnknownError{Target: attempt.Target, Cause: err}
 	}
-	if !attempt.HeaderDeadline.IsZero() {
-		response.SetReadDeadline(attempt.Deadline, attempt.Deadline)
+	if !attempt.HeaderDeadline.IsZero() || attempt.Silence.GoOn != nil {
+		response.LimitRead(SilenceCheck{}, attempt.Deadline, attempt.Deadline)
 	}
 	return response, nil
 }
--- a/internal/forward/client_test.go
+++ b/internal/forward/client_test.go
@@ -391,7 +391,7 @@
 	more <- struct{}{}
 	<-sent
 	passed := time.Now().Add(-time.Second)
-	response.SetReadDeadline(passed, passed)
+	response.LimitRead(forward.SilenceCheck{}, passed, passed)
 	n, err = response.Read(buffer)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, string(buffer[:n]), qt.Equals, "b")
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"net"
+	"os"
 	"syscall"
 	"time"
 
@@ -25,6 +26,9 @@
 	budget *readBudget
 	// lateRead is set if data was read after the deadline.
 	lateRead bool
+	// silence ends reads before readDeadline. It is only valid together with that.
+	silence      SilenceCheck
+	readDeadline time.Time
 	// startUnixMilli is the start that the target has told on this connection, zero if it was not asked.
 	startUnixMilli int64
 	// reused is set if the connection has carried a request before.
@@ -53,16 +57,38 @@
 		return c.Conn.Read(p)
 	}
 	n, late, err := latedata.Read(c.Conn, p)
+	for c.silence.GoOn != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+		askAgainAt := c.silence.GoOn()
+		if askAgainAt.IsZero() {
+			break
+		}
+		if err := c.limitRead(SilenceCheck{At: askAgainAt, GoOn: c.silence.GoOn}, c.readDeadline); err != nil {
+			return 0, err
+		}
+		n, late, err = latedata.Read(c.Conn, p)
+	}
+	if late && c.silence.GoOn != nil {
+		return n, c.SetDeadline(c.readDeadline) // The target was not silent.
+	}
 	c.lateRead = late
 	return n, err
 }
 
 // SetDeadline sets the deadline of reads and writes.
 func (c *conn) SetDeadline(deadline time.Time) error {
-	c.lateRead = false
+	c.lateRead, c.silence = false, SilenceCheck{}
 	return c.Conn.SetDeadline(deadline)
 }
 
+// limitRead sets the deadline of reads and writes, and a check that may end reads before.
+func (c *conn) limitRead(check SilenceCheck, deadline time.Time) error {
+	if err := c.SetDeadline(deadline); err != nil || !check.appliesBefore(deadline) {
+		return err
+	}
+	c.silence, c.readDeadline = check, deadline
+	return c.SetReadDeadline(check.At)
+}
+
 // checkReusable returns an error if an idle connection cannot carry another request. It peeks into the socket without blocking:
 // unexpected bytes would be taken for the next response, and the end of the stream means that the target closed the connection.
 func (c *conn) checkReusable(now time.Time) error {
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -70,10 +70,10 @@
 	return n, err
 }
 
-// SetReadDeadline makes reads fail after dataDeadline, if it is not zero, or after deadline, whichever is earlier. If the
-// deadline cannot be set, the connection is closed and the next read fails.
-func (r *Response) SetReadDeadline(dataDeadline, deadline time.Time) {
-	if err := r.conn.SetDeadline(earliest(dataDeadline, deadline)); err != nil {
+// LimitRead makes reads fail after dataDeadline, if it is not zero, or after deadline, whichever is earlier, or when the check ends the attempt. If
+// the deadline cannot be set, the connection is closed and the next read fails.
+func (r *Response) LimitRead(check SilenceCheck, dataDeadline, deadline time.Time) {
+	if err := r.conn.limitRead(check, earliest(dataDeadline, deadline)); err != nil {
 		r.abort()
 	}
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -20,7 +20,7 @@
 	// retryAfter is the time after which callers should retry a request that was refused for a temporary reason.
 	retryAfter = time.Second
 	// firstByteTimeoutSlack plus firstByteTimeoutFactor times the expected time to the first byte is the time after which
-	// a retryable request is sent to another target.
+	// a retryable request may be sent to another target.
 	firstByteTimeoutFactor = 4
 	firstByteTimeoutSlack  = 250 * time.Millisecond
 )
@@ -55,6 +55,8 @@
 	sentAttempts, unsentAttempts int
 	// mayHaveRun reports whether a target may have run the request.
 	mayHaveRun bool
+	// hasRetry is set if a retry was taken from the budget for the next attempt.
+	hasRetry bool
 	// headReceived reports whether the head of a response to the last attempt has arrived, firstDataAt when the first data of its
 	// body did. It is zero if there was none.
 	headReceived bool
@@ -69,7 +71,9 @@
 	events eventBoundary
 	// failedResponse is a server error of a target, which is relayed if no other target responds.
 	failedResponse *bufferedResponse
-	// pending is the last decision that was asked for, zero before the first one. headSent is set before the head of a response is sent to the caller.
+	// request is the request as the dispatcher has it. pending is the last decision that was asked for, zero before the first one. headSent is set
+	// before the head of a response is sent to the caller.
+	request  dispatch.Request
 	pending  pendingDecision
 	headSent bool
 	// responseStarted reports whether a part of the response has been sent to the caller.
@@ -128,8 +132,8 @@
 		x.refuse(refusalErr)
 		return
 	}
-	request := x.dispatchRequest()
-	x.pending = x.gateway.scheduler.submit(request)
+	x.request = x.dispatchRequest()
+	x.pending = x.gateway.scheduler.submit(x.request)
 	for {
 		decision, ok := x.awaitDecision(ctx, x.pending)
 		if !ok {
@@ -149,14 +153,21 @@
 			return
 		}
 		x.splitter.resume()
-		if x.responseStarted {
-			request.Build = decision.Target.Build
-		}
-		request.ExcludedTargets = append(slices.Clone(request.ExcludedTargets), decision.Target.Name)
-		x.pending = x.gateway.scheduler.resubmit(x.pending.id, request)
+		x.request = x.requestAfter(decision)
+		x.pending = x.gateway.scheduler.resubmit(x.pending.id, x.request)
 	}
 }
 
+// requestAfter returns the request as the dispatcher needs it after an attempt at the target of a decision.
+func (x *exchange) requestAfter(decision dispatch.Decision) dispatch.Request {
+	request := x.request
+	if x.responseStarted {
+		request.Build = decision.Target.Build
+	}
+	request.ExcludedTargets = append(slices.Clone(request.ExcludedTargets), decision.Target.Name)
+	return request
+}
+
 // dispatchRequest returns the request as the dispatcher needs it.
 func (x *exchange) dispatchRequest() dispatch.Request {
 	return dispatch.Request{
@@ -326,10 +337,8 @@
 		LastEventID: x.splitter.lastID,
 	})
 	attempt.HeaderDeadline = x.callerLeavesAt()
-	if x.route.Kind.Retryable() && x.sentAttempts+1 < x.route.MaxAttempts {
-		timeout := firstByteTimeoutSlack + firstByteTimeoutFactor*max(decision.ExpectedFirstByte.Sub(now), 0)
-		attempt.HeaderDeadline = earlier(attempt.HeaderDeadline, now.Add(timeout))
-	}
+	timeout := firstByteTimeoutSlack + firstByteTimeoutFactor*max(decision.ExpectedFirstByte.Sub(now), 0)
+	attempt.Silence = x.silenceCheck(now.Add(timeout), decision, x.sentAttempts+1)
 	return attempt
 }
 
--- a/internal/gateway/failedattempt.go
+++ b/internal/gateway/failedattempt.go
@@ -121,8 +121,14 @@
 // takeRetry reports whether a request that may have run can be sent to another target. If so, it takes a retry from the
 // budget.
 func (x *exchange) takeRetry() bool {
-	return x.route.Kind.Retryable() && x.sentAttempts < x.route.MaxAttempts && x.beforeDeadline() &&
-		x.gateway.retryBudgets.takeRetry(x.service)
+	hasRetry := x.hasRetry
+	x.hasRetry = false
+	return x.mayRetry(x.sentAttempts) && (hasRetry || x.gateway.retryBudgets.takeRetry(x.service))
+}
+
+// mayRetry reports whether a request that was sent to a number of targets may be sent to another one, if the budget allows it.
+func (x *exchange) mayRetry(sentAttempts int) bool {
+	return x.route.Kind.Retryable() && sentAttempts < x.route.MaxAttempts && x.beforeDeadline()
 }
 
 // beforeDeadline reports whether there is time for another attempt.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -256,7 +256,7 @@
 		if isHandedOver && n > 0 && n < len(*buffer) {
 			sleepUntil(x.r.Context(), time.Now().Add(handedOverReadPeriod))
 		}
-		response.SetReadDeadline(progress.readDeadline(), x.deadline)
+		response.LimitRead(x.silenceCheck(progress.resumeAt, decision, x.sentAttempts), progress.callerLeavesAt, x.deadline)
 		var err error
 		n, err = response.Read(*buffer)
 		if n > 0 {
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -103,6 +103,13 @@
 	return s.dispatcher.Accepts(time.Now(), target)
 }
 
+// hasTarget reports whether a target can take a request now that was sent to another one before.
+func (s *scheduler) hasTarget(request dispatch.Request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatcher.HasTarget(time.Now(), request)
+}
+
 // firstByteReceived records the first byte of a response. load is the load that the target reported, or nil.
 func (s *scheduler) firstByteReceived(id uint64, load *dispatch.Load) {
 	s.withDispatcher(func(dispatcher *dispatch.Dispatcher, now time.Time) { dispatcher.RecordFirstByte(now, id, load) })
--- a/internal/gateway/streamprogress.go
+++ b/internal/gateway/streamprogress.go
@@ -7,11 +7,12 @@
 )
 
 const (
-	// minResumeGap is the time without an event after which another target continues a resumable stream, at the least.
-	minResumeGap = 1200 * time.Millisecond
+	// minResumeGap is the time without an event after which another target may continue a resumable stream, at the least: a sound target may be
+	// silent for more than a second.
+	minResumeGap = 1600 * time.Millisecond
 	// resumeGapFraction is that time as a fraction of the time after which callers leave, if it is longer. So streams with long pauses are not
 	// broken off, and callers are still there when the stream goes on.
-	resumeGapFraction = 0.6
+	resumeGapFraction = 0.8
 	// leaveSlack is how much longer than its timeout a caller counts as waiting, since its request was read after it had been sent.
 	leaveSlack = 50 * time.Millisecond
 )
@@ -24,7 +25,7 @@
 	resumable bool
 	// events is the number of events that this target has sent so far.
 	events int
-	// resumeAt is the time from which another target continues the stream, callerLeavesAt the one from which no caller waits for it any more.
+	// resumeAt is the time from which another target may continue the stream, callerLeavesAt the one from which no caller waits for it any more.
 	// Each is zero if there is none.
 	resumeAt, callerLeavesAt time.Time
 }
@@ -60,11 +61,3 @@
 		p.restart(now, now)
 	}
 }
-
-// readDeadline returns the deadline of the next read, zero if there is none.
-func (p *streamProgress) readDeadline() time.Time {
-	if p.resumeAt.IsZero() || !p.callerLeavesAt.IsZero() && p.callerLeavesAt.Before(p.resumeAt) {
-		return p.callerLeavesAt
-	}
-	return p.resumeAt
-}
