--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -8,6 +8,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/chicorydale/chicorydale/internal/latedata"
 )
 
@@ -145,6 +147,24 @@
 	return length, nil
 }
 
+// wasReset reports whether the target has reset a connection whose bytes have ended. The kernel reports a reset to one call only: if that is the
+// background write, reads see a plain end. If the state of the connection is not known, an incomplete write counts as a reset.
+func (c *conn) wasReset() bool {
+	sysConn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return !c.requestWritten()
+	}
+	rawConn, err := sysConn.SyscallConn()
+	if err != nil {
+		return true
+	}
+	var info *unix.TCPInfo
+	if rawConn.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) }) != nil || err != nil {
+		return !c.requestWritten()
+	}
+	return info.State == unix.BPF_TCP_CLOSE
+}
+
 // maxSyncWrite is the size in bytes up to which a request is written synchronously, as it fits into the socket buffers.
 const maxSyncWrite = 8 << 10
 
--- a/internal/forward/errors.go
+++ b/internal/forward/errors.go
@@ -54,6 +54,14 @@
 // Unwrap returns the cause.
 func (e *OutcomeUnknownError) Unwrap() error { return e.Cause }
 
+// ResetError reports a response without a length whose connection was reset by the target, so that it is not complete.
+type ResetError struct{}
+
+// Error returns a fixed text.
+func (*ResetError) Error() string {
+	return "the target reset the connection whose end is that of the response"
+}
+
 // HeadTooLongError reports a target that sent too much before the body of its response.
 type HeadTooLongError struct {
 	// Limit is the number of bytes that it may send.
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -61,9 +61,12 @@
 }
 
 // Read reads from the body. It returns io.EOF only after the complete body, as far as its framing shows: a body that ends with its
-// connection may lack a part.
+// connection may lack a part, unless that was reset. Then the error is a *ResetError.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
+	if err == io.EOF && r.Framing == FramedByConnection && r.conn.wasReset() {
+		return n, &ResetError{}
+	}
 	if err == io.EOF {
 		r.bodyComplete = true
 	}
