--- a/internal/forward/errors.go
+++ b/internal/forward/errors.go
@@ -54,6 +54,17 @@
 // Unwrap returns the cause.
 func (e *OutcomeUnknownError) Unwrap() error { return e.Cause }
 
+// InvalidStatusError reports a response whose status is none of HTTP.
+type InvalidStatusError struct {
+	// Status is the status of the response.
+	Status int
+}
+
+// Error returns the status.
+func (e *InvalidStatusError) Error() string {
+	return fmt.Sprintf("the response has the status %d, which is not valid", e.Status)
+}
+
 // ResetError reports a response without a length whose connection was reset by the target, so that it is not complete.
 type ResetError struct{}
 
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -6,6 +6,12 @@
 	"time"
 )
 
+// minStatus and maxStatus limit the valid status codes of HTTP.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
 // Response is the response of a target. It is not safe for concurrent use.
 type Response struct {
 	// StatusCode is the HTTP status code.
@@ -40,6 +46,9 @@
 		if err != nil {
 			return err
 		}
+		if response.StatusCode < minStatus || response.StatusCode > maxStatus {
+			return &InvalidStatusError{Status: response.StatusCode}
+		}
 		if response.StatusCode/100 == 1 {
 			continue
 		}
