--- a/internal/forward/start.go
+++ b/internal/forward/start.go
@@ -13,8 +13,6 @@
 const (
 	// startTimeout limits the time to ask a target for its start.
 	startTimeout = 400 * time.Millisecond
-	// optionalStartTimeout limits the time for a request that goes to any start: it must not wait long for a target that does not answer.
-	optionalStartTimeout = 100 * time.Millisecond
 	// maxStartBytes is the maximum size of the answer.
 	maxStartBytes = 64 << 10
 	// seenStartPeriod is how long a start that a target has told holds for further connections of requests that go to any target: a target
@@ -79,11 +77,7 @@
 	if !c.mustAskStart(time.Now(), dest, attempt, candidate.startUnixMilli) {
 		return candidate, nil
 	}
-	timeout := optionalStartTimeout
-	if attempt.StartRequired {
-		timeout = startTimeout
-	}
-	reported, err := candidate.askStart(ctx, c.codec, earliest(time.Now().Add(timeout), attempt.Deadline))
+	reported, err := candidate.askStart(ctx, c.codec, attempt.Deadline)
 	if err == nil {
 		c.recordStart(dest, seenStart{startUnixMilli: reported, until: time.Now().Add(seenStartPeriod)})
 	}
@@ -106,7 +100,7 @@
 func (c *conn) askStart(ctx context.Context, codec Codec, deadline time.Time) (int64, error) {
 	stopCancel := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer stopCancel()
-	if err := c.SetDeadline(deadline); err != nil {
+	if err := c.SetDeadline(earliest(time.Now().Add(startTimeout), deadline)); err != nil {
 		return 0, err
 	}
 	if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", codec.StartURI(), c.RemoteAddr()); err != nil {
