--- a/internal/gateway/handoveranswers_test.go
+++ b/internal/gateway/handoveranswers_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -63,9 +64,14 @@
 	// overdue and ending are set if the router gives the request up, for its deadline or for its own end.
 	overdue, ending bool
 	// gotWhole is set if the peer has read the whole request, which may then have run.
-	gotWhole bool
+	gotWhole atomic.Bool
+	// accepted is the number of connections that the peer has accepted.
+	accepted int
 }
 
+// peerReadTimeout limits how long a peer waits for the bytes of a connection.
+const peerReadTimeout = 10 * time.Second
+
 // newHandoverCase returns a random case.
 func newHandoverCase(seed uint64) *handoverCase {
 	random := rand.New(rand.NewPCG(seed, 50))
@@ -83,15 +89,33 @@
 	return c
 }
 
-// serve handles the connection as the peer.
+// acceptAll serves all connections that come until the listener is closed. One of another test, to a port that was used before, must not take the
+// place of the handed over one.
+func (c *handoverCase) acceptAll(listener *net.TCPListener) {
+	var conns sync.WaitGroup
+	defer conns.Wait()
+	for {
+		conn, err := listener.AcceptTCP()
+		if err != nil {
+			return
+		}
+		c.accepted++
+		conns.Go(func() { c.serve(conn) })
+	}
+}
+
+// serve handles a connection as the peer.
 func (c *handoverCase) serve(conn *net.TCPConn) {
 	defer func() { _ = conn.Close() }()
+	_ = conn.SetReadDeadline(time.Now().Add(peerReadTimeout)) // On a broken connection, the read fails anyway.
 	if c.behaviour == freezes {
 		time.Sleep(300 * time.Millisecond)
 		return
 	}
 	n, _ := io.ReadFull(conn, make([]byte, c.readBytes))
-	c.gotWhole = n == len(c.request)
+	if n == len(c.request) {
+		c.gotWhole.Store(true)
+	}
 	switch c.behaviour {
 	case answers:
 		_, _ = io.WriteString(conn, c.answer)
@@ -152,10 +176,7 @@
 	served := make(chan struct{})
 	go func() {
 		defer close(served)
-		conn, err := listener.AcceptTCP()
-		if err == nil {
-			c.serve(conn)
-		}
+		c.acceptAll(listener)
 	}()
 	caller, accepted := newPair(t)
 	sendErr := make(chan error, 1)
@@ -170,8 +191,9 @@
 	if writeErr := <-sendErr; errors.Is(writeErr, syscall.ECONNRESET) {
 		err = writeErr
 	}
-	<-served
 	awaitNoneOpen(t, handovers)
+	_ = listener.Close() // No connection comes any more.
+	<-served
 	c.check(t, string(received), err)
 }
 
@@ -192,8 +214,8 @@
 // check checks what the caller has received until the connection ended with an error, nil if it was closed.
 func (c *handoverCase) check(t *testing.T, received string, err error) {
 	t.Helper()
-	comment := qt.Commentf("seed %d, request of %d bytes, %d read, behaviour %d, endless %t, overdue %t, ending %t, whole %t: %.200q, %v", c.seed,
-		len(c.request), c.readBytes, c.behaviour, c.endless, c.overdue, c.ending, c.gotWhole, received, err)
+	comment := qt.Commentf("seed %d, request of %d bytes, %d read, %d connections, behaviour %d, endless %t, overdue %t, ending %t, whole %t: %.200q, %v",
+		c.seed, len(c.request), c.readBytes, c.accepted, c.behaviour, c.endless, c.overdue, c.ending, c.gotWhole.Load(), received, err)
 	isGivenUp := c.overdue || c.ending
 	isWhole := received == c.answer && (c.behaviour == answers)
 	isPart := err != nil && received != "" && strings.HasPrefix(c.answer, received) && (c.behaviour == breaksOff || c.behaviour == answers && isGivenUp)
@@ -208,7 +230,7 @@
 	qt.Check(t, strings.Count(received, "HTTP/1."), qt.Equals, 1, comment)
 	switch response.StatusCode {
 	case http.StatusServiceUnavailable:
-		qt.Check(t, c.gotWhole, qt.IsFalse, comment)
+		qt.Check(t, c.gotWhole.Load(), qt.IsFalse, comment)
 		qt.Check(t, response.Header.Get("Retry-After"), qt.Not(qt.Equals), "", comment)
 	case http.StatusGatewayTimeout:
 		qt.Check(t, c.overdue, qt.IsTrue, comment)
