--- a/internal/gateway/callerconns_test.go
+++ b/internal/gateway/callerconns_test.go
@@ -179,8 +179,8 @@
 	qt.Check(t, errors.Is(err, os.ErrDeadlineExceeded), qt.IsTrue, qt.Commentf("%v", err))
 }
 
-// TestLogsRequestsWithoutAnswer guards against connections that are closed without an answer to a request and leave no trace in the
-// log, and against lines about callers that got an answer or left.
+// TestLogsRequestsWithoutAnswer guards against connections that are closed without an answer to a request, or in the middle of one that the caller
+// does not read, and leave no trace in the log, and against lines about callers that got an answer or left.
 func TestLogsRequestsWithoutAnswer(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
@@ -194,8 +194,11 @@
 	}
 	server := gateway.ServeCallers(gw, listener, hold, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Connection", "close")
-		if r.URL.Path == "/cut" {
+		switch r.URL.Path {
+		case "/cut":
 			panic(http.ErrAbortHandler)
+		case "/unread":
+			_, _ = w.Write(make([]byte, 64<<20)) // The write fails.
 		}
 	}))
 	defer func() { _ = server.Close() }()
@@ -209,13 +212,20 @@
 		<-closed
 		qt.Assert(t, conn.Close(), qt.IsNil)
 	}
+	unread, err := net.Dial("tcp", server.Address())
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = unread.Close() }()
+	_, err = io.WriteString(unread, "GET /unread HTTP/1.1\r\nHost: h\r\n\r\n")
+	qt.Assert(t, err, qt.IsNil)
+	<-closed
+	qt.Check(t, strings.Count(log.String(), `"partial":true`), qt.Equals, 1, qt.Commentf("%s", log.String()))
 	conn, err := net.Dial("tcp", server.Address())
 	qt.Assert(t, err, qt.IsNil)
 	_, err = io.WriteString(conn, "GET / HT")
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, conn.Close(), qt.IsNil)
 	<-closed
-	qt.Check(t, strings.Count(log.String(), "request_cut"), qt.Equals, 1, qt.Commentf("%s", log.String()))
+	qt.Check(t, strings.Count(log.String(), "request_cut"), qt.Equals, 2, qt.Commentf("%s", log.String()))
 }
 
 // TestCloseWhenEmpty guards against connections that are reset when the listener is closed, because they still wait to be accepted.
