--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -63,7 +63,11 @@
 	}
 	stopCancel := context.AfterFunc(ctx, func() { _ = targetConn.Close() })
 	response := &Response{client: c, conn: targetConn, endpoint: dest, stopCancel: stopCancel}
-	if err := targetConn.limitRead(attempt.Silence, earliest(attempt.HeaderDeadline, attempt.Deadline)); err != nil {
+	err = targetConn.SetWriteDeadline(attempt.Deadline)
+	if err == nil {
+		err = targetConn.limitRead(attempt.Silence, earliest(attempt.HeaderDeadline, attempt.Deadline))
+	}
+	if err != nil {
 		response.abort()
 		return nil, &UnsentError{Target: attempt.Target, Cause: err}
 	}
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -70,7 +70,7 @@
 		n, late, err = latedata.Read(c.Conn, p)
 	}
 	if late && c.silence.GoOn != nil {
-		return n, c.SetDeadline(c.readDeadline) // The target was not silent.
+		return n, c.limitRead(SilenceCheck{}, c.readDeadline) // The target was not silent.
 	}
 	c.lateRead = late
 	return n, err
@@ -82,13 +82,14 @@
 	return c.Conn.SetDeadline(deadline)
 }
 
-// limitRead sets the deadline of reads and writes, and a check that may end reads before.
+// limitRead sets the deadline of reads, and a check that may end them before.
 func (c *conn) limitRead(check SilenceCheck, deadline time.Time) error {
-	if err := c.SetDeadline(deadline); err != nil || !check.appliesBefore(deadline) {
-		return err
+	c.lateRead, c.silence, c.readDeadline = false, SilenceCheck{}, deadline
+	if check.appliesBefore(deadline) {
+		c.silence = check
+		return c.SetReadDeadline(check.At)
 	}
-	c.silence, c.readDeadline = check, deadline
-	return c.SetReadDeadline(check.At)
+	return c.SetReadDeadline(deadline)
 }
 
 // checkReusable returns an error if an idle connection cannot carry another request. It peeks into the socket without blocking:
--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -36,6 +36,8 @@
 	// was parsed.
 	requestID    string
 	awaitedUntil time.Time
+	// writeDeadline is the deadline of the last write of the current answer, zero before the first one. The HTTP server removes it after the answer.
+	writeDeadline time.Time
 	// awaitedSince is the time from which the current request could have arrived.
 	awaitedSince time.Time
 	answered     bool
@@ -131,7 +133,7 @@
 // Write writes a part of an answer. It waits for a caller that does not read until that leaves, and for minWriteTime at least: an answer that is
 // ready at the deadline of its request, or late, is sent nevertheless.
 func (c *callerConn) Write(p []byte) (int, error) {
-	if err := c.SetWriteDeadline(c.writeDeadline(time.Now())); err != nil {
+	if err := c.extendWriteDeadline(time.Now()); err != nil {
 		return 0, err
 	}
 	n, err := c.TCPConn.Write(p)
@@ -144,14 +146,20 @@
 	return io.Copy(struct{ io.Writer }{c}, source)
 }
 
-// writeDeadline returns the deadline of a write that begins now.
-func (c *callerConn) writeDeadline(now time.Time) time.Time {
+// extendWriteDeadline sets the deadline of a write that begins now, unless the one of an earlier write leaves enough time: most writes are single
+// events of streams.
+func (c *callerConn) extendWriteDeadline(now time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if shortest := now.Add(minWriteTime); c.awaitedUntil.Before(shortest) {
-		return shortest
+	shortest := now.Add(minWriteTime)
+	if !c.writeDeadline.Before(shortest) {
+		return nil
 	}
-	return c.awaitedUntil
+	c.writeDeadline = c.awaitedUntil
+	if c.awaitedUntil.Before(shortest) {
+		c.writeDeadline = shortest
+	}
+	return c.SetWriteDeadline(c.writeDeadline)
 }
 
 // recordWrite records the outcome of a write.
@@ -176,7 +184,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.received, c.answered, c.sentBefore, c.awaitedSince = 0, false, false, time.Now()
-	c.writeErr, c.requestID, c.awaitedUntil = nil, "", time.Time{}
+	c.writeErr, c.requestID, c.awaitedUntil, c.writeDeadline = nil, "", time.Time{}, time.Time{}
 }
 
 // endRepeatInterval is the minimum time between attempts to end a connection.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -338,7 +338,8 @@
 	})
 	attempt.HeaderDeadline = x.callerLeavesAt()
 	timeout := firstByteTimeoutSlack + firstByteTimeoutFactor*max(decision.ExpectedFirstByte.Sub(now), 0)
-	attempt.Silence = x.silenceCheck(now.Add(timeout), decision, x.sentAttempts+1)
+	attempt.Silence = x.silenceCheck(decision, x.sentAttempts+1)
+	attempt.Silence.At = now.Add(timeout)
 	return attempt
 }
 
--- a/internal/gateway/relaystream.go
+++ b/internal/gateway/relaystream.go
@@ -25,12 +25,14 @@
 	resumable := x.route.MaxAttempts > 1 && x.route.Kind.Retryable()
 	first := true
 	progress := newStreamProgress(time.Now(), x.lastEventAt, x.route, resumable)
+	silence := x.silenceCheck(decision, x.sentAttempts)
 	isHandedOver, n := wasHandedOver(x.r.Context()), 0
 	for {
 		if isHandedOver && n > 0 && n < len(*buffer) {
 			sleepUntil(x.r.Context(), time.Now().Add(handedOverReadPeriod))
 		}
-		response.LimitRead(x.silenceCheck(progress.resumeAt, decision, x.sentAttempts), progress.callerLeavesAt, x.deadline)
+		silence.At = progress.resumeAt
+		response.LimitRead(silence, progress.callerLeavesAt, x.deadline)
 		var err error
 		n, err = response.Read(*buffer)
 		if n > 0 {
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -10,13 +10,13 @@
 // silenceCheckInterval is the time between checks whether the request of a silent target can go to another one.
 const silenceCheckInterval = 100 * time.Millisecond
 
-// silenceCheck returns a check, from a time on, that ends an attempt at a silent target when another target can take the request. A sound target
-// may be silent for a while, so an attempt goes on if there is no better one. sentAttempts includes that attempt.
-func (x *exchange) silenceCheck(at time.Time, decision dispatch.Decision, sentAttempts int) forward.SilenceCheck {
-	if at.IsZero() || !x.mayRetry(sentAttempts) {
+// silenceCheck returns a check, not yet from any time on, that ends an attempt at a silent target when another target can take the request. A sound
+// target may be silent for a while, so an attempt goes on if there is no better one. sentAttempts includes that attempt.
+func (x *exchange) silenceCheck(decision dispatch.Decision, sentAttempts int) forward.SilenceCheck {
+	if !x.mayRetry(sentAttempts) {
 		return forward.SilenceCheck{}
 	}
-	return forward.SilenceCheck{At: at, GoOn: func() time.Time {
+	return forward.SilenceCheck{GoOn: func() time.Time {
 		if x.leavesSilentTarget(decision) {
 			return time.Time{}
 		}
