--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -33,8 +33,9 @@
 		return refusalErr
 	}
 	x.deadline = requestDeadline(matched, info, x.arrivedAt)
+	x.answerDeadline = x.deadline.Add(x.readDelay())
 	if conn := callerConnOf(x.r.Context()); conn != nil {
-		conn.requestParsed(info.ID, callerDeadline(info, x.deadline))
+		conn.requestParsed(info.ID, callerDeadline(info, x.deadline).Add(x.readDelay()))
 	}
 	if refusalErr := x.readBody(table.Limits().MaxBodyBytes); refusalErr != nil {
 		return refusalErr
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -31,12 +31,14 @@
 	w          http.ResponseWriter
 	r          *http.Request
 	controller *http.ResponseController
-	arrivedAt  time.Time
-	info       RequestInfo
-	route      *route.Route
-	customer   string
-	priority   int
-	service    string
+	// arrivedAt is the time from which the caller may have waited, readAt the one at which the request was read. A late process only estimates the
+	// first one, and may take it for earlier than it was.
+	arrivedAt, readAt time.Time
+	info              RequestInfo
+	route             *route.Route
+	customer          string
+	priority          int
+	service           string
 	// build is the version of the targets' software at which a stream has to go on, and empty if any target may run the request.
 	build string
 	body  []byte
@@ -47,8 +49,9 @@
 	probe        probe
 	// mayExceedShare is set if the request is the first to take up a stream that the fleet has broken off.
 	mayExceedShare bool
-	// deadline is the time by which the response must be complete.
-	deadline time.Time
+	// deadline is the time by which the response must have begun, counted from arrivedAt. Targets work until then. answerDeadline is the time by
+	// which a response that has begun must be complete, counted from readAt: before that, its caller may still be there.
+	deadline, answerDeadline time.Time
 
 	// sentAttempts is the number of targets that may have received the request, unsentAttempts the number of attempts that
 	// failed to reach the intended target.
@@ -120,9 +123,11 @@
 		return
 	}
 	x.gateway.retryBudgets.recordRequest(x.service)
-	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
+	answerCtx, cancelAnswer := context.WithDeadline(x.r.Context(), x.answerDeadline)
+	defer cancelAnswer()
+	defer context.AfterFunc(x.gateway.ending, cancelAnswer)()
+	ctx, cancel := context.WithDeadline(answerCtx, x.deadline)
 	defer cancel()
-	defer context.AfterFunc(x.gateway.ending, cancel)()
 	x.fingerprints = x.computeFingerprints()
 	if refusalErr := x.admitSuspect(); refusalErr != nil {
 		x.refuse(refusalErr)
@@ -145,7 +150,7 @@
 			x.failRequest(x.gateway.refusalWhileEnding(decision.Refusal))
 			return
 		}
-		if !x.attempt(ctx, decision) {
+		if !x.attempt(ctx, answerCtx, decision) {
 			return
 		}
 		if refusalErr := x.admitSuspect(); refusalErr != nil {
@@ -229,9 +234,9 @@
 	metrics.CountPromptTokens(metric.TokensKept, max(x.info.PromptTokens-decision.PrefillTokens-decision.FetchTokens, 0))
 }
 
-// attempt sends the request to a target and handles the response. It reports whether the request should be sent to another
-// target.
-func (x *exchange) attempt(ctx context.Context, decision dispatch.Decision) (retry bool) {
+// attempt sends the request to a target and handles the response, which ends with answerCtx. It reports whether the request should be sent to
+// another target.
+func (x *exchange) attempt(ctx, answerCtx context.Context, decision dispatch.Decision) (retry bool) {
 	if callerDisconnected(ctx) {
 		x.finishAttempt(decision, dispatch.Cancelled)
 		x.abortDisconnected()
@@ -263,7 +268,7 @@
 	if !x.gateway.scheduler.accepts(decision.Target) {
 		return x.handleUnsent(decision, dispatch.Delayed, &targetLeftError{})
 	}
-	attemptCtx, cancel := context.WithCancel(ctx)
+	attemptCtx, cancel := context.WithCancel(answerCtx)
 	defer cancel()
 	claimed := x.takeProbe()
 	response, err := x.gateway.client.Send(attemptCtx, x.newAttempt(decision))
@@ -329,20 +334,23 @@
 		URI:      x.r.RequestURI,
 		Host:     x.r.Host,
 		Body:     x.body,
-		Deadline: x.deadline,
+		Deadline: x.answerDeadline,
 	}
 	attempt.StartUnixMilli, attempt.StartRequired = x.requiredStart(decision.Target)
 	attempt.Header = x.gateway.adapters.Codec.RequestHeader(x.r.Header, AttemptInfo{
 		Target: decision.Target.Name, Customer: x.customer, CacheSource: decision.CacheSource, TimeLeft: timeLeft,
 		LastEventID: x.splitter.lastID,
 	})
-	attempt.HeaderDeadline = x.callerLeavesAt()
+	attempt.HeaderDeadline = earlier(x.callerLeavesAt(), x.deadline)
 	timeout := firstByteTimeoutSlack + firstByteTimeoutFactor*max(decision.ExpectedFirstByte.Sub(now), 0)
 	attempt.Silence = x.silenceCheck(decision, x.sentAttempts+1)
 	attempt.Silence.At = now.Add(timeout)
 	return attempt
 }
 
+// readDelay returns how long the request may have waited until it was read.
+func (x *exchange) readDelay() time.Duration { return max(x.readAt.Sub(x.arrivedAt), 0) }
+
 // callerLeavesAt returns the time at which the caller of a stream has left unless an event comes before, zero if that is not known.
 func (x *exchange) callerLeavesAt() time.Time { return leavesAt(x.route, x.lastEventAt) }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -325,9 +325,10 @@
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	g.openRequests.Add(1)
 	defer g.openRequests.Add(-1)
-	arrivedAt := requestSince(r.Context(), time.Now())
+	readAt := time.Now()
+	arrivedAt := requestSince(r.Context(), readAt)
 	x := &exchange{
-		gateway: g, w: w, r: r, controller: http.NewResponseController(w), arrivedAt: arrivedAt, lastEventAt: arrivedAt,
+		gateway: g, w: w, r: r, controller: http.NewResponseController(w), arrivedAt: arrivedAt, readAt: readAt, lastEventAt: arrivedAt,
 	}
 	defer x.recoverPanic()
 	if g.draining.Load() || len(r.TransferEncoding) > 0 || wasHandedOver(r.Context()) {
--- a/internal/gateway/handedoverrequest.go
+++ b/internal/gateway/handedoverrequest.go
@@ -55,9 +55,11 @@
 // safe for concurrent use.
 type handedOverRequest struct {
 	mu sync.Mutex
-	// head holds the first bytes until the deadline is known. since is the time from which the caller has waited, zero until a part arrives.
+	// head holds the first bytes until the deadline is known. since is the time from which the caller may have waited, zero until a part arrives,
+	// readAt the one at which the first part was read.
 	head   []byte
 	since  time.Time
+	readAt time.Time
 	parsed requestHead
 	// passedBytes is the number of bytes that the peer may have got. isBroken is set if it has not got all that has arrived.
 	passedBytes int64
@@ -79,10 +81,10 @@
 	defer r.mu.Unlock()
 	r.isDismissed = false
 	if isFirst = r.since.IsZero(); isFirst {
-		r.since = since
+		r.since, r.readAt = since, time.Now()
 	}
 	if r.since.IsZero() {
-		r.since = time.Now()
+		r.since = r.readAt
 	}
 	if r.parsed.deadline.IsZero() && len(r.head) < maxHeaderBytes {
 		r.head = append(r.head, part...)
@@ -224,7 +226,8 @@
 	return endUnanswered
 }
 
-// isOverdue reports whether the deadline of the request has passed.
+// isOverdue reports whether the deadline of the request has passed. It is counted from the time at which the request was read if its answer has
+// begun, since its caller may still be there.
 func (r *handedOverRequest) isOverdue(now time.Time, parse parseHead) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -232,7 +235,11 @@
 		return false
 	}
 	r.parseHead(parse)
-	return !r.parsed.deadline.IsZero() && now.After(r.parsed.deadline.Add(overdueSlack))
+	overdueAt := r.parsed.deadline.Add(overdueSlack)
+	if r.answer.size > 0 {
+		overdueAt = overdueAt.Add(r.readAt.Sub(r.since))
+	}
+	return !r.parsed.deadline.IsZero() && now.After(overdueAt)
 }
 
 // parseHead reads the head, if that was not done. The caller must hold r.mu.
--- a/internal/gateway/relaystream.go
+++ b/internal/gateway/relaystream.go
@@ -32,7 +32,7 @@
 			sleepUntil(x.r.Context(), time.Now().Add(handedOverReadPeriod))
 		}
 		silence.At = progress.resumeAt
-		response.LimitRead(silence, progress.callerLeavesAt, x.deadline)
+		response.LimitRead(silence, progress.callerLeavesAt, x.answerDeadline)
 		var err error
 		n, err = response.Read(*buffer)
 		if n > 0 {
