Announce in answers how long their connection stays open, and close it later

The router ended idle connections at idle_timeout_ms, and no answer said so. In the same way an answer that began during a drain did not say that it was the last one if its request had been read before.

Each answer that keeps its connection now names the limit of the configuration in Keep-Alive, in whole seconds, and the router ends the connection 3 s later than it has announced; the time of the end is stored when the connection becomes idle. Answers during a drain, as all refusals, say Connection: close; refusals of unread requests did so already. Targets' own Keep-Alive headers were and are not passed on.

--- a/internal/gateway/acceptor.go
+++ b/internal/gateway/acceptor.go
@@ -75,7 +75,7 @@
 			a.lastLogged = now
 			event.AcceptFailed.Log(a.logger, err)
 		}
-		a.callerConns.closeIdle(now, 0)
+		a.callerConns.closeAllIdle(now)
 		time.Sleep(acceptRetryPause)
 	}
 }
--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"net"
@@ -45,6 +46,8 @@
 	// caller may have waited.
 	sentBefore   bool
 	waitingSince time.Time
+	// keepAlive is how long the connection stays open after the current answer, as announced in its head, zero if that announces nothing.
+	keepAlive time.Duration
 	// endingSince is the time of the last call that made the connection end unless data has arrived. It is zero if data has arrived.
 	endingSince time.Time
 	// readErr is the error of the last read.
@@ -187,6 +190,21 @@
 	c.writeErr, c.requestID, c.awaitedUntil, c.writeDeadline = nil, "", time.Time{}, time.Time{}
 }
 
+// announceKeepAlive records how long the connection stays open after the current answer, as announced in its head.
+func (c *callerConn) announceKeepAlive(keepAlive time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.keepAlive = keepAlive
+}
+
+// announcedKeepAlive returns how long the connection stays open after the last answer, as announced in its head. It is the default idle timeout if
+// that announced nothing.
+func (c *callerConn) announcedKeepAlive() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return cmp.Or(c.keepAlive, defaultIdleTimeout)
+}
+
 // endRepeatInterval is the minimum time between attempts to end a connection.
 const endRepeatInterval = 50 * time.Millisecond
 
--- a/internal/gateway/callerconns.go
+++ b/internal/gateway/callerconns.go
@@ -25,6 +25,8 @@
 type connState struct {
 	state http.ConnState
 	since time.Time
+	// keptUntil is the time from which an idle connection is ended.
+	keptUntil time.Time
 }
 
 // connCounts holds the number of connections without a request so far, with a request in progress, and idle between
@@ -44,14 +46,16 @@
 	if !ok {
 		return
 	}
+	current := connState{state: state, since: time.Now()}
 	if state == http.StateIdle {
 		caller.awaitRequest()
+		current.keptUntil = current.since.Add(caller.announcedKeepAlive() + keepAliveGrace)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch state {
 	case http.StateNew, http.StateActive, http.StateIdle:
-		c.open[caller] = connState{state: state, since: time.Now()}
+		c.open[caller] = current
 	case http.StateHijacked, http.StateClosed:
 		delete(c.open, caller)
 	}
@@ -75,18 +79,38 @@
 	return counts
 }
 
-// closeIdle ends the connections that have been idle for longer than idleTimeout. While more than maxOpen connections
-// are open, idleTimeout is at most excessIdleTimeout. The state tells only how long the goroutine of a connection has seen no request;
-// a connection on which one has arrived is not ended.
-func (c *callerConns) closeIdle(now time.Time, idleTimeout time.Duration) {
+// keepAliveGrace is how long an idle connection stays open beyond the announced time. A request that was sent within that time arrives before the
+// end, though the answer and the request were on their way and the router may have been late.
+const keepAliveGrace = 3 * time.Second
+
+// announcedIdleTime returns the time to announce for connections that may be idle for idleTimeout: whole seconds, one at least.
+func announcedIdleTime(idleTimeout time.Duration) time.Duration {
+	return max(idleTimeout.Truncate(time.Second), time.Second)
+}
+
+// closeIdle ends the connections that have been idle for longer than was announced to their callers, and keepAliveGrace. While more than maxOpen
+// connections are open, it ends those that have been idle for excessIdleTimeout. The state tells only how long the goroutine of a connection has seen
+// no request; a connection on which one has arrived is not ended.
+func (c *callerConns) closeIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	excess := len(c.open) - c.maxOpen
-	if excess > 0 {
-		idleTimeout = min(idleTimeout, excessIdleTimeout)
+	isExcess := len(c.open) > c.maxOpen
+	for conn, current := range c.open {
+		if current.state != http.StateIdle {
+			continue
+		}
+		if now.After(current.keptUntil) || isExcess && now.Sub(current.since) > excessIdleTimeout {
+			conn.endIfIdle(now)
+		}
 	}
+}
+
+// closeAllIdle ends all idle connections.
+func (c *callerConns) closeAllIdle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	for conn, current := range c.open {
-		if current.state == http.StateIdle && now.Sub(current.since) > idleTimeout {
+		if current.state == http.StateIdle {
 			conn.endIfIdle(now)
 		}
 	}
--- a/internal/gateway/callerconns_export_test.go
+++ b/internal/gateway/callerconns_export_test.go
@@ -64,10 +64,14 @@
 // Address returns the address of the server.
 func (s CallerServer) Address() string { return s.listener.Addr().String() }
 
+// Exported constants for tests of idle connections.
+const (
+	DefaultIdleTimeout = defaultIdleTimeout
+	KeepAliveGrace     = keepAliveGrace
+)
+
 // CloseIdle closes idle connections as if it were called at the time now.
-func (s CallerServer) CloseIdle(now time.Time, idleTimeout time.Duration) {
-	s.conns.closeIdle(now, idleTimeout)
-}
+func (s CallerServer) CloseIdle(now time.Time) { s.conns.closeIdle(now) }
 
 // Ending reports whether the connection that was accepted last ends unless data has arrived.
 func (s CallerServer) Ending() bool {
--- a/internal/gateway/callerconns_test.go
+++ b/internal/gateway/callerconns_test.go
@@ -91,7 +91,7 @@
 	_, err := io.WriteString(conn, simpleRequest)
 	qt.Assert(t, err, qt.IsNil)
 	<-s.reached
-	s.CloseIdle(time.Now().Add(time.Hour), time.Minute)
+	s.CloseIdle(time.Now().Add(time.Hour))
 	close(s.release)
 	qt.Check(t, readStatus(reader), qt.Equals, http.StatusOK)
 }
@@ -106,7 +106,7 @@
 	_, err := io.WriteString(conn, simpleRequest)
 	qt.Assert(t, err, qt.IsNil)
 	s.AwaitData()
-	s.CloseIdle(time.Now().Add(time.Hour), time.Minute)
+	s.CloseIdle(time.Now().Add(time.Hour))
 	close(s.release)
 	qt.Check(t, readStatus(reader), qt.Equals, http.StatusOK)
 }
@@ -120,7 +120,7 @@
 	_, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\na")
 	qt.Assert(t, err, qt.IsNil)
 	<-s.reached
-	s.CloseIdle(time.Now().Add(time.Hour), time.Minute)
+	s.CloseIdle(time.Now().Add(time.Hour))
 	qt.Check(t, s.Ending(), qt.IsFalse)
 	close(s.release)
 	_, err = io.WriteString(conn, "b")
@@ -128,6 +128,21 @@
 	qt.Check(t, readStatus(reader), qt.Equals, http.StatusOK)
 }
 
+// TestIdleConnectionOutlivesLimit guards against requests that get no answer, because the router ends a connection at the age up to which its caller
+// may use it again.
+func TestIdleConnectionOutlivesLimit(t *testing.T) {
+	s := newHeldServer(t, http.StateIdle, 1)
+	conn, reader := s.dial()
+	qt.Assert(t, s.request(conn, reader), qt.Equals, http.StatusOK)
+	<-s.reached
+	const onTheWay = time.Second
+	s.CloseIdle(time.Now().Add(gateway.DefaultIdleTimeout + onTheWay))
+	qt.Check(t, s.Ending(), qt.IsFalse)
+	s.CloseIdle(time.Now().Add(gateway.DefaultIdleTimeout + gateway.KeepAliveGrace + onTheWay))
+	qt.Check(t, s.Ending(), qt.IsTrue)
+	close(s.release)
+}
+
 // TestIdleConnectionIsClosed guards against connections without a request that stay open longer than the idle timeout.
 func TestIdleConnectionIsClosed(t *testing.T) {
 	s := newHeldServer(t, http.StateHijacked, 1)
@@ -148,7 +163,7 @@
 			qt.Check(t, err, qt.Equals, io.EOF)
 			return
 		case <-poll.C:
-			s.CloseIdle(time.Now().Add(time.Hour), time.Minute)
+			s.CloseIdle(time.Now().Add(time.Hour))
 		}
 	}
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/chicorydale/chicorydale/internal/boottime"
@@ -365,9 +366,27 @@
 // writeHead sends the head of the response to the caller.
 func (x *exchange) writeHead(status int) {
 	x.headSent = true
+	x.announceConnEnd()
 	x.w.WriteHeader(status)
 }
 
+// announceConnEnd tells the caller in the head of the response how long its connection stays open, so that it sends no request that crosses the end.
+func (x *exchange) announceConnEnd() {
+	header := x.w.Header()
+	if x.r.Close || header.Get("Connection") != "" {
+		return // The connection ends with the response, and the head says so.
+	}
+	if x.gateway.draining.Load() {
+		header.Set("Connection", "close")
+		return
+	}
+	keepAlive := announcedIdleTime(x.gateway.idleTimeout())
+	header.Set("Keep-Alive", "timeout="+strconv.Itoa(int(keepAlive/time.Second)))
+	if conn := callerConnOf(x.r.Context()); conn != nil {
+		conn.announceKeepAlive(keepAlive)
+	}
+}
+
 // finishAttempt reports the outcome of an attempt to the scheduler.
 func (x *exchange) finishAttempt(decision dispatch.Decision, outcome dispatch.Outcome) {
 	x.gateway.scheduler.finishAttempt(decision.ID, outcome)
--- a/internal/gateway/maintenance.go
+++ b/internal/gateway/maintenance.go
@@ -32,7 +32,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			g.callerConns.closeIdle(now, g.idleTimeout())
+			g.callerConns.closeIdle(now)
 			g.client.Prune(now, g.openTargetNames())
 			g.updateGauges()
 			g.logProcessState()
