End connections by their answers before descriptors run short

Beyond three quarters of the descriptors, one connection too many ended all connections of callers that had been idle for a second, and a failed accept ended all idle ones. Callers use most of these again, without knowing of the end, so that many requests could cross it and get no answer.

From six tenths of the descriptors on, an answer now says Connection: close, which its caller knows before it sends the next request.

TestLongestIdleConnectionsEndFirst failed before: five connections too many ended all 80.

--- a/internal/gateway/acceptor.go
+++ b/internal/gateway/acceptor.go
@@ -75,7 +75,7 @@
 			a.lastLogged = now
 			event.AcceptFailed.Log(a.logger, err)
 		}
-		a.callerConns.closeAllIdle(now)
+		a.callerConns.freeDescriptors(now)
 		time.Sleep(acceptRetryPause)
 	}
 }
--- a/internal/gateway/callerconns.go
+++ b/internal/gateway/callerconns.go
@@ -3,22 +3,32 @@
 import (
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
 
-// callerConnFraction is the fraction of the file descriptors that callers' connections may use. The rest is for
-// connections to targets and to the store.
-const callerConnFraction = 0.75
+const (
+	// callerConnFraction is the fraction of the file descriptors that callers' connections may use. The rest is for
+	// connections to targets and to the store.
+	callerConnFraction = 0.75
+	// keptConnFraction is the fraction of the file descriptors up to which connections of callers are kept after an answer.
+	keptConnFraction = 0.6
+	// minExcessIdle is how long a connection may be idle at least while too many connections are open: one that was just used is the most
+	// likely to be used again.
+	minExcessIdle = time.Second
+)
 
 // callerConns tracks the open connections of callers and closes those that are idle for too long. It is safe for
 // concurrent use.
 type callerConns struct {
-	// maxOpen is the number of open connections above which idle ones are closed sooner.
-	maxOpen int
+	// maxKept is the number of open connections above which connections end with their answers, maxOpen the number above which idle ones are ended.
+	maxKept, maxOpen int
 
 	mu   sync.Mutex
 	open map[*callerConn]connState
+	// freedAt is the time at which freeDescriptors last ended connections.
+	freedAt time.Time
 }
 
 // connState is the state of a connection and the time at which it entered that state.
@@ -37,7 +47,11 @@
 
 // newCallerConns returns an empty set of connections, which may use a fraction of the file descriptors.
 func newCallerConns(maxOpenFiles int) *callerConns {
-	return &callerConns{maxOpen: int(float64(maxOpenFiles) * callerConnFraction), open: make(map[*callerConn]connState)}
+	return &callerConns{
+		maxKept: int(float64(maxOpenFiles) * keptConnFraction),
+		maxOpen: int(float64(maxOpenFiles) * callerConnFraction),
+		open:    make(map[*callerConn]connState),
+	}
 }
 
 // stateChanged records a new state of a connection. It is the ConnState hook of the HTTP server.
@@ -88,32 +102,60 @@
 	return max(idleTimeout.Truncate(time.Second), time.Second)
 }
 
+// isCrowded reports whether so many connections are open that each is to end with its next answer. Its caller knows then, other than if it is
+// ended while it is idle.
+func (c *callerConns) isCrowded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open) > c.maxKept
+}
+
 // closeIdle ends the connections that have been idle for longer than was announced to their callers, and keepAliveGrace. While more than maxOpen
-// connections are open, it ends those that have been idle for excessIdleTimeout. The state tells only how long the goroutine of a connection has seen
-// no request; a connection on which one has arrived is not ended.
+// connections are open, it ends as many of the others. The state tells only how long the goroutine of a connection has seen no request; a connection
+// on which one has arrived is not ended.
 func (c *callerConns) closeIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	isExcess := len(c.open) > c.maxOpen
 	for conn, current := range c.open {
-		if current.state != http.StateIdle {
-			continue
-		}
-		if now.After(current.keptUntil) || isExcess && now.Sub(current.since) > excessIdleTimeout {
+		if current.state == http.StateIdle && now.After(current.keptUntil) {
 			conn.endIfIdle(now)
 		}
 	}
+	c.endLongestIdle(now, len(c.open)-c.maxOpen, minExcessIdle)
 }
 
-// closeAllIdle ends all idle connections.
-func (c *callerConns) closeAllIdle(now time.Time) {
+// freeDescriptors ends idle connections after one could not be accepted for lack of a descriptor: as many as may wait to be accepted. Calls within
+// endRepeatInterval of the last one have no effect, since connections that were told to end may need so long.
+func (c *callerConns) freeDescriptors(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if now.Sub(c.freedAt) < endRepeatInterval {
+		return
+	}
+	c.freedAt = now
+	c.endLongestIdle(now, maxWaitingConns, 0)
+}
+
+// endLongestIdle ends up to count connections of those that have been idle for longer than minIdle, the longest idle ones first. It does nothing if
+// count is not positive. The caller holds mu.
+func (c *callerConns) endLongestIdle(now time.Time, count int, minIdle time.Duration) {
+	if count <= 0 {
+		return
+	}
+	type idleConn struct {
+		conn  *callerConn
+		since time.Time
+	}
+	var idle []idleConn
 	for conn, current := range c.open {
-		if current.state == http.StateIdle {
-			conn.endIfIdle(now)
+		if current.state == http.StateIdle && now.Sub(current.since) > minIdle {
+			idle = append(idle, idleConn{conn, current.since})
 		}
 	}
+	slices.SortFunc(idle, func(a, b idleConn) int { return a.since.Compare(b.since) })
+	for _, longest := range idle[:min(count, len(idle))] {
+		longest.conn.endIfIdle(now)
+	}
 }
 
 // endUnused ends the connections that have had no request for longer than idleTimeout, among them those that never had one. It returns
@@ -128,6 +170,3 @@
 	}
 	return len(c.open)
 }
-
-// excessIdleTimeout is how long a connection may be idle while too many connections are open.
-const excessIdleTimeout = time.Second
--- a/internal/gateway/callerconns_export_test.go
+++ b/internal/gateway/callerconns_export_test.go
@@ -70,6 +70,9 @@
 	KeepAliveGrace     = keepAliveGrace
 )
 
+// MaxOpen returns the number of open connections above which idle ones are ended.
+func MaxOpen(s CallerServer) int { return s.conns.maxOpen }
+
 // CloseIdle closes idle connections as if it were called at the time now.
 func (s CallerServer) CloseIdle(now time.Time) { s.conns.closeIdle(now) }
 
--- a/internal/gateway/callerconns_test.go
+++ b/internal/gateway/callerconns_test.go
@@ -26,6 +26,8 @@
 	t       *testing.T
 	reached chan struct{}
 	release chan struct{}
+	// idle receives a value whenever a connection has begun to count as idle.
+	idle chan struct{}
 }
 
 // newHeldServer starts a server that answers each request with status 200. The nth change to the state is held, counted from 1.
@@ -33,11 +35,14 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
-	s := &heldServer{t: t, reached: make(chan struct{}), release: make(chan struct{})}
+	s := &heldServer{t: t, reached: make(chan struct{}), release: make(chan struct{}), idle: make(chan struct{}, 1000)}
 	gw := gateway.New(gateway.Settings{MaxOpenFiles: 100}, gateway.Adapters{Codec: codec{}}, zerolog.New(io.Discard),
 		func() uint64 { return 0 })
 	seen := 0
 	hold := func(changed http.ConnState, before bool) {
+		if changed == http.StateIdle && !before {
+			s.idle <- struct{}{}
+		}
 		// The goroutine waits before the connection counts as active, and after it counts as idle.
 		if changed != state || before != (state == http.StateActive) {
 			return
@@ -168,6 +173,41 @@
 	}
 }
 
+// TestLongestIdleConnectionsEndFirst guards against many callers whose requests cross the end of their connections, because all idle connections are
+// ended when there are a few too many.
+func TestLongestIdleConnectionsEndFirst(t *testing.T) {
+	s := newHeldServer(t, http.StateHijacked, 1)
+	conns := make([]net.Conn, gateway.MaxOpen(s.CallerServer)+5)
+	readers := make([]*bufio.Reader, len(conns))
+	for i := range conns {
+		conns[i], readers[i] = s.dial()
+		qt.Assert(t, s.request(conns[i], readers[i]), qt.Equals, http.StatusOK)
+		<-s.idle
+	}
+	const ended = 5
+	closed := make(chan error, ended)
+	for i := range ended {
+		go func() {
+			_, err := readers[i].ReadByte()
+			closed <- err
+		}()
+	}
+	poll := time.NewTicker(time.Millisecond)
+	defer poll.Stop()
+	for count := 0; count < ended; {
+		select {
+		case err := <-closed:
+			qt.Assert(t, err, qt.Equals, io.EOF)
+			count++
+		case <-poll.C:
+			s.CloseIdle(time.Now().Add(5 * time.Second))
+		}
+	}
+	for i := ended; i < len(conns); i++ {
+		qt.Check(t, s.request(conns[i], readers[i]), qt.Equals, http.StatusOK, qt.Commentf("connection %d", i))
+	}
+}
+
 // TestDataBeforeDeadline guards against a request that counts as late although it arrived in time, because the process read it only
 // after the deadline.
 func TestDataBeforeDeadline(t *testing.T) {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -376,7 +376,7 @@
 	if x.r.Close || header.Get("Connection") != "" {
 		return // The connection ends with the response, and the head says so.
 	}
-	if x.gateway.draining.Load() {
+	if x.gateway.draining.Load() || x.gateway.callerConns.isCrowded() {
 		header.Set("Connection", "close")
 		return
 	}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -30,7 +30,7 @@
 	// retries that they may send in addition.
 	RetryRatio, RetryReserve float64
 	// MaxOpenFiles is the number of file descriptors available for connections. When callers use more than their fraction
-	// of it, their idle connections are closed sooner.
+	// of it, their connections end with the next answer, and the longest idle ones before it.
 	MaxOpenFiles int
 	// BodyMemory is the number of bytes that the bodies of requests may hold together, zero if there is no limit.
 	BodyMemory int64
