Count idle closes, and requests that cross them

A request that crosses the end of an idle connection left no trace in the routers: no line, no metric.

An idle connection is now closed for writing first and watched for a second. If a request arrives, it is counted in chicorydale_crossed_requests_total and logged as event 613. It is not read, so that the close afterwards resets the connection and its caller may know that it was not handled. Idle closes are counted by reason in chicorydale_idle_closes_total. Watched connections have no goroutine, use at most 2 in 100 of the descriptors, are checked once a second, and are given up at once when no descriptor is left.

TestCountsRequestsThatCrossClose fails without the count, without the check whether the caller has closed the connection, and without the watch.

--- a/internal/gateway/acceptor.go
+++ b/internal/gateway/acceptor.go
@@ -35,12 +35,13 @@
 	callerConns *callerConns
 	shedder     *loadShedder
 	// handovers takes connections that this router is too late for, unless handedOver is set: then another router has handed them over.
-	handovers  *handovers
-	handedOver bool
-	refuser    *unreadRefuser
-	cuts       *cutLog
-	logger     zerolog.Logger
-	lastLogged time.Time
+	handovers   *handovers
+	handedOver  bool
+	refuser     *unreadRefuser
+	cuts        *cutLog
+	closedConns *closedConns
+	logger      zerolog.Logger
+	lastLogged  time.Time
 	// received is where requests that may be refused are read to, refused is the number of requests that were refused. Both belong to the
 	// goroutine that accepts.
 	received [refusalBufferBytes]byte
@@ -75,6 +76,7 @@
 			a.lastLogged = now
 			event.AcceptFailed.Log(a.logger, err)
 		}
+		a.closedConns.closeAll(now)
 		a.callerConns.freeDescriptors(now)
 		time.Sleep(acceptRetryPause)
 	}
@@ -148,7 +150,7 @@
 func (a *acceptor) newCallerConn(conn *net.TCPConn, acceptedAt time.Time) net.Conn {
 	a.handovers.connAccepted(a.handedOver)
 	return &callerConn{
-		TCPConn: conn, shedder: a.shedder, cuts: a.cuts, acceptedAt: acceptedAt, awaitedSince: acceptedAt, handovers: a.handovers, handedOver: a.handedOver,
+		TCPConn: conn, shedder: a.shedder, cuts: a.cuts, closedConns: a.closedConns, acceptedAt: acceptedAt, awaitedSince: acceptedAt, handovers: a.handovers, handedOver: a.handedOver,
 	}
 }
 
--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -13,6 +13,7 @@
 
 	"github.com/chicorydale/chicorydale/internal/event"
 	"github.com/chicorydale/chicorydale/internal/latedata"
+	"github.com/chicorydale/chicorydale/internal/metric"
 )
 
 // callerConn is a connection of a caller. Its first request may be refused by the load shedder.
@@ -20,6 +21,7 @@
 	*net.TCPConn
 	shedder     *loadShedder
 	cuts        *cutLog
+	closedConns *closedConns
 	acceptedAt  time.Time
 	readStarted bool
 	// handovers is told when the process begins to handle the connection, and how long its request has waited to be accepted.
@@ -48,8 +50,10 @@
 	waitingSince time.Time
 	// keepAlive is how long the connection stays open after the current answer, as announced in its head, zero if that announces nothing.
 	keepAlive time.Duration
-	// endingSince is the time of the last call that made the connection end unless data has arrived. It is zero if data has arrived.
+	// endingSince is the time of the last call that made the connection end unless data has arrived, endReason why. endingSince is zero if data has
+	// arrived.
 	endingSince time.Time
+	endReason   metric.IdleCloseReason
 	// readErr is the error of the last read.
 	readErr error
 	closed  bool
@@ -211,21 +215,36 @@
 // endIfIdle ends the connection if nothing of a request has arrived, read or not: its read fails if it finds no data, so that the
 // HTTP server closes the connection. The server may replace the deadline when it begins to wait, so a connection that stays idle
 // needs a further call. Calls within endRepeatInterval of the last one have no effect.
-func (c *callerConn) endIfIdle(now time.Time) {
+func (c *callerConn) endIfIdle(now time.Time, reason metric.IdleCloseReason) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.received == 0 && now.Sub(c.endingSince) >= endRepeatInterval {
-		c.endingSince = now
+		c.endingSince, c.endReason = now, reason
 		_ = c.SetReadDeadline(time.Now()) // On a broken connection, the read fails anyway.
 	}
 }
 
 // Close closes the connection. It logs if the caller waits for the answer to a request, or has got a part of one.
 func (c *callerConn) Close() error {
+	if reason, isIdle := c.closeAsIdle(); isIdle {
+		return c.closedConns.close(c.TCPConn, reason, time.Now())
+	}
 	c.logCut()
 	return c.TCPConn.Close()
 }
 
+// closeAsIdle reports whether the connection is closed since it was told to end and its read has found no data, and why it was. Further calls report
+// false.
+func (c *callerConn) closeAsIdle() (reason metric.IdleCloseReason, isIdle bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.received > 0 || c.endingSince.IsZero() || !isTimeout(c.readErr) {
+		return "", false
+	}
+	c.closed = true
+	return c.endReason, true
+}
+
 // logCut logs that the connection is closed after bytes of a request have arrived, read or not, and before any of its answer, or after a part of
 // the answer could not be written, unless the caller has left.
 func (c *callerConn) logCut() {
--- a/internal/gateway/callerconns.go
+++ b/internal/gateway/callerconns.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/chicorydale/chicorydale/internal/metric"
 )
 
 const (
@@ -118,10 +120,10 @@
 	defer c.mu.Unlock()
 	for conn, current := range c.open {
 		if current.state == http.StateIdle && now.After(current.keptUntil) {
-			conn.endIfIdle(now)
+			conn.endIfIdle(now, metric.IdleExpired)
 		}
 	}
-	c.endLongestIdle(now, len(c.open)-c.maxOpen, minExcessIdle)
+	c.endLongestIdle(now, len(c.open)-c.maxOpen, minExcessIdle, metric.IdleExcess)
 }
 
 // freeDescriptors ends idle connections after one could not be accepted for lack of a descriptor: as many as may wait to be accepted. Calls within
@@ -133,12 +135,12 @@
 		return
 	}
 	c.freedAt = now
-	c.endLongestIdle(now, maxWaitingConns, 0)
+	c.endLongestIdle(now, maxWaitingConns, 0, metric.IdleNoDescriptor)
 }
 
 // endLongestIdle ends up to count connections of those that have been idle for longer than minIdle, the longest idle ones first. It does nothing if
 // count is not positive. The caller holds mu.
-func (c *callerConns) endLongestIdle(now time.Time, count int, minIdle time.Duration) {
+func (c *callerConns) endLongestIdle(now time.Time, count int, minIdle time.Duration, reason metric.IdleCloseReason) {
 	if count <= 0 {
 		return
 	}
@@ -154,7 +156,7 @@
 	}
 	slices.SortFunc(idle, func(a, b idleConn) int { return a.since.Compare(b.since) })
 	for _, longest := range idle[:min(count, len(idle))] {
-		longest.conn.endIfIdle(now)
+		longest.conn.endIfIdle(now, reason)
 	}
 }
 
@@ -165,7 +167,7 @@
 	defer c.mu.Unlock()
 	for conn, current := range c.open {
 		if current.state != http.StateActive && now.Sub(current.since) > idleTimeout {
-			conn.endIfIdle(now)
+			conn.endIfIdle(now, metric.IdleDrained)
 		}
 	}
 	return len(c.open)
--- a/internal/gateway/callerconns_export_test.go
+++ b/internal/gateway/callerconns_export_test.go
@@ -25,6 +25,7 @@
 type CallerServer struct {
 	*http.Server
 	conns    *callerConns
+	gateway  *Gateway
 	listener net.Listener
 	accepted *lastConn
 }
@@ -58,7 +59,7 @@
 		hold(state, false)
 	}
 	go func() { _ = server.Serve(accepted) }()
-	return CallerServer{Server: server, conns: g.callerConns, listener: tcpListener, accepted: accepted}
+	return CallerServer{Server: server, conns: g.callerConns, gateway: g, listener: tcpListener, accepted: accepted}
 }
 
 // Address returns the address of the server.
@@ -76,6 +77,18 @@
 // CloseIdle closes idle connections as if it were called at the time now.
 func (s CallerServer) CloseIdle(now time.Time) { s.conns.closeIdle(now) }
 
+// FreeDescriptors ends idle connections as after one could not be accepted at the time now.
+func (s CallerServer) FreeDescriptors(now time.Time) { s.conns.freeDescriptors(now) }
+
+// Sweep closes watched connections as if it were called at the time now, and returns the number of those that are left.
+func (s CallerServer) Sweep(now time.Time) int {
+	s.gateway.closedConns.sweep(now)
+	return len(s.gateway.closedConns.watched)
+}
+
+// Counters returns the counters of the gateway by name with labels.
+func (s CallerServer) Counters() map[string]int64 { return s.gateway.metrics.CounterValues() }
+
 // Ending reports whether the connection that was accepted last ends unless data has arrived.
 func (s CallerServer) Ending() bool {
 	conn, _ := s.accepted.conn.Load().(*callerConn)
--- a/internal/gateway/callerconns_test.go
+++ b/internal/gateway/callerconns_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -24,6 +25,7 @@
 type heldServer struct {
 	gateway.CallerServer
 	t       *testing.T
+	log     strings.Builder
 	reached chan struct{}
 	release chan struct{}
 	// idle receives a value whenever a connection has begun to count as idle.
@@ -36,7 +38,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	s := &heldServer{t: t, reached: make(chan struct{}), release: make(chan struct{}), idle: make(chan struct{}, 1000)}
-	gw := gateway.New(gateway.Settings{MaxOpenFiles: 100}, gateway.Adapters{Codec: codec{}}, zerolog.New(io.Discard),
+	gw := gateway.New(gateway.Settings{MaxOpenFiles: 100}, gateway.Adapters{Codec: codec{}}, zerolog.New(&s.log),
 		func() uint64 { return 0 })
 	seen := 0
 	hold := func(changed http.ConnState, before bool) {
@@ -154,6 +156,15 @@
 	conn, reader := s.dial()
 	qt.Assert(t, s.request(conn, reader), qt.Equals, http.StatusOK)
 	qt.Assert(t, s.request(conn, reader), qt.Equals, http.StatusOK)
+	s.awaitClose(reader, s.closeExpired)
+}
+
+// closeExpired closes all idle connections as those whose time is over.
+func (s *heldServer) closeExpired() { s.CloseIdle(time.Now().Add(time.Hour)) }
+
+// awaitClose calls a function that ends idle connections until the one with the given reader is closed.
+func (s *heldServer) awaitClose(reader *bufio.Reader, endIdle func()) {
+	s.t.Helper()
 	// The server marks the connection as idle after the caller has read the answer, so the first calls may come too early.
 	closed := make(chan error, 1)
 	go func() {
@@ -165,14 +176,46 @@
 	for {
 		select {
 		case err := <-closed:
-			qt.Check(t, err, qt.Equals, io.EOF)
+			qt.Check(s.t, err, qt.Equals, io.EOF)
 			return
 		case <-poll.C:
-			s.CloseIdle(time.Now().Add(time.Hour))
+			endIdle()
 		}
 	}
 }
 
+// TestCountsRequestsThatCrossClose guards against requests that get no answer because they cross the end of an idle connection, and that no metric and
+// no line tells of, and against descriptors that are kept although a caller has closed its connection or another one needs them.
+func TestCountsRequestsThatCrossClose(t *testing.T) {
+	s := newHeldServer(t, http.StateHijacked, 1)
+	for _, crosses := range []bool{false, true} {
+		conn, reader := s.dial()
+		qt.Assert(t, s.request(conn, reader), qt.Equals, http.StatusOK)
+		beforeClose := time.Now()
+		s.awaitClose(reader, s.closeExpired)
+		qt.Check(t, s.Sweep(beforeClose), qt.Equals, 1)
+		if crosses {
+			_, err := io.WriteString(conn, simpleRequest)
+			qt.Assert(t, err, qt.IsNil)
+		} else {
+			qt.Assert(t, conn.Close(), qt.IsNil)
+		}
+		for s.Sweep(beforeClose) > 0 { // What the caller has done arrives soon.
+			qt.Assert(t, time.Since(beforeClose) < 10*time.Second, qt.IsTrue)
+			runtime.Gosched()
+		}
+	}
+	conn, reader := s.dial()
+	qt.Assert(t, s.request(conn, reader), qt.Equals, http.StatusOK)
+	s.awaitClose(reader, func() { s.FreeDescriptors(time.Now()) })
+	qt.Check(t, s.Sweep(time.Now()), qt.Equals, 0)
+	counters := s.Counters()
+	qt.Check(t, counters[`chicorydale_idle_closes_total{reason="expired"}`], qt.Equals, int64(2))
+	qt.Check(t, counters[`chicorydale_idle_closes_total{reason="no_descriptor"}`], qt.Equals, int64(1))
+	qt.Check(t, counters["chicorydale_crossed_requests_total"], qt.Equals, int64(1))
+	qt.Check(t, strings.Count(s.log.String(), `"event":613`), qt.Equals, 1, qt.Commentf("%s", s.log.String()))
+}
+
 // TestLongestIdleConnectionsEndFirst guards against many callers whose requests cross the end of their connections, because all idle connections are
 // ended when there are a few too many.
 func TestLongestIdleConnectionsEndFirst(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,6 +68,7 @@
 	notices         *targetNotices
 	retryBudgets    *retryBudgets
 	callerConns     *callerConns
+	closedConns     *closedConns
 	peers           *peerLinks
 	lateness        *latenessMeter
 	shedder         *loadShedder
@@ -130,6 +131,7 @@
 		notices:      newTargetNotices(scheduler, logger),
 		retryBudgets: budgets,
 		callerConns:  newCallerConns(settings.MaxOpenFiles),
+		closedConns:  newClosedConns(metrics, logger, settings.MaxOpenFiles),
 		lateness:     lateness,
 
 		refusalLog:    newRefusalLog(logger),
@@ -275,6 +277,7 @@
 		_ = server.Close() // All requests have ended or their time is over.
 	}
 	tasks.Wait()
+	g.closedConns.closeAll(time.Now())
 	event.Stopped.Log(g.logger)
 	return err
 }
@@ -317,7 +320,7 @@
 func (g *Gateway) newAcceptor(listener net.Listener, handedOver bool) *acceptor {
 	return &acceptor{
 		Listener: listener, callerConns: g.callerConns, shedder: g.shedder, handovers: g.handovers, handedOver: handedOver, refuser: g.refuser,
-		cuts: &cutLog{logger: g.logger}, logger: g.logger,
+		cuts: &cutLog{logger: g.logger}, closedConns: g.closedConns, logger: g.logger,
 	}
 }
 
--- a/internal/gateway/maintenance.go
+++ b/internal/gateway/maintenance.go
@@ -33,6 +33,7 @@
 			return
 		case now := <-ticker.C:
 			g.callerConns.closeIdle(now)
+			g.closedConns.sweep(now)
 			g.client.Prune(now, g.openTargetNames())
 			g.updateGauges()
 			g.logProcessState()
--- a/internal/metric/family.go
+++ b/internal/metric/family.go
@@ -18,6 +18,8 @@
 	RefusalsTotal           Family = "chicorydale_refusals_total"
 	RetriesTotal            Family = "chicorydale_retries_total"
 	PromptTokensTotal       Family = "chicorydale_prompt_tokens_total"
+	IdleClosesTotal         Family = "chicorydale_idle_closes_total"
+	CrossedRequestsTotal    Family = "chicorydale_crossed_requests_total"
 	RequestsWaiting         Family = "chicorydale_requests_waiting"
 	RequestsRunning         Family = "chicorydale_requests_running"
 	ScheduledPools          Family = "chicorydale_pools_scheduled"
@@ -49,6 +51,8 @@
 	RefusalsTotal:           "Refused requests by code.",
 	RetriesTotal:            "Retries by reason.",
 	PromptTokensTotal:       "Prompt tokens of requests that got a target, by how the target is expected to get them.",
+	IdleClosesTotal:         "Idle connections of callers that the router closed, by reason.",
+	CrossedRequestsTotal:    "Requests that arrived within a second after the router had closed their idle connection, and got no answer.",
 	RequestsWaiting:         "Requests of this router's callers that wait for a slot.",
 	RequestsRunning:         "Requests of this router's callers that run on a target.",
 	ScheduledPools:          "Pools that this router schedules.",
--- a/internal/metric/set.go
+++ b/internal/metric/set.go
@@ -29,6 +29,8 @@
 	refusals         map[refusal.Code]metrics.Counter
 	retries          map[RetryReason]metrics.Counter
 	promptTokens     map[TokenSource]metrics.Counter
+	idleCloses       map[IdleCloseReason]metrics.Counter
+	crossedRequests  metrics.Counter
 	controlBytes     metrics.Counter
 	crossRegionBytes metrics.Counter
 	// bytesByKind has a counter for each kind of control message followed by sameRegion or otherRegion.
@@ -46,6 +48,7 @@
 		retries:  make(map[RetryReason]metrics.Counter),
 
 		promptTokens: make(map[TokenSource]metrics.Counter),
+		idleCloses:   make(map[IdleCloseReason]metrics.Counter),
 		bytesByKind:  make(map[string]metrics.Counter),
 		gauges:       make(map[Family]metrics.GaugeFloat64),
 		histograms:   make(map[Family]metrics.Histogram),
@@ -59,6 +62,10 @@
 	for _, source := range TokenSources() {
 		set.promptTokens[source] = set.newCounter(fmt.Sprintf("%s{source=%q}", PromptTokensTotal, source))
 	}
+	for _, reason := range IdleCloseReasons() {
+		set.idleCloses[reason] = set.newCounter(fmt.Sprintf("%s{reason=%q}", IdleClosesTotal, reason))
+	}
+	set.crossedRequests = set.newCounter(string(CrossedRequestsTotal))
 	set.controlBytes = set.newCounter(string(ControlBytes))
 	set.crossRegionBytes = set.newCounter(string(ControlCrossRegionBytes))
 	for _, kind := range MessageKinds() {
