Tell how long a request may have waited until it was read, where it ends without an answer

The log could not tell whether a request ended at the deadline of its caller or at an earlier one, which follows from the estimate of how long it had waited unread.

The lines 606 and 613 have the estimate now (unread_ms), and a counter tells the requests that expired more than 0.1 s before the deadline which counts from their read (chicorydale_early_expiries_total), so that their callers may have been there.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -116,7 +116,7 @@
 	}}
 	RequestRefused = Event{606, levelInfo, "request_refused", []string{
 		"id", "customer", "route", "code", "reason", "ran", "status", "retry_ms", "waited_ms", "took_ms", "sent", "version",
-		"config_age_ms",
+		"config_age_ms", "unread_ms",
 	}}
 	AttemptFailed = Event{607, levelInfo, "attempt_failed", []string{
 		"id", "target", "outcome", "error", "sent", "again", "took_ms", "customer", "head", "parts", "framing", "build",
@@ -131,7 +131,7 @@
 	CustomerState = Event{612, levelInfo, "customer_state", []string{
 		"service", "customer", "asked", "started", "refused", "usage", "demand", "share",
 	}}
-	RequestCut = Event{613, levelWarn, "request_cut", []string{"bytes", "took_ms", "error", "id", "partial", "write_error"}}
+	RequestCut = Event{613, levelWarn, "request_cut", []string{"bytes", "took_ms", "error", "id", "partial", "write_error", "unread_ms"}}
 )
 
 // Events of at-most-once claims.
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -35,7 +35,7 @@
 	x.deadline = requestDeadline(matched, info, x.arrivedAt)
 	x.answerDeadline = x.deadline.Add(x.readDelay())
 	if conn := callerConnOf(x.r.Context()); conn != nil {
-		conn.requestParsed(info.ID, callerDeadline(info, x.deadline).Add(x.readDelay()))
+		conn.requestParsed(info.ID, callerDeadline(info, x.deadline).Add(x.readDelay()), x.readDelay())
 	}
 	if refusalErr := x.readBody(table.Limits().MaxBodyBytes); refusalErr != nil {
 		return refusalErr
--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -39,6 +39,8 @@
 	// was parsed.
 	requestID    string
 	awaitedUntil time.Time
+	// unread is how long the current request may have waited until it was read, zero until its head was parsed.
+	unread time.Duration
 	// writeDeadline is the deadline of the last write of the current answer, zero before the first one. The HTTP server removes it after the answer.
 	writeDeadline time.Time
 	// awaitedSince is the time from which the current request could have arrived.
@@ -179,11 +181,12 @@
 	}
 }
 
-// requestParsed records the ID of the current request, and the time until which its caller waits for the answer.
-func (c *callerConn) requestParsed(id string, awaitedUntil time.Time) {
+// requestParsed records the ID of the current request, the time until which its caller waits for the answer, and how long the request may have
+// waited until it was read.
+func (c *callerConn) requestParsed(id string, awaitedUntil time.Time, unread time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.requestID, c.awaitedUntil = id, awaitedUntil
+	c.requestID, c.awaitedUntil, c.unread = id, awaitedUntil, unread
 }
 
 // awaitRequest records that the last request has ended.
@@ -191,7 +194,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.received, c.answered, c.sentBefore, c.awaitedSince = 0, false, false, time.Now()
-	c.writeErr, c.requestID, c.awaitedUntil, c.writeDeadline = nil, "", time.Time{}, time.Time{}
+	c.writeErr, c.requestID, c.awaitedUntil, c.writeDeadline, c.unread = nil, "", time.Time{}, time.Time{}, 0
 }
 
 // announceKeepAlive records how long the connection stays open after the current answer, as announced in its head.
@@ -268,7 +271,8 @@
 	}
 	now := time.Now()
 	if c.cuts.allowLine(now) {
-		event.RequestCut.Log(c.cuts.logger, c.received, now.Sub(since).Milliseconds(), c.readErr, c.requestID, c.answered, c.writeErr)
+		event.RequestCut.Log(c.cuts.logger, c.received, now.Sub(since).Milliseconds(), c.readErr, c.requestID, c.answered, c.writeErr,
+			c.unread.Milliseconds())
 	}
 }
 
--- a/internal/gateway/closedconns.go
+++ b/internal/gateway/closedconns.go
@@ -101,6 +101,6 @@
 func (c *closedConns) recordCrossing(closed closedConn, now time.Time) {
 	c.metrics.CountCrossedRequest()
 	if c.cuts.allowLine(now) {
-		event.RequestCut.Log(c.cuts.logger, 0, now.Sub(closed.closedAt).Milliseconds(), errCrossed, "", false, error(nil))
+		event.RequestCut.Log(c.cuts.logger, 0, now.Sub(closed.closedAt).Milliseconds(), errCrossed, "", false, error(nil), 0)
 	}
 }
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -10,6 +10,9 @@
 	"github.com/chicorydale/chicorydale/internal/refusal"
 )
 
+// minEarlyExpiry is how long before the deadline that counts from its read a request has to expire to count as early.
+const minEarlyExpiry = 100 * time.Millisecond
+
 // refusalBody is the JSON body of a refusal.
 type refusalBody struct {
 	Code    refusal.Code      `json:"code"`
@@ -46,6 +49,9 @@
 		status = http.StatusServiceUnavailable
 	}
 	x.gateway.metrics.CountRefusal(refusalErr.Code)
+	if refusalErr.Code == refusal.Expired && time.Now().Add(minEarlyExpiry).Before(x.answerDeadline) {
+		x.gateway.metrics.CountEarlyExpiry()
+	}
 	header := x.w.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set("Connection", "close")
@@ -71,7 +77,8 @@
 	}
 	event.RequestRefused.Log(x.gateway.logger, x.info.ID, x.customer, x.routeName(), string(refusalErr.Code), refusalErr.Message,
 		string(refusalErr.Execution), status, retryDelay.Milliseconds(), x.stats.queueTime.Milliseconds(),
-		time.Since(x.arrivedAt).Milliseconds(), x.sentAttempts, x.stats.configVersion, x.gateway.config.age().Milliseconds())
+		time.Since(x.arrivedAt).Milliseconds(), x.sentAttempts, x.stats.configVersion, x.gateway.config.age().Milliseconds(),
+		x.readDelay().Milliseconds())
 }
 
 // abortDisconnected logs that the caller disconnected before the end of its response, and panics with http.ErrAbortHandler
--- a/internal/metric/family.go
+++ b/internal/metric/family.go
@@ -16,6 +16,7 @@
 	ControlCrossRegionBytes Family = "chicorydale_control_cross_bytes_total"
 	ControlBytesByKind      Family = "chicorydale_control_kind_bytes_total"
 	RefusalsTotal           Family = "chicorydale_refusals_total"
+	EarlyExpiriesTotal      Family = "chicorydale_early_expiries_total"
 	RetriesTotal            Family = "chicorydale_retries_total"
 	PromptTokensTotal       Family = "chicorydale_prompt_tokens_total"
 	IdleClosesTotal         Family = "chicorydale_idle_closes_total"
@@ -49,6 +50,7 @@
 	ControlCrossRegionBytes: "Bytes of control messages sent to routers of other regions.",
 	ControlBytesByKind:      "Bytes of control messages sent, by kind of message and region of the receiver.",
 	RefusalsTotal:           "Refused requests by code.",
+	EarlyExpiriesTotal:      "Requests that expired before the deadline that counts from their read, because the router took them for older.",
 	RetriesTotal:            "Retries by reason.",
 	PromptTokensTotal:       "Prompt tokens of requests that got a target, by how the target is expected to get them.",
 	IdleClosesTotal:         "Idle connections of callers that the router closed, by reason.",
--- a/internal/metric/set.go
+++ b/internal/metric/set.go
@@ -27,6 +27,7 @@
 type Set struct {
 	registry         metrics.Registry
 	refusals         map[refusal.Code]metrics.Counter
+	earlyExpiries    metrics.Counter
 	retries          map[RetryReason]metrics.Counter
 	promptTokens     map[TokenSource]metrics.Counter
 	idleCloses       map[IdleCloseReason]metrics.Counter
@@ -66,6 +67,7 @@
 		set.idleCloses[reason] = set.newCounter(fmt.Sprintf("%s{reason=%q}", IdleClosesTotal, reason))
 	}
 	set.crossedRequests = set.newCounter(string(CrossedRequestsTotal))
+	set.earlyExpiries = set.newCounter(string(EarlyExpiriesTotal))
 	set.controlBytes = set.newCounter(string(ControlBytes))
 	set.crossRegionBytes = set.newCounter(string(ControlCrossRegionBytes))
 	for _, kind := range MessageKinds() {
@@ -127,6 +129,9 @@
 	counter.Inc(count)
 }
 
+// CountEarlyExpiry counts a request that expired although its caller may have been there.
+func (s *Set) CountEarlyExpiry() { s.earlyExpiries.Inc(1) }
+
 // CountRetry counts a retry. An unknown reason is ignored.
 func (s *Set) CountRetry(reason RetryReason) {
 	if counter, found := s.retries[reason]; found {
