Count the hold-up of a router after the accept once, not twice

Requests could be refused as expired, or end at a deadline that is too early, although their callers were there.

Cause: data that was there before the first read of a new connection counted as waiting since the accept, and before that for as long as the process was late at the read. A process that was held up between the accept and the read counted that time twice; the router that hands a connection over did the same while it opened the connection to its peer. Data that came after a first look that found none counted from the accept.

Now the lateness is taken at the accept, and each look that finds nothing moves the time from which data may have waited (acceptedConn). The other direction is mended with it: a process that is late at the accept and on time at the read counted too little.

Without the change, TestWaitIsNotCountedTwice is 10 s (the lateness that it sets) and 0.3 s off, TestHandoverTellsWaitOnce tells 10 s. TestTimeInKernelQueueCounts, TestTimeUntilLateReadCounts, TestHandoverTellsTimeInKernelQueue and TestBegunAnswerOutlastsEstimatedWait are unchanged and pass.

Ruled out: the kernel's account (TCP_INFO, time since the last data) in place of the probe.

--- a/internal/gateway/acceptor.go
+++ b/internal/gateway/acceptor.go
@@ -122,10 +122,11 @@
 
 // keep hands a connection over, or returns it as one that is to be served.
 func (a *acceptor) keep(conn *net.TCPConn, now time.Time) net.Conn {
-	if !a.handedOver && a.handovers.take(conn, now) {
+	accepted := a.handovers.accepted(conn, now)
+	if !a.handedOver && a.handovers.take(accepted) {
 		return nil
 	}
-	return a.newCallerConn(conn, now)
+	return a.newCallerConn(accepted)
 }
 
 // refuse refuses the request on a connection that this router would begin to handle too late. It reports whether it did. A router that hands
@@ -146,11 +147,12 @@
 	}
 }
 
-// newCallerConn returns the connection of a caller that was accepted at the given time.
-func (a *acceptor) newCallerConn(conn *net.TCPConn, acceptedAt time.Time) net.Conn {
+// newCallerConn returns an accepted connection as one that is to be served.
+func (a *acceptor) newCallerConn(accepted acceptedConn) net.Conn {
 	a.handovers.connAccepted(a.handedOver)
 	return &callerConn{
-		TCPConn: conn, shedder: a.shedder, cuts: a.cuts, closedConns: a.closedConns, acceptedAt: acceptedAt, awaitedSince: acceptedAt, handovers: a.handovers, handedOver: a.handedOver,
+		acceptedConn: accepted, shedder: a.shedder, cuts: a.cuts, closedConns: a.closedConns, handovers: a.handovers,
+		handedOver: a.handedOver,
 	}
 }
 
--- a/internal/gateway/arrival_test.go
+++ b/internal/gateway/arrival_test.go
@@ -81,3 +81,66 @@
 	got := <-waited
 	qt.Check(t, got >= queueTime && got < 2*queueTime, qt.IsTrue, qt.Commentf("%v", got))
 }
+
+// TestWaitIsNotCountedTwice guards against requests that are refused as expired, or end before their deadlines, although their callers are there: the
+// router was held up after it had accepted the connection, and takes the request for as much older than the connection as it is late.
+func TestWaitIsNotCountedTwice(t *testing.T) {
+	for name, sentBeforeRead := range map[string]bool{"sent before the first read": true, "sent after it": false} {
+		t.Run(name, func(t *testing.T) {
+			listener := listen(t)
+			gw := gateway.New(gateway.Settings{MaxOpenFiles: 100}, gateway.Adapters{Codec: codec{}}, zerolog.Nop(), func() uint64 { return 0 })
+			accepted, release, since := make(chan struct{}), make(chan struct{}), make(chan time.Time, 1)
+			hold := func(state http.ConnState, before bool) {
+				if state == http.StateNew && before {
+					close(accepted)
+					<-release
+				}
+			}
+			server := gateway.ServeCallers(gw, listener, hold, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				since <- gateway.RequestSince(r)
+			}))
+			defer func() { _ = server.Close() }()
+			openedAt := time.Now()
+			caller, err := net.Dial("tcp", listener.Addr().String())
+			qt.Assert(t, err, qt.IsNil)
+			defer func() { _ = caller.Close() }()
+			<-accepted
+			if !sentBeforeRead {
+				time.Sleep(queueTime)
+				openedAt = time.Now()
+				gateway.SetLateness(gw, handoverTimeout)
+				close(release)
+				time.Sleep(queueTime)
+			}
+			_, err = io.WriteString(caller, simpleRequest)
+			qt.Assert(t, err, qt.IsNil)
+			if sentBeforeRead {
+				gateway.SetLateness(gw, handoverTimeout)
+				close(release)
+			}
+			got := <-since
+			qt.Check(t, openedAt.Sub(got) < queueTime/2, qt.IsTrue, qt.Commentf("%v", openedAt.Sub(got)))
+		})
+	}
+}
+
+// TestHandoverTellsWaitOnce guards against the same at a router that hands the connection over and is held up meanwhile.
+func TestHandoverTellsWaitOnce(t *testing.T) {
+	peer := listen(t)
+	handovers := gateway.NewTellingHandovers("peer", peer.Addr().String())
+	openedAt := time.Now()
+	caller, accepted := newPair(t)
+	_, err := io.WriteString(caller, simpleRequest)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, handovers.TakeOfCrowd(accepted), qt.IsTrue)
+	atPeer := accept(t, peer)
+	readText(t, atPeer, "\x01")
+	handovers.SetLateness(handoverTimeout)
+	_, err = io.WriteString(atPeer, "\x01")
+	qt.Assert(t, err, qt.IsNil)
+	preamble := make([]byte, 5)
+	_, err = io.ReadFull(atPeer, preamble)
+	qt.Assert(t, err, qt.IsNil)
+	got := time.Duration(binary.BigEndian.Uint32(preamble[1:])) * time.Millisecond
+	qt.Check(t, got < time.Since(openedAt)+queueTime/2, qt.IsTrue, qt.Commentf("%v", got))
+}
--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"errors"
 	"io"
-	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -18,11 +17,11 @@
 
 // callerConn is a connection of a caller. Its first request may be refused by the load shedder.
 type callerConn struct {
-	*net.TCPConn
+	// acceptedConn holds the connection. mu protects its awaitedSince.
+	acceptedConn
 	shedder     *loadShedder
 	cuts        *cutLog
 	closedConns *closedConns
-	acceptedAt  time.Time
 	readStarted bool
 	// handovers is told when the process begins to handle the connection, and how long its request has waited to be accepted.
 	handovers *handovers
@@ -43,9 +42,7 @@
 	unread time.Duration
 	// writeDeadline is the deadline of the last write of the current answer, zero before the first one. The HTTP server removes it after the answer.
 	writeDeadline time.Time
-	// awaitedSince is the time from which the current request could have arrived.
-	awaitedSince time.Time
-	answered     bool
+	answered      bool
 	// sentBefore is set if the first request was there before this process read the connection. waitingSince is then the time from which its
 	// caller may have waited.
 	sentBefore   bool
@@ -87,6 +84,7 @@
 // recordWait records from when on the caller of the first request may have waited: a late process reads requests that came long before.
 // The router that has handed the connection over tells how long that was there.
 func (c *callerConn) recordWait() error {
+	lookedAt := time.Now()
 	early := hasData(c.TCPConn)
 	waited := time.Duration(0)
 	if c.handedOver {
@@ -95,16 +93,16 @@
 			return err
 		}
 	}
-	if !early && waited == 0 {
-		return nil // The caller may open a connection long before it sends a request.
-	}
-	since := c.handovers.readSince(c.acceptedAt)
-	if early {
-		since = c.handovers.requestArrival(c.TCPConn, c.acceptedAt)
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.sentBefore, c.waitingSince = true, since.Add(-waited)
+	if early {
+		c.sentBefore, c.waitingSince = true, c.handovers.requestArrival(c.acceptedConn).Add(-waited)
+		return nil
+	}
+	c.awaitedSince = lookedAt // The caller may open a connection long before it sends a request.
+	if waited > 0 {
+		c.sentBefore, c.waitingSince = true, c.handovers.readSince(lookedAt).Add(-waited)
+	}
 	return nil
 }
 
--- a/internal/gateway/connqueue.go
+++ b/internal/gateway/connqueue.go
@@ -3,18 +3,11 @@
 import (
 	"net"
 	"sync"
-	"time"
 )
 
-// acceptedConn is a connection that waits to be served, and when it was accepted.
-type acceptedConn struct {
-	conn       *net.TCPConn
-	acceptedAt time.Time
-}
-
 // connQueue is a listener for connections that another listener has accepted. It is safe for concurrent use.
 type connQueue struct {
-	wrap  func(*net.TCPConn, time.Time) net.Conn
+	wrap  func(acceptedConn) net.Conn
 	conns chan acceptedConn
 
 	closeOnce sync.Once
@@ -22,14 +15,14 @@
 }
 
 // newConnQueue returns an empty queue. Accept returns connections as wrap returns them.
-func newConnQueue(wrap func(*net.TCPConn, time.Time) net.Conn) *connQueue {
+func newConnQueue(wrap func(acceptedConn) net.Conn) *connQueue {
 	return &connQueue{wrap: wrap, conns: make(chan acceptedConn), closed: make(chan struct{})}
 }
 
 // put passes a connection to Accept. It reports false if the queue is closed, so that nobody serves the connection.
-func (q *connQueue) put(conn *net.TCPConn, acceptedAt time.Time) bool {
+func (q *connQueue) put(accepted acceptedConn) bool {
 	select {
-	case q.conns <- acceptedConn{conn, acceptedAt}:
+	case q.conns <- accepted:
 		return true
 	case <-q.closed:
 		return false
@@ -40,7 +33,7 @@
 func (q *connQueue) Accept() (net.Conn, error) {
 	select {
 	case next := <-q.conns:
-		return q.wrap(next.conn, next.acceptedAt), nil
+		return q.wrap(next), nil
 	case <-q.closed:
 		return nil, net.ErrClosed
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -141,8 +141,8 @@
 	g.ending, g.endRequests = context.WithCancel(context.Background())
 	probe := new(readProbe)
 	g.shedder = newLoadShedder(g)
-	g.kept = newConnQueue(func(conn *net.TCPConn, acceptedAt time.Time) net.Conn {
-		return g.newAcceptor(nil, false).newCallerConn(conn, acceptedAt)
+	g.kept = newConnQueue(func(accepted acceptedConn) net.Conn {
+		return g.newAcceptor(nil, false).newCallerConn(accepted)
 	})
 	g.handovers = newHandovers(
 		logger, settings.MaxOpenFiles, settings.Seed, settings.ProcessorShare, g.kept, probe, g.parseHandedOver, newStandings(scheduler).of,
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -16,9 +16,7 @@
 type handover struct {
 	handovers *handovers
 	peer      string
-	caller    *net.TCPConn
-	// acceptedAt is the time at which this router accepted the connection.
-	acceptedAt time.Time
+	caller    acceptedConn
 	// tellsWait is set if the peer is to be told how long the caller has waited.
 	tellsWait bool
 	// isConfirmed is set if the peer is not asked to confirm the connection, or has done so.
@@ -35,8 +33,8 @@
 // run connects to the peer, passes bytes on in both directions until one side ends, and ends the connection of the caller.
 func (p *handover) run(address string) {
 	defer p.handovers.remove(p)
-	p.handovers.connStarted(p.acceptedAt)
-	if isDisconnected(p.caller) {
+	p.handovers.connStarted(p.caller.acceptedAt)
+	if isDisconnected(p.caller.TCPConn) {
 		p.endConfirmation()
 		_ = p.caller.Close()
 		return
@@ -51,7 +49,7 @@
 	p.handovers.counts.passed.Add(1)
 	go p.passRequest(target)
 	err = p.passResponse(target)
-	p.request.stop(p.caller)
+	p.request.stop(p.caller.TCPConn)
 	_ = target.Close()
 	<-p.requestEnded
 	p.finish(err)
@@ -110,7 +108,7 @@
 	p.endConfirmation()
 	p.handovers.counts.keptAfterFailure.Add(1)
 	_ = p.caller.SetReadDeadline(time.Time{}) // On a broken connection, the next read fails as well.
-	p.handovers.keep(p.caller, p.acceptedAt)
+	p.handovers.keep(p.caller)
 }
 
 // setTarget records the connection to the peer.
@@ -132,17 +130,21 @@
 	defer close(p.requestEnded)
 	buffer, _ := p.handovers.buffers.Get().(*[]byte)
 	defer p.handovers.buffers.Put(buffer)
-	since := time.Time{}
-	if hasData(p.caller) {
-		since = p.handovers.requestArrival(p.caller, p.acceptedAt)
+	since, lookedAt := time.Time{}, time.Now()
+	if hasData(p.caller.TCPConn) {
+		since = p.handovers.requestArrival(p.caller)
+	} else {
+		p.caller.awaitedSince = lookedAt
 	}
 	for {
-		n, _, err := latedata.Read(p.caller, *buffer)
+		n, _, err := latedata.Read(p.caller.TCPConn, *buffer)
 		if n > 0 {
 			if since.IsZero() {
-				since = p.handovers.readSince(p.acceptedAt)
+				since = p.handovers.readSince(p.caller.awaitedSince)
 			}
 			err = errors.Join(err, p.passPart(target, (*buffer)[:n], since))
+		} else {
+			p.caller.awaitedSince = time.Now()
 		}
 		switch {
 		case p.request.hasEnded(): // A caller that goes on sending must not keep the connection.
@@ -150,7 +152,7 @@
 			continue
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			p.request.callerLeft()
-		case p.request.continueReading(p.caller):
+		case p.request.continueReading(p.caller.TCPConn):
 			continue
 		}
 		_ = target.Close() // The peer learns that nothing more comes.
@@ -161,7 +163,7 @@
 // passPart passes a part of the request on. If the peer does not read any more, its answer may still be on its way, and the rest of the request is
 // discarded. The caller has waited since the given time, or since now if that is zero. An error says that the caller has left.
 func (p *handover) passPart(target *net.TCPConn, part []byte, since time.Time) error {
-	if isDisconnected(p.caller) { // A late process reads requests of callers that have left.
+	if isDisconnected(p.caller.TCPConn) { // A late process reads requests of callers that have left.
 		return net.ErrClosed
 	}
 	if p.request.addPart(part, since) && p.tellsWait {
--- a/internal/gateway/handover_export_test.go
+++ b/internal/gateway/handover_export_test.go
@@ -24,8 +24,14 @@
 	return newTestHandovers(peer, handoverPeer{address: address, confirms: true}, timeout)
 }
 
+// NewTellingHandovers is like NewConfirmedHandovers with a peer that is told how long callers have waited.
+func NewTellingHandovers(peer, address string) Handovers {
+	handovers, _ := newTestHandovers(peer, handoverPeer{address: address, readsWait: true, confirms: true}, time.Minute)
+	return handovers
+}
+
 func newTestHandovers(peer string, at handoverPeer, timeout time.Duration) (Handovers, net.Listener) {
-	kept := newConnQueue(func(conn *net.TCPConn, _ time.Time) net.Conn { return conn })
+	kept := newConnQueue(func(accepted acceptedConn) net.Conn { return accepted.TCPConn })
 	parse := func(head []byte, since time.Time) requestHead {
 		parsed := parseWithoutConfig(head, since)
 		parsed.id, parsed.deadline = "id", since.Add(timeout)
@@ -55,13 +61,13 @@
 	h.mu.Lock()
 	h.policy.RecordStartDelay(time.Now(), time.Second)
 	h.mu.Unlock()
-	return h.take(conn, time.Now())
+	return h.take(h.accepted(conn, time.Now()))
 }
 
 // TakeOfCrowd is like Take at a router that is not late, but has got many connections at once.
 func (h Handovers) TakeOfCrowd(conn *net.TCPConn) bool {
 	h.unstarted.Store(1000)
-	return h.take(conn, time.Now())
+	return h.take(h.accepted(conn, time.Now()))
 }
 
 // TakeAcceptedAt is like Take for a connection that was accepted at a time in the past, at which the peer had processor time.
@@ -72,7 +78,7 @@
 		h.policy.RecordPeer(acceptedAt, name, time.Second)
 	}
 	h.mu.Unlock()
-	return h.take(conn, acceptedAt)
+	return h.take(h.accepted(conn, acceptedAt))
 }
 
 // LosePeer records that the link to a peer has ended, and lets the given time pass.
@@ -120,7 +126,7 @@
 	h.setPeer(now, "peer", handoverPeer{}, time.Second)
 	buffer := make([]byte, refusalBufferBytes)
 	arrived := peekArrived(conn, buffer)
-	newUnreadRefuser(h, 1000).refuse(conn, h.parse(arrived, now), buffer, len(arrived) > 0)
+	newUnreadRefuser(h, 1000).refuse(conn, h.parse(arrived, now), buffer, len(arrived) > 0, now)
 }
 
 // NewLateListener returns the listener of a gateway whose process handles data late and has used its reserve for new connections. handedOver is
@@ -135,7 +141,16 @@
 }
 
 // SetLateness makes the process of a gateway handle data late.
-func SetLateness(g *Gateway, lateness time.Duration) { g.peers.probe.last = lateness }
+func SetLateness(g *Gateway, lateness time.Duration) { g.handovers.setLateness(lateness) }
+
+// SetLateness makes the process of a router handle data late.
+func (h Handovers) SetLateness(lateness time.Duration) { h.setLateness(lateness) }
+
+func (h *handovers) setLateness(lateness time.Duration) {
+	h.probe.mu.Lock()
+	defer h.probe.mu.Unlock()
+	h.probe.last = lateness
+}
 
 // EndUnusedConns returns the number of open connections of a gateway, and ends those without a request if it drains.
 func EndUnusedConns(g *Gateway, drains bool) int {
--- a/internal/gateway/handoverend.go
+++ b/internal/gateway/handoverend.go
@@ -42,22 +42,22 @@
 func (p *handover) finish(cause error) {
 	counts := &p.handovers.counts
 	end := p.request.end(cause)
-	if (end == endUnanswered || end == endOverdue) && isDisconnected(p.caller) {
+	if (end == endUnanswered || end == endOverdue) && isDisconnected(p.caller.TCPConn) {
 		end = endCallerLeft
 	}
 	switch end {
 	case endAnswered:
 		counts.answeredByPeer.Add(1)
-		lingerClose(p.caller)
+		lingerClose(p.caller.TCPConn)
 	case endOverdue:
 		counts.answeredByRouter.Add(1)
 		status := p.answer(http.StatusGatewayTimeout, overdueAnswer)
 		event.HandoverOverdue.Log(p.handovers.logger, p.requestID(), p.peer, p.request.waited().Milliseconds(), status)
-		lingerClose(p.caller)
+		lingerClose(p.caller.TCPConn)
 	case endUnanswered:
 		counts.answeredByRouter.Add(1)
 		p.answerUnanswered(cause)
-		lingerClose(p.caller)
+		lingerClose(p.caller.TCPConn)
 	case endPartial:
 		counts.brokenOff.Add(1)
 		p.logUnanswered(0, cause)
@@ -107,7 +107,7 @@
 
 // endDismissed closes a connection without a request. One that has arrived after all is left to this router's own server.
 func (p *handover) endDismissed() {
-	if hasData(p.caller) {
+	if hasData(p.caller.TCPConn) {
 		p.keep()
 		return
 	}
@@ -124,7 +124,7 @@
 // giveUp makes run end a request that the peer has not answered completely. It reports whether it does.
 func (p *handover) giveUp(reason giveUpReason) bool {
 	target := p.openTarget()
-	if target == nil || !p.request.giveUp(reason, p.caller) {
+	if target == nil || !p.request.giveUp(reason, p.caller.TCPConn) {
 		return false
 	}
 	_ = target.Close()
--- a/internal/gateway/handovers.go
+++ b/internal/gateway/handovers.go
@@ -213,11 +213,15 @@
 	return h.admission.ShouldRefuse(now, head.customer, standing, h.policy.ConnCost(now))
 }
 
-// requestArrival returns when the data that waits on a new connection has arrived, and records how long it waited to be accepted: at least as long
-// as this process takes to read what arrives.
-func (h *handovers) requestArrival(conn *net.TCPConn, acceptedAt time.Time) time.Time {
-	arrivedAt := earlier(requestArrival(conn, acceptedAt), acceptedAt.Add(-h.probe.delay(time.Now())))
-	h.counts.recordQueued(acceptedAt.Sub(arrivedAt))
+// accepted returns a connection that was accepted just now. It may have waited for that as long as this process takes to read what arrives.
+func (h *handovers) accepted(conn *net.TCPConn, now time.Time) acceptedConn {
+	return acceptedConn{TCPConn: conn, acceptedAt: now, awaitedSince: now.Add(-h.probe.delay(now))}
+}
+
+// requestArrival returns when the data that waits on a new connection may have arrived, and records how long it waited to be accepted.
+func (h *handovers) requestArrival(conn acceptedConn) time.Time {
+	arrivedAt := earlier(requestArrival(conn.TCPConn, conn.acceptedAt), conn.awaitedSince)
+	h.counts.recordQueued(conn.acceptedAt.Sub(arrivedAt))
 	return arrivedAt
 }
 
@@ -267,7 +271,7 @@
 }
 
 // take hands a new connection over to a peer if this router is too late for it and a peer has time. It reports whether it did.
-func (h *handovers) take(conn *net.TCPConn, acceptedAt time.Time) bool {
+func (h *handovers) take(conn acceptedConn) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.stopped {
@@ -277,7 +281,7 @@
 		h.counts.keptAtLimit.Add(1)
 		return false
 	}
-	peer, choice := h.policy.Pick(acceptedAt, int(h.unstarted.Load()))
+	peer, choice := h.policy.Pick(conn.acceptedAt, int(h.unstarted.Load()))
 	switch {
 	case choice == overload.KeepOnTime:
 		return false
@@ -291,9 +295,9 @@
 	h.connAccepted(false)
 	at := h.peers[peer]
 	// A router without processor time would see each confirmation late, and hand over a third of what it can without waiting for them.
-	asksPeer := at.confirms && !h.policy.StartsLate(acceptedAt)
+	asksPeer := at.confirms && !h.policy.StartsLate(conn.acceptedAt)
 	passed := &handover{
-		handovers: h, peer: peer, caller: conn, acceptedAt: acceptedAt, tellsWait: at.readsWait, isConfirmed: !asksPeer,
+		handovers: h, peer: peer, caller: conn, tellsWait: at.readsWait, isConfirmed: !asksPeer,
 		requestEnded: make(chan struct{}),
 	}
 	if asksPeer {
@@ -362,18 +366,18 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for passed := range h.open {
-		passed.request.dismiss(passed.caller)
+		passed.request.dismiss(passed.caller.TCPConn)
 	}
 	return len(h.open)
 }
 
 // keep returns a connection that could not be handed over to this router's own server. If that has ended, a request that has arrived is refused.
-func (h *handovers) keep(conn *net.TCPConn, acceptedAt time.Time) {
-	if h.kept.put(conn, acceptedAt) {
+func (h *handovers) keep(conn acceptedConn) {
+	if h.kept.put(conn) {
 		return
 	}
 	if hasData(conn) {
 		_, _ = conn.Write([]byte(unreadRefusal(retryAfter))) // A caller that has left gets no answer.
 	}
-	lingerClose(conn)
+	lingerClose(conn.TCPConn)
 }
--- a/internal/gateway/unreadrefusal.go
+++ b/internal/gateway/unreadrefusal.go
@@ -46,7 +46,7 @@
 func (r *unreadRefuser) refuseIfLate(conn *net.TCPConn, buffer []byte, now time.Time) bool {
 	arrived := peekArrived(conn, buffer)
 	head := r.handovers.parseArrived(arrived, now)
-	return r.handovers.shouldRefuse(now, &head) && r.refuse(conn, head, buffer, len(arrived) > 0)
+	return r.handovers.shouldRefuse(now, &head) && r.refuse(conn, head, buffer, len(arrived) > 0, now)
 }
 
 // refuseSocket does the same for a connection on which data has arrived. It reports false if the connection is to be served.
@@ -63,14 +63,14 @@
 	if conn, err = accepted.tcpConn(refuse); err != nil {
 		return false, nil, err
 	}
-	return mustRefuse && r.refuse(conn, head, buffer, true), conn, nil
+	return mustRefuse && r.refuse(conn, head, buffer, true, now), conn, nil
 }
 
-// refuse refuses the request with the given head at once if a part of it has arrived, or else when it arrives. It reports false if too many
-// connections wait for their requests.
-func (r *unreadRefuser) refuse(conn *net.TCPConn, head requestHead, buffer []byte, hasArrived bool) bool {
+// refuse refuses the request with the given head at once if a part of it has arrived by the time now, or else when it arrives. It reports false if
+// too many connections wait for their requests.
+func (r *unreadRefuser) refuse(conn *net.TCPConn, head requestHead, buffer []byte, hasArrived bool, now time.Time) bool {
 	if !hasArrived {
-		return r.handle(conn, true, r.awaitRequest)
+		return r.handle(conn, true, func(conn *net.TCPConn) { r.awaitRequest(conn, now) })
 	}
 	if r.sendRefusal(conn, head, buffer) || !r.handle(conn, false, lingerClose) {
 		_ = conn.Close() // The answer was sent.
@@ -121,8 +121,9 @@
 	_ = conn.SetReadDeadline(time.Time{}) // On a broken connection, the next read fails as well.
 }
 
-// awaitRequest waits for the request on a connection. It is refused, or served if this router has caught up meanwhile.
-func (r *unreadRefuser) awaitRequest(conn *net.TCPConn) {
+// awaitRequest waits for the request on a connection, none of which had arrived at a time. It is refused, or served if this router has caught up
+// meanwhile.
+func (r *unreadRefuser) awaitRequest(conn *net.TCPConn, awaitedSince time.Time) {
 	_ = conn.SetReadDeadline(time.Now().Add(readHeaderTimeout)) // On a broken connection, the read fails anyway.
 	var first [1]byte
 	// A read deadline may have passed although data has arrived.
@@ -134,12 +135,15 @@
 	now := time.Now()
 	buffer := make([]byte, refusalBufferBytes)
 	head := r.handovers.parseArrived(peekArrived(conn, buffer), now)
-	switch {
-	case r.handovers.mayRefuse(now) && r.handovers.shouldRefuse(now, &head):
+	if r.handovers.mayRefuse(now) && r.handovers.shouldRefuse(now, &head) {
 		r.sendRefusal(conn, head, buffer)
 		lingerClose(conn)
-	case !r.handovers.take(conn, now):
-		r.handovers.keep(conn, now)
+		return
+	}
+	// Its wait counts from the arrival of the request, not from the accept.
+	begun := acceptedConn{TCPConn: conn, acceptedAt: now, awaitedSince: r.handovers.readSince(awaitedSince)}
+	if !r.handovers.take(begun) {
+		r.handovers.keep(begun)
 	}
 }
 
