Send refusals before their request ends

Refusals were left to the HTTP server, which sends them after the handler has returned. At the end of a drain, the router ends all open requests, waits until no handler runs and closes all connections: a refusal that the server had not sent yet was lost, and its caller saw the connection close without a byte. Buffered answers and streams are flushed already.

The flush takes the place of the server's, so that the number of writes is the same.

TestRefusalIsSentBeforeRequestEnds got no answer within its 10 s before, and passes now.

--- a/internal/gateway/panic_test.go
+++ b/internal/gateway/panic_test.go
@@ -30,3 +30,20 @@
 	defer func() { _ = response.Body.Close() }()
 	qt.Check(t, response.StatusCode, qt.Equals, http.StatusInternalServerError)
 }
+
+// TestRefusalIsSentBeforeRequestEnds guards against refused requests that get no byte, because the process ends as soon as no request is open.
+func TestRefusalIsSentBeforeRequestEnds(t *testing.T) {
+	gw := gateway.New(gateway.Settings{MaxOpenFiles: 100}, gateway.Adapters{Codec: codec{}}, zerolog.Nop(), func() uint64 { return 0 })
+	answered := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		gateway.Handler(gw).ServeHTTP(w, r)
+		<-answered
+	}))
+	defer server.Close()
+	defer close(answered)
+	client := http.Client{Timeout: handoverTimeout}
+	response, err := client.Get(server.URL)
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = response.Body.Close() }()
+	qt.Check(t, response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+}
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -66,7 +67,7 @@
 	}
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	x.writeHead(status)
-	if _, err := x.w.Write(body); err != nil {
+	if x.sendRefusal(body) != nil {
 		event.CallerLeft.Log(x.gateway.logger, x.info.ID, x.stats.targetName, time.Since(x.arrivedAt).Milliseconds())
 	}
 	if x.hasUnreadBody() {
@@ -81,6 +82,16 @@
 		x.readDelay().Milliseconds())
 }
 
+// sendRefusal sends the body of a refusal. It is not left to the HTTP server, which sends it after the request has ended: a process that is about to end
+// waits for open requests only.
+func (x *exchange) sendRefusal(body []byte) error {
+	_, err := x.w.Write(body)
+	if x.controller == nil {
+		return err
+	}
+	return errors.Join(err, x.controller.Flush())
+}
+
 // abortDisconnected logs that the caller disconnected before the end of its response, and panics with http.ErrAbortHandler
 // to end the request.
 func (x *exchange) abortDisconnected() {
