Read what another router has sent before a request also after the read deadline

A draining router ends unused connections by a read deadline that has passed. Data that has arrived nevertheless is read (internal/latedata), but not by the peek at the mark and the preamble of a connection that was handed over: it returned nothing, the mark and the preamble were taken for the request, and its caller got 400 of the HTTP server for a proper request. No router confirmed such a connection either.

Now the peek looks at the socket also after the deadline, as the callers of it that looked again by themselves did.

TestHandedOverRequestIsReadAfterDeadline read the preamble as a part of the request before, and passes now.

--- a/internal/gateway/handoverconfirmation.go
+++ b/internal/gateway/handoverconfirmation.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 	"time"
 
@@ -47,7 +46,7 @@
 	if len(peekReceived(conn, first[:])) == 0 || first[0] != confirmMark {
 		return nil // The next read returns the error, or the request.
 	}
-	if _, err := io.ReadFull(conn, first[:]); err != nil {
+	if _, _, err := latedata.Read(conn, first[:]); err != nil {
 		return err
 	}
 	_, err := conn.Write(first[:])
--- a/internal/gateway/loadshedder.go
+++ b/internal/gateway/loadshedder.go
@@ -103,8 +103,8 @@
 	return true
 }
 
-// peekReceived returns the bytes that have arrived on a connection without consuming them. It waits for the first byte and
-// returns nil on errors.
+// peekReceived returns the bytes that have arrived on a connection without consuming them. It waits for the first byte until the read deadline, and
+// returns no bytes on errors.
 func peekReceived(conn *net.TCPConn, buffer []byte) []byte {
 	raw, err := conn.SyscallConn()
 	if err != nil {
@@ -116,10 +116,10 @@
 		n, _, recvErr = syscall.Recvfrom(int(fd), buffer, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		return recvErr != syscall.EAGAIN
 	})
-	if err != nil || n < 0 {
-		return nil
+	if err != nil {
+		return peekArrived(conn, buffer) // A read deadline may have passed although data has arrived.
 	}
-	return buffer[:n]
+	return buffer[:max(n, 0)]
 }
 
 // responseWriter is an http.ResponseWriter that writes one complete response directly to a connection. Write must be
--- a/internal/gateway/unreadrefusal.go
+++ b/internal/gateway/unreadrefusal.go
@@ -126,8 +126,7 @@
 func (r *unreadRefuser) awaitRequest(conn *net.TCPConn, awaitedSince time.Time) {
 	_ = conn.SetReadDeadline(time.Now().Add(readHeaderTimeout)) // On a broken connection, the read fails anyway.
 	var first [1]byte
-	// A read deadline may have passed although data has arrived.
-	if len(peekReceived(conn, first[:])) == 0 && !hasData(conn) {
+	if len(peekReceived(conn, first[:])) == 0 {
 		_ = conn.Close() // There is no request.
 		return
 	}
--- a/internal/gateway/unreadrefusal_test.go
+++ b/internal/gateway/unreadrefusal_test.go
@@ -189,3 +189,25 @@
 	qt.Check(t, err, qt.IsNil)
 	qt.Check(t, string(received), qt.Equals, "")
 }
+
+// TestHandedOverRequestIsReadAfterDeadline guards against a request that is refused as malformed, because the process reads what another router has
+// sent before it after the read deadline, at which a draining router ends unused connections.
+func TestHandedOverRequestIsReadAfterDeadline(t *testing.T) {
+	late := listen(t)
+	instance := gateway.New(gateway.Settings{}, gateway.Adapters{Codec: codec{}}, zerolog.Nop(), func() uint64 { return 0 })
+	listener := gateway.NewLateListener(instance, late, time.Second, true)
+	firstRouter, err := net.Dial("tcp", late.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = firstRouter.Close() }()
+	conn, err := listener.Accept()
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(firstRouter, "\x01\x00\x00\x00\x00\x01"+simpleRequest)
+	qt.Assert(t, err, qt.IsNil)
+	gateway.AwaitData(conn)
+	qt.Assert(t, conn.SetReadDeadline(time.Now().Add(-time.Second)), qt.IsNil)
+	received := make([]byte, 2*len(simpleRequest))
+	n, err := conn.Read(received)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, string(received[:n]), qt.Equals, simpleRequest)
+}
