Await the first bytes of a long answer before its head is sent

Callers got a connection that closes without a byte if a target broke off, or was silent until the deadline, after the head of an answer that is too long to buffer, or for which there is no memory: the router took its answer for begun, but the HTTP server had not sent the head, and drops what it holds when the handler ends the connection. Safe requests were not retried.

Now the first bytes of the body are awaited before the head is sent, and the head is sent at once then. An end before that is a broken attempt like any other: a retry, or 502 or 504. The test covers the target that breaks off.

--- a/internal/emulator/targetserver/mode.go
+++ b/internal/emulator/targetserver/mode.go
@@ -26,6 +26,8 @@
 	LargeResponse
 	// LargeTruncated is like LargeResponse, but closes the connection in the middle of the response.
 	LargeTruncated
+	// LargeHead is like LargeResponse, but closes the connection after the head of the response.
+	LargeHead
 	// RestartingStreams ignores Last-Event-Id and sends each stream from its first event.
 	RestartingStreams
 	// UnsignedSuccess runs requests and responds with status 200 without X-Replica-Seal.
--- a/internal/emulator/targetserver/server.go
+++ b/internal/emulator/targetserver/server.go
@@ -306,7 +306,7 @@
 	case UnsignedSuccess:
 		_, _ = io.WriteString(w, "unsigned") // The caller may have disconnected.
 		return
-	case LargeResponse, LargeTruncated:
+	case LargeResponse, LargeTruncated, LargeHead:
 		sendLargeResponse(w, mode)
 		return
 	case Unframed, UnframedTruncated:
@@ -414,14 +414,18 @@
 	}
 }
 
-// LargeResponseBytes is the size of the body in the modes LargeResponse and LargeTruncated.
+// LargeResponseBytes is the size that responses announce in the modes LargeResponse, LargeTruncated and LargeHead.
 const LargeResponseBytes = 1 << 20
 
-// sendLargeResponse sends LargeResponseBytes bytes, or half of them in the mode LargeTruncated.
+// sendLargeResponse sends LargeResponseBytes bytes, or half of them in the mode LargeTruncated, or none in the mode LargeHead.
 func sendLargeResponse(w http.ResponseWriter, mode Mode) {
 	w.Header().Set("X-Replica-Seal", "seal")
 	w.Header().Set("Content-Length", strconv.Itoa(LargeResponseBytes))
 	text := strings.Repeat("0123456789abcdef", LargeResponseBytes/16)
+	if mode == LargeHead {
+		_ = http.NewResponseController(w).Flush() // The caller may have disconnected.
+		panic(http.ErrAbortHandler)
+	}
 	if mode == LargeTruncated {
 		_, _ = io.WriteString(w, text[:LargeResponseBytes/2])
 		panic(http.ErrAbortHandler)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -20,6 +20,9 @@
 const (
 	// maxBufferedBytes is the maximum size of a response body that is read completely before it is sent to the caller.
 	maxBufferedBytes = 256 << 10
+	// firstUnbufferedBytes is the size of the buffer for the first bytes of a response that is not buffered completely. It takes little memory, since
+	// there may be none for the response.
+	firstUnbufferedBytes = 1 << 10
 	// maxDiscardedBytes limits how much of an unused response body is read.
 	maxDiscardedBytes = 16 << 10
 )
@@ -57,8 +60,7 @@
 	case errors.Is(err, errNoAnswerMemory) && x.retryFailure(decision, response.StatusCode):
 		return true
 	case isNotBuffered(err) && !claimsNotRun(response.StatusCode):
-		x.relayUnbuffered(decision, response, body)
-		return false
+		return x.relayUnbuffered(decision, response, body)
 	case err != nil:
 		return x.handleBrokenAttempt(decision, err)
 	}
@@ -100,15 +102,27 @@
 	return true
 }
 
-// relayUnbuffered relays a response that is not buffered completely, starting with the bytes that were. Once its first
-// byte has been sent, it cannot be replaced by the response of another target.
-func (x *exchange) relayUnbuffered(decision dispatch.Decision, response *forward.Response, buffered []byte) {
+// relayUnbuffered relays a response that is not buffered completely, starting with the bytes that were. Once its head has been sent, it cannot be
+// replaced by the response of another target, so the first bytes of its body are awaited before. It reports whether the request should be sent to
+// another target.
+func (x *exchange) relayUnbuffered(decision dispatch.Decision, response *forward.Response, buffered []byte) (retry bool) {
+	if len(buffered) == 0 {
+		first := make([]byte, firstUnbufferedBytes)
+		n, err := response.Read(first)
+		if n == 0 && err != nil && !errors.Is(err, io.EOF) {
+			return x.handleBrokenAttempt(decision, err)
+		}
+		buffered = first[:n]
+	}
 	if response.ContentLength >= 0 {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
 	}
 	x.startResponse(response)
 	source := &errorRecorder{Reader: io.MultiReader(bytes.NewReader(buffered), response)}
-	written, err := io.Copy(x.w, source)
+	written, err := int64(0), x.controller.Flush()
+	if err == nil {
+		written, err = io.Copy(x.w, source)
+	}
 	x.stats.bodyBytes, x.stats.status = written, response.StatusCode
 	if err == nil {
 		source.err = x.checkAnswerEnd(decision, response)
@@ -129,6 +143,7 @@
 		x.recordAnswer(response.StatusCode)
 		x.logResponse()
 	}
+	return false
 }
 
 // recordAnswer records that a target has answered the request completely. A status other than success does not show that the target
