Let streams begin only at the start of a target that is known to run

Cause: a stream that begins was bound to the start in the target's record only while the router knew of several versions of the service. Until it reads the first record of another version, up to a second after that was written, it knows one, and records the version of the old record as the origin of what the new process writes.

Now streams that may be taken up begin at the start that the record names, however many versions are known. The router asks a target for its start only if it does not know which one runs: if nothing that arrived on a connection to a known start shows that it ran less than a second ago, or if a connection has shown since then that the target may have ended. A new process has none of the connections of the old one, and needs longer to start. Data counts as of the moment at which its connection was last seen empty, since a late router reads it long after it was sent.

Each case of TestStartIsAskedWhenAnotherMayRun fails if the part of the change that it is about is taken out.

--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -9,7 +9,10 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
+
+	"github.com/chicorydale/chicorydale/internal/boottime"
 )
 
 const (
@@ -34,10 +37,12 @@
 	dialer  *targetDialer
 	buffers sync.Pool
 
+	now func() boottime.Instant
+
 	mu   sync.Mutex
 	idle map[endpoint][]*conn
-	// startsSeen holds what targets have told of their starts lately.
-	startsSeen map[endpoint]seenStart
+	// starts holds what targets have shown of their starts.
+	starts map[endpoint]*knownStart
 }
 
 // NewClient returns a client that interprets responses with the codec.
@@ -46,9 +51,9 @@
 		codec:   codec,
 		dialer:  newTargetDialer(),
 		buffers: sync.Pool{New: func() any { return new([]byte) }},
+		now:     boottime.Now,
 		idle:    make(map[endpoint][]*conn),
-
-		startsSeen: make(map[endpoint]seenStart),
+		starts:  make(map[endpoint]*knownStart),
 	}
 }
 
@@ -78,6 +83,7 @@
 		c.buffers.Put(buffer)
 	})
 	if err != nil && written == 0 {
+		targetConn.recordFailure(err)
 		response.abort()
 		return nil, &UnsentError{Target: attempt.Target, Cause: err}
 	}
@@ -94,13 +100,13 @@
 // Probe opens a connection to a target and keeps it for reuse. It returns the error if the target accepts no connection,
 // a *LateDialError if that is not known.
 func (c *Client) Probe(ctx context.Context, target, address string) error {
-	socket, err := c.dialer.dial(ctx, address)
+	dest := endpoint{target: target, address: address}
+	opened, err := c.dial(ctx, dest)
 	if err != nil {
 		return err
 	}
-	opened := newConn(socket)
 	opened.idleDeadline = time.Now().Add(defaultIdleTimeout)
-	c.putIdle(endpoint{target: target, address: address}, opened)
+	c.putIdle(dest, opened)
 	return nil
 }
 
@@ -120,7 +126,8 @@
 		if idle == nil {
 			break
 		}
-		if idle.checkReusable(now) != nil {
+		if err := idle.checkReusable(now); err != nil {
+			idle.recordFailure(err)
 			_ = idle.Close()
 			continue
 		}
@@ -140,11 +147,15 @@
 
 // dial opens a connection to a target.
 func (c *Client) dial(ctx context.Context, dest endpoint) (*conn, error) {
+	known, dialedAt := c.startOf(dest), c.now()
 	socket, err := c.dialer.dial(ctx, dest.address)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		known.recordEnd()
+	}
 	if err != nil {
 		return nil, err
 	}
-	return newConn(socket), nil
+	return newConn(socket, known, dialedAt), nil
 }
 
 // popIdle removes and returns the most recently used idle connection, or nil if there is none. Connections on which the target has told the
@@ -200,7 +211,7 @@
 			c.idle[dest] = remaining
 		}
 	}
-	maps.DeleteFunc(c.startsSeen, func(_ endpoint, seen seenStart) bool { return !now.Before(seen.until) })
+	maps.DeleteFunc(c.starts, func(dest endpoint, _ *knownStart) bool { return !present[dest.target] })
 }
 
 // IdleConns returns the number of idle connections to all targets.
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"syscall"
@@ -10,15 +11,15 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/chicorydale/chicorydale/internal/boottime"
 	"github.com/chicorydale/chicorydale/internal/latedata"
 )
 
 // readBufferSize is the size of a connection's read buffer in bytes.
 const readBufferSize = 4096
 
-// errNotReusable reports that an idle connection is past its idle deadline, was closed by the target, or holds bytes that belong
-// to no request.
-var errNotReusable = errors.New("idle connection has expired, is closed, or holds unexpected bytes")
+// errNotReusable reports that an idle connection is past its idle deadline or holds bytes that belong to no request.
+var errNotReusable = errors.New("idle connection has expired or holds unexpected bytes")
 
 // conn is a connection to a target. It carries one request at a time.
 type conn struct {
@@ -31,8 +32,15 @@
 	// silence ends reads before readDeadline. It is only valid together with that.
 	silence      SilenceCheck
 	readDeadline time.Time
-	// startUnixMilli is the start that the target has told on this connection, zero if it was not asked.
+	// known is what the target has shown of its start on all connections.
+	known *knownStart
+	// startUnixMilli is the start of the target to which the connection leads, zero if that is not known. startTold is set if the target has
+	// told it on this connection.
 	startUnixMilli int64
+	startTold      bool
+	// emptyAt is an instant at which everything that had arrived was read. answered is set if anything was read.
+	emptyAt  boottime.Instant
+	answered bool
 	// reused is set if the connection has carried a request before.
 	reused bool
 	// idleDeadline is when the idle connection must no longer be reused, because the target may close it. It is zero until the
@@ -44,17 +52,32 @@
 	writeErr error
 }
 
-// newConn wraps an open network connection.
-func newConn(netConn net.Conn) *conn {
-	opened := &conn{Conn: netConn}
+// newConn wraps a network connection that was opened after the given instant.
+func newConn(netConn net.Conn, known *knownStart, dialedAt boottime.Instant) *conn {
+	opened := &conn{Conn: netConn, known: known, emptyAt: dialedAt}
 	opened.budget = &readBudget{reader: opened}
 	opened.reader = bufio.NewReaderSize(opened.budget, readBufferSize)
 	return opened
 }
 
 // Read reads from the connection. The first read after a deadline returns the data that has arrived until then. Further ones fail, so
-// that a target that keeps sending does not outlast its deadline.
+// that a target that keeps sending does not outlast its deadline. What has arrived shows that the target ran: since the connection was last seen
+// empty, as this process may read late.
 func (c *conn) Read(p []byte) (int, error) {
+	began := c.known.now()
+	n, err := c.readInTime(p)
+	if n > 0 {
+		c.answered = true
+		c.known.recordAlive(c.startUnixMilli, c.emptyAt)
+	}
+	if n < len(p) {
+		c.emptyAt = began
+	}
+	return n, err
+}
+
+// readInTime reads from the connection, as Read does.
+func (c *conn) readInTime(p []byte) (int, error) {
 	if c.lateRead {
 		return c.Conn.Read(p)
 	}
@@ -106,21 +129,35 @@
 	if err != nil {
 		return err
 	}
-	var peekErr error
+	began := c.known.now()
+	n, peekErr := 0, error(nil)
 	err = rawConn.Read(func(fd uintptr) bool {
 		var buf [1]byte
-		_, _, peekErr = syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, _, peekErr = syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		return true
 	})
-	if err != nil {
+	switch {
+	case err != nil:
 		return err
-	}
-	if errors.Is(peekErr, syscall.EAGAIN) {
+	case errors.Is(peekErr, syscall.EAGAIN):
+		c.emptyAt = began
 		return nil
+	case peekErr != nil:
+		return peekErr
+	case n == 0:
+		return io.EOF
 	}
 	return errNotReusable
 }
 
+// recordFailure records the error with which the connection ended. A target resets connections that are too many before it answers on them, so
+// only a connection on which it has answered shows that it may have ended.
+func (c *conn) recordFailure(err error) {
+	if c.answered && isEndOfTarget(err) {
+		c.known.recordEnd()
+	}
+}
+
 // send writes a request and returns the number of bytes written. A request longer than maxSyncWrite is written by a goroutine,
 // and send returns its length at once: a target may respond before it has read a long request, so its response must be read
 // meanwhile. The first bytes of the body are appended to the head, and the rest is written from the body itself, so that a large body is not
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -44,6 +44,7 @@
 	for skipped := 0; ; {
 		response, err := http.ReadResponse(r.conn.reader, request) //nolint:bodyclose // Response.Close keeps or closes the connection.
 		if err != nil {
+			r.conn.recordFailure(err)
 			return err
 		}
 		if response.StatusCode < minStatus || response.StatusCode > maxStatus {
@@ -74,10 +75,12 @@
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
 	if err == io.EOF && r.Framing == FramedByConnection && r.conn.wasReset() {
-		return n, &ResetError{}
+		err = &ResetError{}
 	}
 	if err == io.EOF {
 		r.bodyComplete = true
+	} else if err != nil {
+		r.conn.recordFailure(err)
 	}
 	return n, err
 }
--- a/internal/forward/start.go
+++ b/internal/forward/start.go
@@ -15,11 +15,6 @@
 	startTimeout = 400 * time.Millisecond
 	// maxStartBytes is the maximum size of the answer.
 	maxStartBytes = 64 << 10
-	// seenStartPeriod is how long a start that a target has told holds for further connections of requests that go to any target: a target
-	// that crashes is away for longer.
-	seenStartPeriod = time.Second
-	// unknownStartPeriod is how long a target that did not tell its start is not asked again by requests that go to any start.
-	unknownStartPeriod = 10 * time.Second
 )
 
 // errNoStart says that the answer of a target does not tell its start on a connection that can be used further.
@@ -50,39 +45,46 @@
 // Unwrap returns the cause.
 func (e *UnknownStartError) Unwrap() error { return e.Cause }
 
-// seenStart is what a target has told of its start, zero if it did not tell it, and the time until which that holds.
-type seenStart struct {
-	startUnixMilli int64
-	until          time.Time
+// startOf returns what a target has shown of its start.
+func (c *Client) startOf(dest endpoint) *knownStart {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known, found := c.starts[dest]
+	if !found {
+		known = &knownStart{now: c.now}
+		c.starts[dest] = known
+	}
+	return known
 }
 
-// mustAskStart reports whether a connection on which the target has told the given start, or zero, must not be used by the attempt before the
-// target tells its start again.
-func (c *Client) mustAskStart(now time.Time, dest endpoint, attempt *Attempt, toldUnixMilli int64) bool {
-	if attempt.StartUnixMilli == 0 || attempt.StartUnixMilli == toldUnixMilli {
+// mustAskStart reports whether the target must tell its start on the connection before the attempt may use it.
+func (c *conn) mustAskStart(attempt *Attempt) bool {
+	switch {
+	case attempt.StartUnixMilli == 0:
 		return false
+	case c.startUnixMilli == attempt.StartUnixMilli:
+		return attempt.StartRequired && !c.startTold
 	}
-	if attempt.StartRequired {
-		return true
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	seen, found := c.startsSeen[dest]
-	return !found || !now.Before(seen.until) || seen.startUnixMilli != 0 && seen.startUnixMilli != attempt.StartUnixMilli
+	return attempt.StartRequired || c.startUnixMilli != 0 || !c.known.isUntold()
 }
 
-// checkStart returns a connection to the start of the target that the attempt requires: the target names its start on this very connection, so
-// whatever is sent on it next reaches the same process. It closes the given connection if that leads to another start.
+// checkStart returns a connection to the start of the target that the attempt requires. The target names its start on this very connection, so
+// that whatever is sent on it next reaches the same process, unless it is known which start runs: no other one can have begun since. It closes the
+// given connection if that leads to another start.
 func (c *Client) checkStart(ctx context.Context, candidate *conn, dest endpoint, attempt *Attempt) (*conn, error) {
-	if !c.mustAskStart(time.Now(), dest, attempt, candidate.startUnixMilli) {
+	if candidate.startUnixMilli == 0 {
+		candidate.startUnixMilli = candidate.known.current()
+	}
+	if !candidate.mustAskStart(attempt) {
 		return candidate, nil
 	}
+	askedAt := c.now()
 	reported, err := candidate.askStart(ctx, c.codec, attempt.Deadline)
 	if err == nil {
-		c.recordStart(dest, seenStart{startUnixMilli: reported, until: time.Now().Add(seenStartPeriod)})
+		candidate.known.recordTold(reported, askedAt)
 	}
 	if err == nil && reported == attempt.StartUnixMilli {
-		candidate.startUnixMilli = reported
+		candidate.startUnixMilli, candidate.startTold = reported, true
 		return candidate, nil
 	}
 	_ = candidate.Close()
@@ -92,7 +94,7 @@
 	case attempt.StartRequired || ctx.Err() != nil:
 		return nil, &UnknownStartError{Cause: err}
 	}
-	c.recordStart(dest, seenStart{until: time.Now().Add(unknownStartPeriod)})
+	candidate.known.recordUntold()
 	return c.dial(ctx, dest)
 }
 
@@ -125,10 +127,3 @@
 	}
 	return codec.ParseStart(body)
 }
-
-// recordStart records what a target has told of its start.
-func (c *Client) recordStart(dest endpoint, seen seenStart) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.startsSeen[dest] = seen
-}
--- a/internal/forward/start_test.go
+++ b/internal/forward/start_test.go
@@ -3,12 +3,16 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/chicorydale/chicorydale/internal/boottime"
 	"github.com/chicorydale/chicorydale/internal/forward"
 )
 
@@ -25,16 +29,28 @@
 	})
 }
 
-// startText returns a complete raw answer that tells a start.
-func startText(startUnixMilli int64) string {
-	body := fmt.Sprint(startUnixMilli)
+// startText returns a complete raw answer that tells the start 7.
+func startText() string {
+	const body = "7"
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 }
 
+// startsAsked returns how often the target was asked for its start. No request may follow.
+func (t *testTarget) startsAsked() int {
+	close(t.requests)
+	asked := 0
+	for request := range t.requests {
+		if request == "GET /start " {
+			asked++
+		}
+	}
+	return asked
+}
+
 // TestRequestForOneStartOfTarget guards against a request that reaches another start of its target, which may run other software, and against a
 // target that is asked for its start with each request.
 func TestRequestForOneStartOfTarget(t *testing.T) {
-	target := newStartingTarget(t, startText(7))
+	target := newStartingTarget(t, startText())
 	client := forward.NewClient(codec{})
 	attempt := newAttempt(target, "r1")
 	attempt.StartUnixMilli, attempt.StartRequired = 6, true
@@ -64,7 +80,7 @@
 		"no number":      "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 1\r\n\r\n{",
 		"stream":         "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n7\r\n",
 		"closes":         "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nConnection: close\r\nContent-Length: 1\r\n\r\n7",
-		"additional":     startText(7) + "x",
+		"additional":     startText() + "x",
 		"is no response": "7\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -80,14 +96,7 @@
 				_, err = sendAndRead(t, client, attempt)
 				qt.Assert(t, err, qt.IsNil)
 			}
-			close(target.requests)
-			asked := 0
-			for request := range target.requests {
-				if request == "GET /start " {
-					asked++
-				}
-			}
-			qt.Check(t, asked, qt.Equals, 2)
+			qt.Check(t, target.startsAsked(), qt.Equals, 2)
 		})
 	}
 }
@@ -97,7 +106,7 @@
 func TestStartIsNotAskedOnEachConnection(t *testing.T) {
 	target := newTestTarget(t, func(conn net.Conn, _ int, id string) bool {
 		if id == "" {
-			writeRaw(conn, startText(7))
+			writeRaw(conn, startText())
 			return true
 		}
 		// Without this header, the client may send the next request before it sees that the connection is closed.
@@ -112,12 +121,54 @@
 		_, err := sendAndRead(t, client, attempt)
 		qt.Assert(t, err, qt.IsNil)
 	}
-	close(target.requests)
-	asked := 0
-	for request := range target.requests {
-		if request == "GET /start " {
-			asked++
-		}
+	qt.Check(t, target.startsAsked(), qt.Equals, 2)
+}
+
+// TestStartIsAskedWhenAnotherMayRun guards against a target that is asked for its start although what it has sent shows which one runs, and against
+// a stream that begins unasked at a target that may have started again since.
+func TestStartIsAskedWhenAnotherMayRun(t *testing.T) {
+	const requests = 4
+	almost := forward.MinRestartTime * 9 / 10
+	for name, test := range map[string]struct {
+		answer string
+		// beforeRead passes between the head of an answer and the rest, betweenRequests after that.
+		beforeRead, betweenRequests time.Duration
+		asked                       int
+	}{
+		"answers":          {answer: "whole", betweenRequests: almost, asked: 1},
+		"long quiet":       {answer: "whole", betweenRequests: forward.MinRestartTime, asked: requests},
+		"answer read late": {answer: "whole", beforeRead: forward.MinRestartTime, asked: requests},
+		"broken answer":    {answer: "brok", asked: requests},
+	} {
+		t.Run(name, func(t *testing.T) {
+			rest := make(chan struct{})
+			target := newTestTarget(t, func(conn net.Conn, _ int, id string) bool {
+				if id == "" {
+					writeRaw(conn, startText())
+					return true
+				}
+				writeRaw(conn, "HTTP/1.1 200 OK\r\nId: r1\r\nConnection: close\r\nContent-Length: 5\r\n\r\n")
+				<-rest
+				writeRaw(conn, test.answer)
+				return false
+			})
+			var now atomic.Int64
+			now.Store(int64(time.Hour))
+			client := forward.NewClient(codec{})
+			client.SetClock(func() boottime.Instant { return boottime.Instant(now.Load()) })
+			attempt := newAttempt(target, "r1")
+			attempt.StartUnixMilli = 7
+			for range requests {
+				now.Add(int64(test.betweenRequests) + 1)
+				response, err := client.Send(t.Context(), attempt)
+				qt.Assert(t, err, qt.IsNil)
+				rest <- struct{}{}
+				now.Add(int64(test.beforeRead) + 1)
+				body, _ := io.ReadAll(response)
+				qt.Check(t, string(body), qt.Equals, test.answer)
+				response.Close()
+			}
+			qt.Check(t, target.startsAsked(), qt.Equals, test.asked)
+		})
 	}
-	qt.Check(t, asked, qt.Equals, 2)
 }
--- a/internal/gateway/streamorigins.go
+++ b/internal/gateway/streamorigins.go
@@ -278,24 +278,12 @@
 	return true
 }
 
-// hasSeveralBuilds reports whether the targets of a service have, or had until recently, several builds.
-func (s *streamOrigins) hasSeveralBuilds(service string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.builds.Of(time.Now(), service)) > 1
-}
-
 // requiredStart returns the start of a target that must run the stream, zero if any may, and whether a target that does not tell its start
-// must not. The record of a target that has started again may still name its earlier build: a stream goes on only at the start whose build is
-// known, and begins only there while its service has several builds, since its build is recorded as its origin.
+// must not. The record of a target that has started again may still name its earlier build, also if that is the only one that this router knows: a
+// stream begins and goes on only at the start whose build is known, since that is recorded as its origin.
 func (x *exchange) requiredStart(target dispatch.Target) (startUnixMilli int64, required bool) {
-	switch {
-	case x.route.Kind != route.ResumableStream:
+	if x.route.Kind != route.ResumableStream {
 		return 0, false
-	case x.responseStarted || x.takesUpStream():
-		return target.StartUnixMilli, true
-	case x.gateway.origins.hasSeveralBuilds(target.Service):
-		return target.StartUnixMilli, false
 	}
-	return 0, false
+	return target.StartUnixMilli, x.responseStarted || x.takesUpStream()
 }
