Stay at a silent target when another silent one could not answer in time

What callers saw: two sound targets that are both silent for 1.2 s before the head, a stream that may be resumed: some requests get 504, after two arrivals each (1 of 4 by the users).

Cause: before the head, an attempt was left after 250 ms and four times the expected time, if another healthy target could take it. The wait begins anew at the second target. If the first one was left between 0.85 and 1.2 s after the request, a second one that is silent for 1.2 s answers after the 2.05 s for which callers of such a stream wait, while the first one would have answered. So the time at which callers leave ended the second attempt, which the timeout of the first byte had begun.

Ruled out: the check of the stream after the head, which asks after 1.6 s. Not chosen: to keep the first attempt until the second has answered, which doubles the work and leaves runs behind.

Now an attempt stays while the time that is left is shorter than a sound target may be silent (1.3 s), until four fifths of the time for the answer have passed; then the target counts as hung, and a fifth is left for another one. Requests with less than some 1.6 s leave as before: for them, staying does not help against a silence of a second.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -344,7 +344,7 @@
 	})
 	attempt.HeaderDeadline = earlier(x.callerLeavesAt(), x.deadline)
 	timeout := firstByteTimeoutSlack + firstByteTimeoutFactor*max(decision.ExpectedFirstByte.Sub(now), 0)
-	attempt.Silence = x.silenceCheck(decision, x.sentAttempts+1)
+	attempt.Silence = x.silenceCheck(decision, x.sentAttempts+1, newStayTime(now, attempt.HeaderDeadline))
 	attempt.Silence.At = now.Add(timeout)
 	return attempt
 }
--- a/internal/gateway/relaystream.go
+++ b/internal/gateway/relaystream.go
@@ -25,7 +25,7 @@
 	resumable := x.route.MaxAttempts > 1 && x.route.Kind.Retryable()
 	first := true
 	progress := newStreamProgress(time.Now(), x.lastEventAt, x.route, resumable)
-	silence := x.silenceCheck(decision, x.sentAttempts)
+	silence := x.silenceCheck(decision, x.sentAttempts, stayTime{})
 	isHandedOver, n := wasHandedOver(x.r.Context()), 0
 	for {
 		if isHandedOver && n > 0 && n < len(*buffer) {
