Let unknown streams go on at the only confirmed build after a release that no router saw

The cause: a build that has targets counted like one that is marked in the store, although a build is marked before its first stream. The marks could not be trusted for more, since the store may come back from an older copy, and the first new stream at the second build marked it.

Now a router confirms a mark once it has been the only one of its service and the store cannot have lost another: the record names the era of the store. An unknown stream goes on at the only marked build if a fresh read of all marks shows it confirmed in the same era. For 10 s after the start of routers that find such a mark no second build is marked, while half of the targets have the first one. No stream begins at a build without a mark while another is marked; before, it did after three tries. The removal of a mark is conditional, since it may take effect late, and a build that was away is marked again.

Ruled out: the era in every mark, since a router that lives through the return of the store would write it before another one marks a second build.

--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -34,7 +34,7 @@
 	// ExcludedTargets are the names of the targets that the request must not be sent to, because it was sent there before.
 	ExcludedTargets []string
 	// Build is the version of the target's software that must run the request, because it continues a stream that a target of
-	// that version began. It is empty if any target may run the request.
+	// that version began, or because no stream may begin at another one yet. It is empty if any target may run the request.
 	Build string
 	// Resumed is set if the caller already has a part of the answer, from an earlier request.
 	Resumed bool
--- a/internal/gateway/adapters.go
+++ b/internal/gateway/adapters.go
@@ -15,9 +15,10 @@
 	ConfigTopic, TargetTopic, RouterTopic, QuarantineTopic topiclog.Topic
 	// ProbeTopic holds the claims of probes of what is quarantined.
 	ProbeTopic topiclog.ConditionalTopic
-	// BuildTopic holds the builds of the targets' software at which streams may have begun. OriginTopic holds where streams began, in
-	// records without keys that expire.
-	BuildTopic, OriginTopic topiclog.Topic
+	// BuildTopic holds the builds of the targets' software at which streams may have begun.
+	BuildTopic topiclog.ConditionalTopic
+	// OriginTopic holds where streams began, in records without keys that expire.
+	OriginTopic topiclog.Topic
 	// DecodeTable decodes a record of ConfigTopic. It returns nil without an error for records that hold no routing table.
 	DecodeTable func(record topiclog.Record) (*route.Table, error)
 	// DecodeTarget decodes a record of TargetTopic that was read at the time now.
--- a/internal/gateway/buildmarks.go
+++ b/internal/gateway/buildmarks.go
@@ -34,7 +34,7 @@
 // buildMarks keeps in the store at which builds streams may have begun, for routers that start when no other one is there to tell them. A
 // build is marked before the first stream begins at it. The methods as a topiclog.Handler belong to one goroutine.
 type buildMarks struct {
-	topic   topiclog.Topic
+	topic   topiclog.ConditionalTopic
 	origins *streamOrigins
 	logger  zerolog.Logger
 	// byKey holds the builds of the records that were read.
@@ -44,7 +44,7 @@
 }
 
 // newBuildMarks returns the marks in a topic, none of which has been read.
-func newBuildMarks(topic topiclog.Topic, origins *streamOrigins, logger zerolog.Logger) *buildMarks {
+func newBuildMarks(topic topiclog.ConditionalTopic, origins *streamOrigins, logger zerolog.Logger) *buildMarks {
 	m := &buildMarks{topic: topic, origins: origins, logger: logger, byKey: make(map[string]origin.Origin)}
 	m.reader = &markReader{read: m.readAll}
 	return m
@@ -56,11 +56,17 @@
 	if err != nil {
 		return false
 	}
+	reading := origin.MarkReading{Era: page.Era, NextOffset: page.NextOffset}
 	for _, record := range page.Records {
-		if build, ok := m.decode(record); ok {
-			m.origins.mark(time.Now(), build)
+		mark, ok := m.decode(record)
+		if !ok {
+			reading.Incomplete = true
+			continue
 		}
+		reading.Marks = append(reading.Marks, mark)
+		m.origins.mark(time.Now(), mark.Origin)
 	}
+	m.origins.takeReading(reading)
 	return true
 }
 
@@ -69,9 +75,9 @@
 	clear(m.byKey)
 	var marked []origin.Origin
 	for _, record := range records {
-		if build, ok := m.decode(record); ok {
-			m.byKey[record.Key] = build
-			marked = append(marked, build)
+		if mark, ok := m.decode(record); ok {
+			m.byKey[record.Key] = mark.Origin
+			marked = append(marked, mark.Origin)
 		}
 	}
 	m.origins.resetMarks(now, marked)
@@ -85,9 +91,9 @@
 			delete(m.byKey, record.Key)
 			continue
 		}
-		if build, ok := m.decode(record); ok {
-			m.byKey[record.Key] = build
-			m.origins.mark(now, build)
+		if mark, ok := m.decode(record); ok {
+			m.byKey[record.Key] = mark.Origin
+			m.origins.mark(now, mark.Origin)
 		}
 	}
 }
@@ -96,27 +102,28 @@
 func (m *buildMarks) CaughtUp(boottime.Instant) {}
 
 // Failed does nothing unless the store has lost records: then it may have lost origins too. The handlers of the other topics log failures.
-func (m *buildMarks) Failed(_ time.Time, err error) {
+func (m *buildMarks) Failed(now time.Time, err error) {
 	var expired *topiclog.ExpiredError
 	var otherEra *topiclog.EraError
 	if errors.As(err, &expired) || errors.As(err, &otherEra) && otherEra.Restored() {
+		m.origins.storeRestored(now)
 		m.origins.unsave()
 	}
 }
 
-// decode returns the build of a record. It logs an invalid one.
-func (m *buildMarks) decode(record topiclog.Record) (origin.Origin, bool) {
+// decode returns the mark in a record. It logs an invalid one.
+func (m *buildMarks) decode(record topiclog.Record) (origin.StoredMark, bool) {
 	var stored fleetpb.StoredBuild
 	if err := proto.Unmarshal(record.Value, &stored); err != nil {
 		event.RecordInvalid.Log(m.logger, "builds", record.Key, err)
-		return origin.Origin{}, false
+		return origin.StoredMark{}, false
 	}
 	build := origin.Origin{Service: stored.GetService(), Build: stored.GetBuild()}
 	if markKey(build) != record.Key {
 		event.RecordInvalid.Log(m.logger, "builds", record.Key, "the key is not that of the build")
-		return origin.Origin{}, false
+		return origin.StoredMark{}, false
 	}
-	return build, true
+	return origin.StoredMark{Origin: build, ConfirmedEra: stored.GetConfirmedEra()}, true
 }
 
 // markKey returns the key of the record of a build.
@@ -124,7 +131,7 @@
 	return strconv.FormatUint(xxhash.Sum64String(build.Service+"\x00"+build.Build), markKeyBase)
 }
 
-// write writes the marks that are wanted, and removes outdated ones, until ctx ends.
+// write writes the marks that are wanted, confirms those that are due, and removes outdated ones, until ctx ends.
 func (m *buildMarks) write(ctx context.Context) {
 	ticker := time.NewTicker(markInterval)
 	defer ticker.Stop()
@@ -135,40 +142,86 @@
 		case <-ticker.C:
 		case <-m.origins.markWanted:
 		}
-		wanted, outdated := m.origins.marksToWrite()
-		for _, build := range wanted {
-			m.put(ctx, build)
-		}
-		for _, build := range outdated {
-			m.remove(ctx, build)
-		}
+		m.writeDue(ctx)
+	}
+}
+
+// writeDue writes what is due now. Nothing is, until the marks were read from the store itself.
+func (m *buildMarks) writeDue(ctx context.Context) {
+	if !m.origins.hasReading() && !m.reader.await(ctx) {
+		return
+	}
+	for _, build := range m.origins.marksToWrite() {
+		m.put(ctx, origin.StoredMark{Origin: build})
+	}
+	if len(m.origins.marksToConfirm())+len(m.origins.outdatedMarks()) == 0 || !m.reader.await(ctx) {
+		return
+	}
+	reading := m.origins.lastReading()
+	for _, build := range m.origins.marksToConfirm() {
+		m.put(ctx, origin.StoredMark{Origin: build, ConfirmedEra: reading.Era})
+	}
+	for _, build := range m.origins.outdatedMarks() {
+		m.remove(ctx, build, reading.NextOffset)
 	}
 }
 
-// put writes the mark of a build. If this fails, it is still wanted.
-func (m *buildMarks) put(ctx context.Context, build origin.Origin) {
-	value, err := proto.Marshal(&fleetpb.StoredBuild{Service: build.Service, Build: build.Build})
+// put writes the mark of a build. If this fails, it is still due.
+func (m *buildMarks) put(ctx context.Context, mark origin.StoredMark) {
+	value, err := proto.Marshal(&fleetpb.StoredBuild{Service: mark.Service, Build: mark.Build, ConfirmedEra: mark.ConfirmedEra})
 	if err == nil {
 		putCtx, cancel := context.WithDeadline(ctx, time.Now().Add(markTimeout))
 		defer cancel()
-		err = m.topic.Put(putCtx, markKey(build), value)
+		err = m.topic.Put(putCtx, markKey(mark.Origin), value)
 	}
 	if err != nil {
-		event.OriginsUnsaved.Log(m.logger, "mark of "+build.Service+" "+build.Build, err)
+		event.OriginsUnsaved.Log(m.logger, "mark of "+mark.Service+" "+mark.Build, err)
 		return
 	}
-	m.origins.mark(time.Now(), build)
+	m.origins.markWritten(time.Now(), mark)
 }
 
-// remove removes the mark of a build. If this fails, the mark is still outdated.
-func (m *buildMarks) remove(ctx context.Context, build origin.Origin) {
-	putCtx, cancel := context.WithDeadline(ctx, time.Now().Add(markTimeout))
+// remove removes the mark of a build unless the topic has changed since it was read up to an offset: a removal that takes effect late must not
+// remove a newer mark. If this fails, the mark is still outdated.
+func (m *buildMarks) remove(ctx context.Context, build origin.Origin, readTo uint64) {
+	appendCtx, cancel := context.WithDeadline(ctx, time.Now().Add(markTimeout))
 	defer cancel()
-	if err := m.topic.Put(putCtx, markKey(build), nil); err != nil {
+	err := m.topic.Append(appendCtx, readTo, []topiclog.Record{{Key: markKey(build)}})
+	var conflict *topiclog.ConflictError
+	switch {
+	case err == nil:
+		m.origins.unmark(build)
+	case !errors.As(err, &conflict):
 		event.OriginsUnsaved.Log(m.logger, "end of "+build.Service+" "+build.Build, err)
-		return
 	}
-	m.origins.unmark(build)
+}
+
+// takeReading takes a read of all marks.
+func (s *streamOrigins) takeReading(reading origin.MarkReading) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.confirmations.Take(time.Now(), reading)
+}
+
+// hasReading reports whether the marks were read from the store itself.
+func (s *streamOrigins) hasReading() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.confirmations.HasReading()
+}
+
+// lastReading returns the last read of all marks.
+func (s *streamOrigins) lastReading() origin.MarkReading {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.confirmations.Last()
+}
+
+// storeRestored records that the store came back from an older copy.
+func (s *streamOrigins) storeRestored(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.confirmations.Restored(now)
 }
 
 // resetMarks replaces the marked builds.
@@ -188,8 +241,22 @@
 func (s *streamOrigins) mark(now time.Time, build origin.Origin) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.builds.IsMarked(build) {
+		return
+	}
 	s.builds.Mark(now, build)
-	delete(s.wanted, build)
+	if s.builds.IsMarked(build) {
+		delete(s.wanted, build)
+		s.notifyMarksChanged()
+	}
+}
+
+// markWritten records that this router has marked a build.
+func (s *streamOrigins) markWritten(now time.Time, mark origin.StoredMark) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.builds.MarkWritten(now, mark.Origin)
+	delete(s.wanted, mark.Origin)
 	s.notifyMarksChanged()
 }
 
@@ -220,11 +287,22 @@
 	}
 }
 
-// hasMarked reports whether a build of a service that targets have is marked.
-func (s *streamOrigins) hasMarked(service string) bool {
+// mayBeginUnmarked reports whether a stream may begin at a build that could not be marked: while another build is marked, an unknown stream
+// may go on there.
+func (s *streamOrigins) mayBeginUnmarked(build origin.Origin) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.marksLoaded {
+		return len(s.builds.Of(time.Now(), build.Service)) == 1
+	}
+	return !s.builds.HasOtherMark(build)
+}
+
+// heldTo returns the build at which the new streams of a service have to begin for now, empty if any will do.
+func (s *streamOrigins) heldTo(service string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.builds.HasMarked(service)
+	return s.confirmations.HeldTo(time.Now(), s.builds, service)
 }
 
 // needMark has a build marked. It returns the time until which a stream should wait for it and a channel that is closed when marks were
@@ -255,13 +333,13 @@
 	}
 }
 
-// marksToWrite returns the builds to mark and those whose marks are outdated. There are none until the marks have been read. A wanted
-// build that no target has had for long is forgotten.
-func (s *streamOrigins) marksToWrite() (wanted, outdated []origin.Origin) {
+// marksToWrite returns the builds to mark. There are none until the marks have been read. A wanted build that no target has had for long is
+// forgotten.
+func (s *streamOrigins) marksToWrite() (wanted []origin.Origin) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.marksLoaded {
-		return nil, nil
+		return nil
 	}
 	now := time.Now()
 	for build := range s.wanted {
@@ -269,9 +347,28 @@
 			delete(s.wanted, build)
 			continue
 		}
-		wanted = append(wanted, build)
+		if held := s.confirmations.HeldTo(now, s.builds, build.Service); held == "" || held == build.Build {
+			wanted = append(wanted, build)
+		}
+	}
+	return wanted
+}
+
+// marksToConfirm returns the builds whose marks are to be confirmed.
+func (s *streamOrigins) marksToConfirm() []origin.Origin {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.confirmations.Due(time.Now(), s.builds)
+}
+
+// outdatedMarks returns the builds whose marks are outdated. There are none until the marks have been read.
+func (s *streamOrigins) outdatedMarks() []origin.Origin {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.marksLoaded {
+		return nil
 	}
-	return wanted, s.builds.Outdated(now)
+	return s.builds.Outdated(time.Now())
 }
 
 // notifyMarksChanged wakes those that wait for marks. The caller must hold s.mu.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -40,7 +40,7 @@
 	customer          string
 	priority          int
 	service           string
-	// build is the version of the targets' software at which a stream has to go on, and empty if any target may run the request.
+	// build is the version of the targets' software at which a stream has to begin or go on, and empty if any target may run the request.
 	build string
 	body  []byte
 	// bodyMemory is what the body holds, nil if there is none.
--- a/internal/gateway/origins_export_test.go
+++ b/internal/gateway/origins_export_test.go
@@ -12,6 +12,9 @@
 	"github.com/chicorydale/chicorydale/internal/topiclog"
 )
 
+// requestTime is the time from the begin of a request to its deadline.
+const requestTime = 10 * time.Second
+
 // StreamOrigins exports the origins of streams of one router with what it keeps in the store.
 type StreamOrigins struct {
 	*streamOrigins
@@ -21,7 +24,7 @@
 }
 
 // NewStreamOrigins returns the origins of a router that has read nothing from the topics.
-func NewStreamOrigins(buildTopic, originTopic topiclog.Topic) StreamOrigins {
+func NewStreamOrigins(buildTopic topiclog.ConditionalTopic, originTopic topiclog.Topic) StreamOrigins {
 	origins := newStreamOrigins(zerolog.Nop())
 	return StreamOrigins{
 		streamOrigins: origins, marks: newBuildMarks(buildTopic, origins, zerolog.Nop()),
@@ -65,7 +68,42 @@
 
 // newExchange returns a request of a resumable stream.
 func (s StreamOrigins) newExchange(info RequestInfo) *exchange {
-	return &exchange{gateway: &Gateway{origins: s.streamOrigins}, route: &route.Route{Kind: route.ResumableStream}, info: info}
+	return &exchange{
+		gateway: &Gateway{origins: s.streamOrigins, buildMarks: s.marks}, route: &route.Route{Kind: route.ResumableStream}, info: info,
+		deadline: time.Now().Add(requestTime),
+	}
+}
+
+// Follow keeps the marks up to date until ctx ends.
+func (s StreamOrigins) Follow(ctx context.Context) {
+	topiclog.NewFollower(s.marks.topic, s.marks, routerPollWait, markPollInterval).Run(ctx)
+}
+
+// BeginStream has a stream begin at the first of the targets at which it may, and returns the build of that target, empty if there is none.
+func (s StreamOrigins) BeginStream(ctx context.Context, requestID string, targets ...dispatch.Target) string {
+	x := s.newExchange(RequestInfo{ID: requestID})
+	x.service = targets[0].Service
+	if x.findOrigin(ctx) != nil {
+		return ""
+	}
+	for _, target := range targets {
+		if (x.build == "" || x.build == target.Build) && x.recordOrigin(ctx, dispatch.Decision{Target: target}) && ctx.Err() == nil {
+			s.begin(x.streamID())
+			return target.Build
+		}
+		x.unsentAttempts++
+	}
+	return ""
+}
+
+// GoOn takes up the stream of a request and returns the build at which it has to go on, empty if it is refused.
+func (s StreamOrigins) GoOn(ctx context.Context, service, resumedID string) string {
+	x := s.newExchange(RequestInfo{ID: "again", ResumedID: resumedID, LastEventID: "1"})
+	x.service = service
+	if x.findOrigin(ctx) != nil {
+		return ""
+	}
+	return x.build
 }
 
 // End ends the request that began a stream. brokenOff tells whether the fleet has broken it off.
--- a/internal/gateway/originstore_test.go
+++ b/internal/gateway/originstore_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -28,10 +30,13 @@
 	mu          sync.Mutex
 	firstOffset uint64
 	records     []topiclog.Record
+	// era is the era of the store, zero if it names none.
+	era uint64
 	// putDelay is the time that a write takes.
 	putDelay time.Duration
-	// isAway is set while the store answers nothing. losesAnswers is set while it does what it is asked, and its answers are lost.
-	isAway, losesAnswers bool
+	// isAway is set while the store answers nothing, rejectsWrites while it writes nothing. losesAnswers is set while it does what it is asked, and
+	// its answers are lost.
+	isAway, rejectsWrites, losesAnswers bool
 }
 
 // errAway is the answer of a store that is away.
@@ -51,9 +56,11 @@
 	return len(t.records)
 }
 
-// ReadNewest returns all records, since no test writes a key twice.
+// ReadNewest returns the newest record of each key, without removed ones.
 func (t *logTopic) ReadNewest(ctx context.Context) (topiclog.Page, error) {
-	return t.Read(ctx, t.firstOffset, time.Now())
+	page, err := t.Read(ctx, t.firstOffset, time.Now())
+	page.Records = newestOf(page.Records)
+	return page, err
 }
 
 // Read implements topiclog.Topic. It does not wait for records.
@@ -67,24 +74,41 @@
 	case from < t.firstOffset || from > end:
 		return topiclog.Page{}, &topiclog.ExpiredError{RequestedOffset: from, OldestOffset: t.firstOffset}
 	}
-	return topiclog.Page{Records: append([]topiclog.Record(nil), t.records[from-t.firstOffset:]...), NextOffset: end}, nil
+	return topiclog.Page{Records: append([]topiclog.Record(nil), t.records[from-t.firstOffset:]...), NextOffset: end, Era: t.era}, nil
 }
 
 // Put implements topiclog.Topic.
 func (t *logTopic) Put(_ context.Context, key string, value []byte) error {
-	time.Sleep(t.putDelay)
+	return t.put(topiclog.Record{Key: key, Value: value}, func(uint64) bool { return true })
+}
+
+// put writes a record if the offset after the newest one is as wanted.
+func (t *logTopic) put(record topiclog.Record, isWanted func(end uint64) bool) error {
+	t.mu.Lock()
+	putDelay := t.putDelay
+	t.mu.Unlock()
+	time.Sleep(putDelay)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.isAway {
+	end := t.firstOffset + uint64(len(t.records))
+	switch {
+	case t.isAway || t.rejectsWrites:
 		return errAway
+	case !isWanted(end):
+		return &topiclog.ConflictError{Offset: end}
 	}
-	t.records = append(t.records, topiclog.Record{Key: key, Value: value})
+	t.records = append(t.records, record)
 	if t.losesAnswers {
 		return errAway
 	}
 	return nil
 }
 
+// Append implements topiclog.ConditionalTopic for one record.
+func (t *logTopic) Append(_ context.Context, at uint64, records []topiclog.Record) error {
+	return t.put(records[0], func(end uint64) bool { return end == at })
+}
+
 // newest returns all records of the topic.
 func (t *logTopic) newest() []topiclog.Record {
 	t.mu.Lock()
@@ -92,6 +116,21 @@
 	return append([]topiclog.Record(nil), t.records...)
 }
 
+// newestOf returns the newest record of each key, without removed ones.
+func newestOf(records []topiclog.Record) []topiclog.Record {
+	values := make(map[string][]byte)
+	for _, record := range records {
+		values[record.Key] = record.Value
+	}
+	var newest []topiclog.Record
+	for _, key := range slices.Sorted(maps.Keys(values)) {
+		if values[key] != nil {
+			newest = append(newest, topiclog.Record{Key: key, Value: values[key]})
+		}
+	}
+	return newest
+}
+
 // startOrigins starts a router that has read the topics and writes to them, and returns a function that ends it.
 func startOrigins(t *testing.T, builds, streams *logTopic, targets ...dispatch.Target) (gateway.StreamOrigins, func()) {
 	t.Helper()
--- a/internal/gateway/streamorigins.go
+++ b/internal/gateway/streamorigins.go
@@ -33,6 +33,8 @@
 	mu        sync.Mutex
 	directory *origin.Directory
 	builds    *origin.Builds
+	// confirmations tells which marks of builds are the only ones.
+	confirmations *origin.Confirmations
 	// waiters holds the channels to close when the question for a stream has ended.
 	waiters map[origin.StreamID][]chan struct{}
 	// marksLoaded and streamsLoaded are set when the marks of builds and the origins of streams were read from the store. loaded is
@@ -51,7 +53,7 @@
 	return &streamOrigins{
 		logger: logger, directory: origin.New(), builds: origin.NewBuilds(), waiters: make(map[origin.StreamID][]chan struct{}),
 		loaded: make(chan struct{}), wanted: make(map[origin.Origin]time.Time), markWanted: make(chan struct{}, 1),
-		marksChanged: make(chan struct{}),
+		marksChanged: make(chan struct{}), confirmations: origin.NewConfirmations(),
 	}
 }
 
@@ -189,7 +191,7 @@
 }
 
 // onlyBuild returns the only build of a service at which streams may have begun. It is empty if there are several or none, or if this is
-// not known because the store was not read yet.
+// not known because the store was not read yet. A build without a mark does not count while the only mark is confirmed.
 func (s *streamOrigins) onlyBuild(service string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -199,7 +201,7 @@
 	if builds := s.builds.Of(time.Now(), service); len(builds) == 1 {
 		return builds[0]
 	}
-	return ""
+	return s.confirmations.Last().OnlyBuild(service)
 }
 
 // streamID returns the ID of the stream that the request begins or takes up.
@@ -223,9 +225,11 @@
 	}
 }
 
-// findOrigin sets the service and the build at which a stream that the caller takes up has to go on. It returns a refusal if they are not known.
+// findOrigin sets the service and the build at which a stream that the caller takes up has to go on, and the build at which a new one has to
+// begin. It returns a refusal if a stream goes on and they are not known.
 func (x *exchange) findOrigin(ctx context.Context) *refusal.Error {
 	if !x.takesUpStream() {
+		x.build = x.heldTo()
 		return nil
 	}
 	var from origin.Origin
@@ -248,6 +252,14 @@
 		WithRetryAt(time.Now().Add(retryAfter))
 }
 
+// heldTo returns the build at which a new stream has to begin for now, empty if any will do.
+func (x *exchange) heldTo() string {
+	if x.route.Kind != route.ResumableStream {
+		return ""
+	}
+	return x.gateway.origins.heldTo(x.service)
+}
+
 // onlyBuild returns the only build at which the stream that the caller takes up may have begun. It is empty if there are several or none. The
 // marks are read for it, because a router that was cut off or stood still knows fewer builds than there are.
 func (x *exchange) onlyBuild(ctx context.Context) string {
@@ -263,15 +275,15 @@
 }
 
 // recordOrigin records that the target of a decision is about to begin the stream, or to continue it for the caller. It first waits until the
-// target's build is marked. It reports false if the build could not be marked and another target should be tried, of a build that is. If no
-// build is marked, the stream begins all the same, because the store does not answer.
+// target's build is marked. It reports false if the build could not be marked and the stream must not begin there, since another one is. If no
+// other build is marked, the stream begins all the same, because the store does not answer.
 func (x *exchange) recordOrigin(ctx context.Context, decision dispatch.Decision) bool {
 	if x.route.Kind != route.ResumableStream || x.responseStarted {
 		return true
 	}
 	from := origin.Origin{Service: decision.Target.Service, Build: decision.Target.Build}
 	marked := x.gateway.origins.awaitMark(ctx, from)
-	if !marked && x.build == "" && x.unsentAttempts+1 < maxUnsentAttempts && x.beforeDeadline() && x.gateway.origins.hasMarked(from.Service) {
+	if !marked && x.build == "" && !x.gateway.origins.mayBeginUnmarked(from) {
 		return false
 	}
 	x.gateway.origins.record(x.streamID(), from, x.deadline.Add(originRetention))
