Hold the first event of a stream until the store has its origin, while two versions serve

The cause: callers got first events before the store held where their streams had begun. Origins were written in batches, one write at a time, 0.1 s after the last answer.

Now the first event of a stream waits until its record is acknowledged, 0.4 s at most, while its service has several builds. A write begins as soon as a stream wants it, 0.1 s after the last one at the earliest, and up to four are under way. While the store does not answer in time, no stream waits.

Ruled out: to ask the targets, whose runs end with the routers' connections; a token in the answer, since callers name only the id of their request; more writes without waiting, since what is under way is lost all the same.

--- a/internal/gateway/origins_export_test.go
+++ b/internal/gateway/origins_export_test.go
@@ -58,6 +58,11 @@
 	s.begin(stream)
 }
 
+// AwaitSaved waits until the store holds where a stream began.
+func (s StreamOrigins) AwaitSaved(ctx context.Context, stream origin.StreamID) {
+	s.awaitSaved(ctx, stream)
+}
+
 // Find returns the origin of a stream.
 func (s StreamOrigins) Find(ctx context.Context, stream origin.StreamID) (origin.Origin, bool) {
 	return s.find(ctx, stream)
--- a/internal/gateway/originstore.go
+++ b/internal/gateway/originstore.go
@@ -20,8 +20,12 @@
 	// all routers. In a large fleet the routers write less often, originWritesPerSecond all together.
 	minOriginSaveInterval = 100 * time.Millisecond
 	originWritesPerSecond = 80
-	// originSaveTimeout limits one write of origins.
+	// originSaveTimeout limits one write of origins, maxOriginWrites the number of writes that are not answered yet.
 	originSaveTimeout = 2 * time.Second
+	maxOriginWrites   = 4
+	// maxSaveWait limits the time that the first event of a stream waits until the store holds its origin. A slow store takes a quarter of a
+	// second for a write.
+	maxSaveWait = 400 * time.Millisecond
 	// minLoadRetryDelay and maxLoadRetryDelay bound the random delay after a failed read of the origins.
 	minLoadRetryDelay = 100 * time.Millisecond
 	maxLoadRetryDelay = 400 * time.Millisecond
@@ -74,14 +78,40 @@
 	}
 }
 
-// writeUnsaved writes origins to the store until ctx ends.
+// writeUnsaved writes origins to the store until ctx ends. While the store is slow, several writes are under way, so that a stream does not
+// wait for the writes of others.
 func (o *originStore) writeUnsaved(ctx context.Context) {
+	underWay := make(chan struct{}, maxOriginWrites)
 	for ctx.Err() == nil {
-		sleepUntil(ctx, time.Now().Add(o.saveInterval()))
+		o.awaitWanted(ctx)
 		batch := o.origins.unsaved()
-		if record := batch.Record(); record != nil {
-			o.write(ctx, batch, record)
+		record := batch.Record()
+		if record == nil {
+			continue
+		}
+		select {
+		case underWay <- struct{}{}:
+		case <-ctx.Done():
+			return
 		}
+		nextAt := time.Now().Add(o.saveInterval())
+		o.origins.withDirectory(func(directory *origin.Directory, _ time.Time) { directory.Saving(batch) })
+		go func() {
+			defer func() { <-underWay }()
+			o.write(ctx, batch, record)
+		}()
+		sleepUntil(ctx, nextAt)
+	}
+}
+
+// awaitWanted waits until the origin of a stream is wanted in the store, for the time between two writes at most.
+func (o *originStore) awaitWanted(ctx context.Context) {
+	timer := time.NewTimer(o.saveInterval())
+	defer timer.Stop()
+	select {
+	case <-o.origins.saveWanted:
+	case <-timer.C:
+	case <-ctx.Done():
 	}
 }
 
@@ -100,9 +130,65 @@
 	}
 	if err != nil {
 		event.OriginsUnsaved.Log(o.logger, "origins", err)
-		return
 	}
-	o.origins.withDirectory(func(directory *origin.Directory, _ time.Time) { directory.Saved(batch) })
+	o.origins.saveEnded(batch, err == nil)
+}
+
+// saveEnded records the end of a write of a batch and wakes the streams that wait for it.
+func (s *streamOrigins) saveEnded(batch origin.Batch, succeeded bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if succeeded {
+		s.directory.Saved(batch)
+	} else {
+		s.directory.NotSaved(batch)
+	}
+	s.saveFails = !succeeded
+	close(s.saveChanged)
+	s.saveChanged = make(chan struct{})
+}
+
+// awaitSaved waits until the store holds where a stream began, while its service has several builds: without that, nobody knows where the
+// stream has to go on once all routers are lost. It does not wait for a store that does not answer.
+func (s *streamOrigins) awaitSaved(ctx context.Context, stream origin.StreamID) {
+	timer := time.NewTimer(maxSaveWait)
+	defer timer.Stop()
+	for changed := s.wantSave(stream); changed != nil; changed = s.wantSave(stream) {
+		select {
+		case <-changed:
+		case <-timer.C:
+			s.recordSaveFailure()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// wantSave has the origin of a stream written to the store. It returns a channel that is closed at the end of the next write, nil if there is
+// nothing to wait for.
+func (s *streamOrigins) wantSave(stream origin.StreamID) <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	from, known := s.directory.Find(now, stream)
+	if !known || len(s.builds.Of(now, from.Service)) < 2 || s.directory.IsSaved(stream) {
+		return nil
+	}
+	select {
+	case s.saveWanted <- struct{}{}:
+	default:
+	}
+	if s.saveFails {
+		return nil
+	}
+	return s.saveChanged
+}
+
+// recordSaveFailure records that a stream has waited for the store in vain.
+func (s *streamOrigins) recordSaveFailure() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.saveFails = true
 }
 
 // streamsRead records that the origins of the store have been read. It returns the number of streams that are known.
--- a/internal/gateway/originstore_test.go
+++ b/internal/gateway/originstore_test.go
@@ -217,6 +217,58 @@
 	})
 }
 
+// TestStreamWhoseCallerHasAPartIsSaved guards against a stream that no router knows after the loss of all of them although its caller has got
+// a part, also while the store is slow.
+func TestStreamWhoseCallerHasAPartIsSaved(t *testing.T) {
+	const streams, begunEvery = 200, 7 * time.Millisecond
+	for _, putDelay := range []time.Duration{4 * time.Millisecond, 240 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			builds, saved := new(logTopic), &logTopic{putDelay: putDelay}
+			origins, stop := startOrigins(t, builds, saved, oldTarget, newTarget)
+			defer stop()
+			begun := make(chan origin.StreamID, streams)
+			for i := range origin.StreamID(streams) {
+				time.Sleep(begunEvery)
+				go func() {
+					origins.Begin(i+1, oldBuild, time.Now().Add(time.Minute))
+					origins.AwaitSaved(t.Context(), i+1)
+					begun <- i + 1
+				}()
+			}
+			synctest.Wait()
+			later := gateway.NewStreamOrigins(builds, &logTopic{records: saved.newest()})
+			later.Load(t.Context())
+			qt.Check(t, len(begun) >= streams-int((putDelay+100*time.Millisecond)/begunEvery)-1, qt.IsTrue, qt.Commentf("%d have begun", len(begun)))
+			for range len(begun) {
+				stream := <-begun
+				_, found := later.Find(t.Context(), stream)
+				qt.Check(t, found, qt.IsTrue, qt.Commentf("stream %d", stream))
+			}
+		})
+	}
+}
+
+// TestStreamsDoNotWaitForStoreThatIsAway guards against streams that all wait for a store that does not answer.
+func TestStreamsDoNotWaitForStoreThatIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		saved := &logTopic{putDelay: time.Minute}
+		origins, stop := startOrigins(t, new(logTopic), saved, oldTarget, newTarget)
+		defer time.Sleep(2 * time.Minute)
+		defer stop()
+		startedAt := time.Now()
+		for i := range origin.StreamID(20) {
+			origins.Begin(i+1, oldBuild, time.Now().Add(time.Hour))
+			origins.AwaitSaved(t.Context(), i+1)
+		}
+		qt.Check(t, time.Since(startedAt), qt.Equals, 400*time.Millisecond)
+		saved.set(func() { saved.putDelay = 0 })
+		time.Sleep(3 * time.Minute)
+		origins.Begin(100, oldBuild, time.Now().Add(time.Hour))
+		origins.AwaitSaved(t.Context(), 100)
+		qt.Check(t, saved.count() > 1, qt.IsTrue)
+	})
+}
+
 // TestMarkLostByStoreIsWrittenAgain guards against a build without a mark after the store has come back from an older copy, and against
 // origins that are missing there.
 func TestMarkLostByStoreIsWrittenAgain(t *testing.T) {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -268,7 +268,7 @@
 func (x *exchange) startResponse(response *forward.Response) {
 	x.responseStarted = true
 	if x.route.Kind == route.ResumableStream {
-		x.gateway.origins.begin(x.streamID())
+		x.beginStream()
 	}
 	x.setResponseHeader(response.Header)
 	if response.ContentLength >= 0 && !x.route.Kind.Retryable() {
--- a/internal/gateway/streamorigins.go
+++ b/internal/gateway/streamorigins.go
@@ -46,6 +46,11 @@
 	markWanted chan struct{}
 	// marksChanged is closed and replaced when marks were added.
 	marksChanged chan struct{}
+	// saveWanted wakes the writer of origins. saveChanged is closed and replaced at the end of a write. saveFails is set while the store does
+	// not answer writes in time.
+	saveWanted  chan struct{}
+	saveChanged chan struct{}
+	saveFails   bool
 }
 
 // newStreamOrigins returns streamOrigins that know no stream.
@@ -54,6 +59,7 @@
 		logger: logger, directory: origin.New(), builds: origin.NewBuilds(), waiters: make(map[origin.StreamID][]chan struct{}),
 		loaded: make(chan struct{}), wanted: make(map[origin.Origin]time.Time), markWanted: make(chan struct{}, 1),
 		marksChanged: make(chan struct{}), confirmations: origin.NewConfirmations(),
+		saveWanted: make(chan struct{}, 1), saveChanged: make(chan struct{}),
 	}
 }
 
@@ -290,6 +296,14 @@
 	return true
 }
 
+// beginStream records that the caller is about to get a part of the stream. If it is the first one, it waits until the store holds its origin.
+func (x *exchange) beginStream() {
+	x.gateway.origins.begin(x.streamID())
+	if !x.takesUpStream() {
+		x.gateway.origins.awaitSaved(x.r.Context(), x.streamID())
+	}
+}
+
 // requiredStart returns the start of a target that must run the stream, zero if any may, and whether a target that does not tell its start
 // must not. The record of a target that has started again may still name its earlier build, also if that is the only one that this router knows: a
 // stream begins and goes on only at the start whose build is known, since that is recorded as its origin.
--- a/internal/origin/directory.go
+++ b/internal/origin/directory.go
@@ -33,13 +33,18 @@
 	toldBy string
 	// savedUntil is the expiry with which the store holds the entry, zero if it does not.
 	savedUntil time.Time
+	// isBeingSaved is set while a write of the entry to the store is not answered.
+	isBeingSaved bool
 }
 
+// isSaved reports whether the store holds the entry until its expiry.
+func (e entry) isSaved() bool { return !e.savedUntil.Before(e.expiresAt) }
+
 // after returns the entry with what a known entry says of the same origin.
 func (e entry) after(known entry) entry {
 	e.spent = e.spent || known.spent
 	if e.origin == known.origin {
-		e.hasBegun, e.savedUntil = known.hasBegun, known.savedUntil
+		e.hasBegun, e.savedUntil, e.isBeingSaved = known.hasBegun, known.savedUntil, known.isBeingSaved
 	}
 	return e
 }
--- a/internal/origin/stored.go
+++ b/internal/origin/stored.go
@@ -36,13 +36,16 @@
 	}
 }
 
+// IsSaved reports whether the store holds a stream until its expiry.
+func (d *Directory) IsSaved(stream StreamID) bool { return d.entries[stream].isSaved() }
+
 // Unsaved returns the streams of this router that have begun and that the store does not hold until their expiry, of the services that
-// isShared selects.
+// isShared selects, without those that are being saved.
 func (d *Directory) Unsaved(now time.Time, isShared func(service string) bool) Batch {
 	batch := Batch{groups: make(map[Origin]*fleetpb.StoredOriginGroup), expiries: make(map[StreamID]time.Time)}
 	for stream, known := range d.entries {
-		saved := !known.savedUntil.Before(known.expiresAt)
-		if !known.isOwn || !known.hasBegun || saved || !now.Before(known.expiresAt) || !isShared(known.origin.Service) {
+		if !known.isOwn || !known.hasBegun || known.isSaved() || known.isBeingSaved || !now.Before(known.expiresAt) ||
+			!isShared(known.origin.Service) {
 			continue
 		}
 		if len(batch.expiries) == maxStoredBatch {
@@ -65,12 +68,35 @@
 	b.expiries[stream] = known.expiresAt
 }
 
+// Saving records that a batch is being written to the store.
+func (d *Directory) Saving(batch Batch) {
+	d.update(batch, func(saving entry, _ time.Time) entry {
+		saving.isBeingSaved = true
+		return saving
+	})
+}
+
 // Saved records that the store holds a batch.
 func (d *Directory) Saved(batch Batch) {
+	d.update(batch, func(saved entry, expiresAt time.Time) entry {
+		saved.savedUntil, saved.isBeingSaved = expiresAt, false
+		return saved
+	})
+}
+
+// NotSaved records that a write of a batch has failed.
+func (d *Directory) NotSaved(batch Batch) {
+	d.update(batch, func(failed entry, _ time.Time) entry {
+		failed.isBeingSaved = false
+		return failed
+	})
+}
+
+// update changes the entries of a batch that are still remembered. change gets an entry and the expiry that it has in the batch.
+func (d *Directory) update(batch Batch, change func(known entry, expiresAt time.Time) entry) {
 	for stream, expiresAt := range batch.expiries {
-		if saved, found := d.entries[stream]; found {
-			saved.savedUntil = expiresAt
-			d.entries[stream] = saved
+		if known, found := d.entries[stream]; found {
+			d.entries[stream] = change(known, expiresAt)
 		}
 	}
 }
