Hand no request over to a router with an older configuration

What callers saw: a router served a route that was new, and answered 404 on it two seconds later.

Peers were chosen by the processor time that they have left, whatever their configuration.

Now the reports of processor time name the version of the configuration, are sent at once when it changes, and a peer with an older one than this router's gets no connections. TestRequestIsNotHandedOverToOlderConfiguration fails without the check (4 cases, 2 wrong).

--- a/internal/gateway/configview.go
+++ b/internal/gateway/configview.go
@@ -35,6 +35,15 @@
 // Table returns the configuration in use, or nil if none has been read yet.
 func (v *configView) Table() *route.Table { return v.table.Load() }
 
+// version returns the version of the configuration in use, or zero if none has been read yet. It is safe for concurrent use.
+func (v *configView) version() uint64 {
+	table := v.Table()
+	if table == nil {
+		return 0
+	}
+	return table.Version()
+}
+
 // age returns the time since the instant as of which the configuration is known to be the newest one.
 func (v *configView) age() time.Duration {
 	return boottime.Now().Sub(boottime.Instant(v.confirmedAt.Load()))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -146,6 +146,7 @@
 	})
 	g.handovers = newHandovers(
 		logger, settings.MaxOpenFiles, settings.Seed, settings.ProcessorShare, g.kept, probe, g.parseHandedOver, newStandings(scheduler).of,
+		g.config.version,
 	)
 	g.refuser = newUnreadRefuser(g.handovers, settings.MaxOpenFiles)
 	loads := &loadReports{
--- a/internal/gateway/handover_export_test.go
+++ b/internal/gateway/handover_export_test.go
@@ -37,7 +37,7 @@
 		parsed.id, parsed.deadline = "id", since.Add(timeout)
 		return parsed
 	}
-	h := newHandovers(zerolog.Nop(), 1000, 1, 1, kept, new(readProbe), parse, withinShare)
+	h := newHandovers(zerolog.Nop(), 1000, 1, 1, kept, new(readProbe), parse, withinShare, noConfig)
 	h.setPeer(time.Now(), peer, at, time.Second)
 	return Handovers{h}, kept
 }
@@ -47,6 +47,43 @@
 	return (&Gateway{config: new(configView)}).parseHandedOver(head, since)
 }
 
+// noConfig is the version of the configuration of a router that has read none.
+func noConfig() uint64 { return 0 }
+
+// SetConfigVersion sets the version of the configuration that the router uses.
+func (h Handovers) SetConfigVersion(version uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.configVersion = func() uint64 { return version }
+}
+
+// Reporter reports the load of a peer to a late router.
+type Reporter struct{ at, peer *loadReports }
+
+// NewReporter returns the reporter of a peer that takes connections at an address, to the router with the given handovers.
+func NewReporter(to Handovers, peer, address string) Reporter {
+	sender, _ := newTestHandovers("", handoverPeer{}, 0)
+	newReports := func(h *handovers, of string) *loadReports {
+		return &loadReports{
+			handovers: h, share: 1, address: address, rotation: overload.NewRotation(), zonePeers: map[string]bool{of: true},
+			takesMore: func() bool { return true },
+		}
+	}
+	return Reporter{at: newReports(to.handovers, peer), peer: newReports(sender.handovers, "late")}
+}
+
+// Report sends the report that is due at a time when the peer uses a version of the configuration. It reports false if none is due.
+func (r Reporter) Report(now time.Time, version uint64) bool {
+	r.peer.handovers.configVersion = func() uint64 { return version }
+	envelopes := r.peer.tick(now, 0)
+	for _, envelope := range envelopes {
+		for name := range r.at.zonePeers {
+			r.at.receive(name, envelope.Body.GetProcessorLoad())
+		}
+	}
+	return len(envelopes) > 0
+}
+
 // withinShare is the standing of all customers.
 func withinShare(time.Time, *requestHead) overload.Standing { return overload.WithinShare }
 
@@ -122,7 +159,7 @@
 // RefuseUnread refuses the request on an accepted connection at a router that is late and whose peer has processor time.
 func RefuseUnread(conn *net.TCPConn, lateness time.Duration) {
 	now := time.Now()
-	h := newHandovers(zerolog.Nop(), 1000, 1, 1, nil, &readProbe{last: lateness}, parseWithoutConfig, withinShare)
+	h := newHandovers(zerolog.Nop(), 1000, 1, 1, nil, &readProbe{last: lateness}, parseWithoutConfig, withinShare, noConfig)
 	h.setPeer(now, "peer", handoverPeer{}, time.Second)
 	buffer := make([]byte, refusalBufferBytes)
 	arrived := peekArrived(conn, buffer)
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -207,3 +207,22 @@
 	_, other := newPair(t)
 	qt.Check(t, handovers.Take(other), qt.IsFalse)
 }
+
+// TestRequestIsNotHandedOverToOlderConfiguration guards against a router whose callers find that it goes back to an older configuration, because it
+// hands their requests over to a peer that has not read the newest one, as when that is cut off from the store.
+func TestRequestIsNotHandedOverToOlderConfiguration(t *testing.T) {
+	peer := listen(t)
+	handovers, _ := gateway.NewHandovers("peer", peer.Addr().String(), false)
+	reporter := gateway.NewReporter(handovers, "peer", peer.Addr().String())
+	now := time.Now()
+	for _, c := range []struct {
+		own, reported       uint64
+		isReported, isTaken bool
+	}{{3, 2, true, false}, {3, 3, true, true}, {4, 3, false, false}, {4, 5, true, true}} {
+		handovers.SetConfigVersion(c.own)
+		now = now.Add(10 * time.Millisecond)
+		qt.Check(t, reporter.Report(now, c.reported), qt.Equals, c.isReported, qt.Commentf("%+v", c))
+		_, accepted := newPair(t)
+		qt.Check(t, handovers.Take(accepted), qt.Equals, c.isTaken, qt.Commentf("%+v", c))
+	}
+}
--- a/internal/gateway/handovers.go
+++ b/internal/gateway/handovers.go
@@ -50,9 +50,11 @@
 	parse parseHead
 	// standing tells what the customer of a request has got of its share.
 	standing func(now time.Time, head *requestHead) overload.Standing
-	dialer   net.Dialer
-	maxOpen  int
-	buffers  sync.Pool
+	// configVersion returns the version of the configuration that this router uses.
+	configVersion func() uint64
+	dialer        net.Dialer
+	maxOpen       int
+	buffers       sync.Pool
 	// kept receives the connections that could not be handed over.
 	kept *connQueue
 	// unstarted is the number of accepted connections that the process has not begun to handle.
@@ -83,24 +85,25 @@
 // parse tells what the head of a request says, standing what its customer has got.
 func newHandovers(
 	logger zerolog.Logger, maxOpenFiles int, seed uint64, share float64, kept *connQueue, probe *readProbe, parse parseHead,
-	standing func(now time.Time, head *requestHead) overload.Standing,
+	standing func(now time.Time, head *requestHead) overload.Standing, configVersion func() uint64,
 ) *handovers {
 	return &handovers{
-		logger:      logger,
-		parse:       parse,
-		standing:    standing,
-		dialer:      net.Dialer{Timeout: handoverDialTimeout, KeepAlive: -1, Control: setHandoverTimeout},
-		maxOpen:     int(float64(maxOpenFiles) * handoverConnFraction / 2),
-		buffers:     sync.Pool{New: func() any { return new(make([]byte, handoverBufferBytes)) }},
-		kept:        kept,
-		probe:       probe,
-		admission:   overload.NewAdmission(share),
-		policy:      overload.NewHandover(seed),
-		peers:       make(map[string]handoverPeer),
-		failedUntil: make(map[string]time.Time),
-		checkAt:     make(map[string]time.Time),
-		open:        make(map[*handover]struct{}),
-		unconfirmed: make(map[string]int),
+		logger:        logger,
+		parse:         parse,
+		standing:      standing,
+		configVersion: configVersion,
+		dialer:        net.Dialer{Timeout: handoverDialTimeout, KeepAlive: -1, Control: setHandoverTimeout},
+		maxOpen:       int(float64(maxOpenFiles) * handoverConnFraction / 2),
+		buffers:       sync.Pool{New: func() any { return new(make([]byte, handoverBufferBytes)) }},
+		kept:          kept,
+		probe:         probe,
+		admission:     overload.NewAdmission(share),
+		policy:        overload.NewHandover(seed),
+		peers:         make(map[string]handoverPeer),
+		failedUntil:   make(map[string]time.Time),
+		checkAt:       make(map[string]time.Time),
+		open:          make(map[*handover]struct{}),
+		unconfirmed:   make(map[string]int),
 	}
 }
 
@@ -119,9 +122,12 @@
 	address string
 	// readsWait is set if it reads how long a caller has waited, confirms if it confirms connections.
 	readsWait, confirms bool
+	// configVersion is the version of the configuration that it uses.
+	configVersion uint64
 }
 
-// setPeer records the processor time that a peer has left per second, and where it accepts connections.
+// setPeer records the processor time that a peer has left per second, and where it accepts connections. A peer whose configuration is older than that
+// of this router gets none.
 func (h *handovers) setPeer(now time.Time, name string, at handoverPeer, spare time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -129,10 +135,16 @@
 	if now.Before(h.failedUntil[name]) {
 		return
 	}
+	if h.isOlder(at) {
+		spare = 0
+	}
 	h.peers[name] = at
 	h.policy.RecordPeer(now, name, spare)
 }
 
+// isOlder reports whether a peer uses an older configuration than this router. Callers must not find that their router goes back to it.
+func (h *handovers) isOlder(peer handoverPeer) bool { return peer.configVersion < h.configVersion() }
+
 // peerDisconnected ends the handing over to a peer.
 func (h *handovers) peerDisconnected(now time.Time, name string) {
 	h.mu.Lock()
@@ -285,7 +297,7 @@
 	switch {
 	case choice == overload.KeepOnTime:
 		return false
-	case choice == overload.KeepWithoutPeer:
+	case choice == overload.KeepWithoutPeer, h.isOlder(h.peers[peer]): // The peer may have reported before this router's last change.
 		h.counts.keptWithoutPeer.Add(1)
 		return false
 	case h.unconfirmed[peer] >= maxUnconfirmed:
--- a/internal/gateway/loadreports.go
+++ b/internal/gateway/loadreports.go
@@ -50,6 +50,8 @@
 	sentAt     time.Time
 	sentSpare  time.Duration
 	sentAbsent bool
+	// sentVersion is the version of the configuration in the last report.
+	sentVersion uint64
 }
 
 // peerConnected starts to send reports to a peer of the same availability zone.
@@ -80,6 +82,7 @@
 	l.rotation.RecordPeer(from, report.GetAbsent())
 	l.handovers.setPeer(time.Now(), from, handoverPeer{
 		address: report.GetAddress(), readsWait: report.GetReadsWait(), confirms: report.GetConfirms(),
+		configVersion: report.GetConfigVersion(),
 	}, spare)
 }
 
@@ -96,9 +99,10 @@
 	if len(l.zonePeers) == 0 || !l.isDue(now) {
 		return nil
 	}
-	l.sentAt, l.sentSpare, l.sentAbsent = now, l.spare, l.absent.Load()
+	l.sentAt, l.sentSpare, l.sentAbsent, l.sentVersion = now, l.spare, l.absent.Load(), l.handovers.configVersion()
 	report := &fleetpb.ProcessorLoad{
 		SpareUs: uint32(l.spare.Microseconds()), Address: l.address, Absent: l.sentAbsent, ReadsWait: true, Confirms: true,
+		ConfigVersion: l.sentVersion,
 	}
 	envelopes := make([]message.Envelope, 0, len(l.zonePeers))
 	for peer := range l.zonePeers {
@@ -110,7 +114,8 @@
 // isDue reports whether the report has changed, or was last sent long ago.
 func (l *loadReports) isDue(now time.Time) bool {
 	change := math.Abs(float64(l.spare - l.sentSpare))
-	return change > reportedChange*l.share*float64(time.Second) || l.absent.Load() != l.sentAbsent || now.Sub(l.sentAt) >= loadRepeatPeriod
+	hasChanged := change > reportedChange*l.share*float64(time.Second) || l.absent.Load() != l.sentAbsent || l.handovers.configVersion() != l.sentVersion
+	return hasChanged || now.Sub(l.sentAt) >= loadRepeatPeriod
 }
 
 // measure updates the processor time that is left per second.
