Measure how late a connection starts before its request is awaited

The load shedder measured the time from the accept to the first read after the confirmation and the first bytes had been awaited, so that the time in which the caller had sent nothing counted as lateness of this process; by reading, other connections could be refused for it too. It measures before the waits now.

--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -64,6 +64,7 @@
 	if !c.readStarted {
 		c.readStarted = true
 		c.handovers.connStarted(c.acceptedAt)
+		isOverloaded := c.shedder.connStarted(c.acceptedAt) // Later, the time until the request comes would count as well.
 		if c.handedOver {
 			if err := confirmHandover(c.TCPConn); err != nil {
 				return 0, err
@@ -72,7 +73,7 @@
 		if err := c.recordWait(); err != nil {
 			return 0, err
 		}
-		if c.shedder.connStarted(c.acceptedAt) && c.shedder.refuseFirstRequest(c.TCPConn) {
+		if isOverloaded && c.shedder.refuseFirstRequest(c.TCPConn) {
 			return 0, io.EOF
 		}
 	}
