Look for the request of a handed over connection before its confirmation is awaited

A late router that hands a connection over without asking for a confirmation sends no mark.

The look comes before the wait now, and once more if a mark was consumed. TestHandedOverRequestMayComeLater: the unconfirmed request, which comes after 1.2 s with a deadline of 1 s, got 503 before ("expired"), and 200 now.

--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -63,30 +63,41 @@
 func (c *callerConn) Read(p []byte) (int, error) {
 	if !c.readStarted {
 		c.readStarted = true
-		c.handovers.connStarted(c.acceptedAt)
-		isOverloaded := c.shedder.connStarted(c.acceptedAt) // Later, the time until the request comes would count as well.
-		if c.handedOver {
-			if err := confirmHandover(c.TCPConn); err != nil {
-				return 0, err
-			}
-		}
-		if err := c.recordWait(); err != nil {
+		if err := c.startRead(); err != nil {
 			return 0, err
 		}
-		if isOverloaded && c.shedder.refuseFirstRequest(c.TCPConn) {
-			return 0, io.EOF
-		}
 	}
 	n, _, err := latedata.Read(c.TCPConn, p)
 	c.recordRead(n, err)
 	return n, err
 }
 
+// startRead records how late the connection is read, and does what precedes its first request. It returns io.EOF if the load shedder has refused that.
+func (c *callerConn) startRead() error {
+	c.handovers.connStarted(c.acceptedAt)
+	isOverloaded := c.shedder.connStarted(c.acceptedAt) // Later, the time until the request comes would count as well.
+	lookedAt, isEarly := time.Now(), hasData(c.TCPConn)
+	if c.handedOver {
+		isConfirmed, err := confirmHandover(c.TCPConn)
+		if err != nil {
+			return err
+		}
+		if isConfirmed {
+			lookedAt, isEarly = time.Now(), hasData(c.TCPConn) // What was there before may have been the mark.
+		}
+	}
+	if err := c.recordWait(lookedAt, isEarly); err != nil {
+		return err
+	}
+	if isOverloaded && c.shedder.refuseFirstRequest(c.TCPConn) {
+		return io.EOF
+	}
+	return nil
+}
+
 // recordWait records from when on the caller of the first request may have waited: a late process reads requests that came long before.
-// The router that has handed the connection over tells how long that was there.
-func (c *callerConn) recordWait() error {
-	lookedAt := time.Now()
-	early := hasData(c.TCPConn)
+// The router that has handed the connection over tells how long that was there. isEarly is set if data of the request was there at lookedAt.
+func (c *callerConn) recordWait(lookedAt time.Time, isEarly bool) error {
 	waited := time.Duration(0)
 	if c.handedOver {
 		var err error
@@ -96,7 +107,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if early {
+	if isEarly {
 		c.sentBefore, c.waitingSince = true, c.handovers.requestArrival(c.acceptedConn).Add(-waited)
 		return nil
 	}
--- a/internal/gateway/handoverconfirmation.go
+++ b/internal/gateway/handoverconfirmation.go
@@ -40,15 +40,15 @@
 }
 
 // confirmHandover confirms that this process handles a connection that another router has handed over, if that asks for it. It waits for
-// the first byte of the connection and consumes it only if it is confirmMark.
-func confirmHandover(conn *net.TCPConn) error {
+// the first byte of the connection and consumes it only if it is confirmMark. It reports whether it was.
+func confirmHandover(conn *net.TCPConn) (isConfirmed bool, err error) {
 	var first [1]byte
 	if len(peekReceived(conn, first[:])) == 0 || first[0] != confirmMark {
-		return nil // The next read returns the error, or the request.
+		return false, nil // The next read returns the error, or the request.
 	}
 	if _, _, err := latedata.Read(conn, first[:]); err != nil {
-		return err
+		return false, err
 	}
-	_, err := conn.Write(first[:])
-	return err
+	_, err = conn.Write(first[:])
+	return true, err
 }
