Wait for the ends of answers before the process ends

At the end of the grace of a drain the router waits until no request is open. The HTTP server writes the last chunk of a stream, and of any answer without a length, after that: the process could end in between, and the caller got an answer that was broken off, although it was complete. The router waits for connections with a request too now, for as long as before at most.

TestEndOfAnswerIsSentBeforeProcessEnds: "unexpected EOF" before, the whole answer now.

--- a/internal/gateway/callerconns_export_test.go
+++ b/internal/gateway/callerconns_export_test.go
@@ -152,3 +152,6 @@
 
 // Handler returns the handler of callers' requests.
 func Handler(g *Gateway) http.Handler { return http.HandlerFunc(g.serve) }
+
+// AnswerOpenRequests ends the requests of a gateway as at the end of its process.
+func AnswerOpenRequests(g *Gateway) { g.answerOpenRequests() }
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -67,13 +67,14 @@
 	return served + g.handovers.endUnused() + g.refuser.endUnused()
 }
 
-// answerOpenRequests ends all requests that have no answer yet, and waits until they have one, or until the process must end.
+// answerOpenRequests ends all requests that have no answer yet, and waits until they have one, or until the process must end. The HTTP server writes
+// the end of an answer without a length after its request has ended, so it waits for the connections too.
 func (g *Gateway) answerOpenRequests() {
 	g.handovers.endAll()
 	g.endRequests()
 	ctx, cancel := context.WithTimeout(context.Background(), exitMargin/2)
 	defer cancel()
-	for g.openRequests.Load() > 0 || g.handovers.numOpen() > 0 {
+	for g.openRequests.Load() > 0 || g.callerConns.count().active > 0 || g.handovers.numOpen() > 0 {
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/gateway/panic_test.go
+++ b/internal/gateway/panic_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -47,3 +48,25 @@
 	defer func() { _ = response.Body.Close() }()
 	qt.Check(t, response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
 }
+
+// TestEndOfAnswerIsSentBeforeProcessEnds guards against answers without a length that are broken off, because the process ends when no request is open,
+// while the HTTP server has not written their end.
+func TestEndOfAnswerIsSentBeforeProcessEnds(t *testing.T) {
+	gw := gateway.New(gateway.Settings{MaxOpenFiles: 100}, gateway.Adapters{Codec: codec{}}, zerolog.Nop(), func() uint64 { return 0 })
+	ended := make(chan struct{})
+	// The gateway does not count the requests of this handler, so that none is open for it.
+	server := gateway.ServeCallers(gw, listen(t), func(http.ConnState, bool) {}, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("event"))
+		_ = http.NewResponseController(w).Flush()
+		<-ended
+	}))
+	response, err := http.Get("http://" + server.Address())
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = response.Body.Close() }()
+	time.AfterFunc(50*time.Millisecond, func() { close(ended) })
+	gateway.AnswerOpenRequests(gw)
+	qt.Assert(t, server.Close(), qt.IsNil)
+	body, err := io.ReadAll(response.Body)
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, string(body), qt.Equals, "event")
+}
