Serve a request that arrives between the last read of an idle connection and its close

An idle connection ends when a read finds no data. Nothing looked again before the close, so that a request that arrived in between was counted as crossed, and its caller got the end of the connection in place of an answer. In a process that waits for its processor the time in between can be long.

The close looks once more now, and the connection is served as a new one, or refused if the process ends. Handed over connections are left out: what arrives on them begins with what the other router says.

TestRequestBeforeCloseOfIdleConnectionIsAnswered: no byte before, 200 now.

--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -56,6 +56,8 @@
 	// readErr is the error of the last read.
 	readErr error
 	closed  bool
+	// isServedAgain is set if the connection was closed as idle, but a request had arrived and another callerConn serves it.
+	isServedAgain bool
 }
 
 // Read reads from the connection. Data that has arrived is returned even if the read deadline has passed: the process may have had no
@@ -239,7 +241,11 @@
 
 // Close closes the connection. It logs if the caller waits for the answer to a request, or has got a part of one.
 func (c *callerConn) Close() error {
-	if reason, isIdle := c.closeAsIdle(); isIdle {
+	reason, isIdle := c.closeAsIdle()
+	switch {
+	case c.serveAgain(isIdle):
+		return nil
+	case isIdle:
 		return c.closedConns.close(c.TCPConn, reason, time.Now())
 	}
 	c.logCut()
@@ -258,6 +264,20 @@
 	return c.endReason, true
 }
 
+// serveAgain has an idle connection served as a new one if a request has arrived on it since its read found none. It reports whether the connection
+// is served, now or since an earlier call. A handed over connection is not: what arrives on it begins with what the other router says.
+func (c *callerConn) serveAgain(isIdle bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !isIdle || c.handedOver || !hasData(c.TCPConn) {
+		return c.isServedAgain
+	}
+	c.isServedAgain = true
+	_ = c.SetReadDeadline(time.Time{}) // On a broken connection, the next read fails as well.
+	go c.handovers.keep(acceptedConn{TCPConn: c.TCPConn, acceptedAt: time.Now(), awaitedSince: c.awaitedSince})
+	return true
+}
+
 // logCut logs that the connection is closed after bytes of a request have arrived, read or not, and before any of its answer, or after a part of
 // the answer could not be written, unless the caller has left.
 func (c *callerConn) logCut() {
--- a/internal/gateway/callerconns_export_test.go
+++ b/internal/gateway/callerconns_export_test.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/chicorydale/chicorydale/internal/metric"
 )
 
 // CallerDisconnected reports whether the caller at the other end of a connection has closed it.
@@ -155,3 +157,19 @@
 
 // AnswerOpenRequests ends the requests of a gateway as at the end of its process.
 func AnswerOpenRequests(g *Gateway) { g.answerOpenRequests() }
+
+// ServeKept serves the connections that a gateway keeps, with another handler.
+func ServeKept(g *Gateway, handler http.Handler) *http.Server {
+	server := g.newServer(handler)
+	server.ConnContext = contextWithConn
+	server.ConnState = g.callerConns.stateChanged
+	go func() { _ = server.Serve(g.kept) }()
+	return server
+}
+
+// EndIfIdle ends an accepted connection if nothing of a request has arrived.
+func EndIfIdle(conn net.Conn) {
+	if accepted, ok := conn.(*callerConn); ok {
+		accepted.endIfIdle(time.Now(), metric.IdleExpired)
+	}
+}
--- a/internal/gateway/callerconns_test.go
+++ b/internal/gateway/callerconns_test.go
@@ -346,3 +346,29 @@
 	_, err = listener.Accept()
 	qt.Check(t, errors.Is(err, net.ErrClosed), qt.IsTrue)
 }
+
+// TestRequestBeforeCloseOfIdleConnectionIsAnswered guards against requests that get no answer, because they arrive after the last read of an idle
+// connection and before its close.
+func TestRequestBeforeCloseOfIdleConnectionIsAnswered(t *testing.T) {
+	listener := listen(t)
+	gw := gateway.New(gateway.Settings{MaxOpenFiles: 100}, gateway.Adapters{Codec: codec{}}, zerolog.Nop(), func() uint64 { return 0 })
+	server := gateway.ServeKept(gw, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer func() { _ = server.Close() }()
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = caller.Close() }()
+	qt.Assert(t, caller.SetDeadline(time.Now().Add(handoverTimeout)), qt.IsNil)
+	conn, err := gateway.AcceptCaller(gw, listener)
+	qt.Assert(t, err, qt.IsNil)
+	gateway.EndIfIdle(conn)
+	_, err = conn.Read(make([]byte, 1))
+	qt.Assert(t, err, qt.ErrorIs, os.ErrDeadlineExceeded)
+	_, err = io.WriteString(caller, simpleRequest)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, conn.SetReadDeadline(time.Time{}), qt.IsNil)
+	gateway.AwaitData(conn)
+	for range 2 {
+		qt.Assert(t, conn.Close(), qt.IsNil)
+	}
+	qt.Check(t, readStatus(bufio.NewReader(caller)), qt.Equals, http.StatusOK)
+}
