--- a/internal/gateway/originstore.go
+++ b/internal/gateway/originstore.go
@@ -23,8 +23,7 @@
 	// originSaveTimeout limits one write of origins, maxOriginWrites the number of writes that are not answered yet.
 	originSaveTimeout = 2 * time.Second
 	maxOriginWrites   = 4
-	// maxSaveWait limits the time that the first event of a stream waits until the store holds its origin. A slow store takes a quarter of a
-	// second for a write.
+	// maxSaveWait limits the time that the first event of a stream waits until the store holds its origin.
 	maxSaveWait = 400 * time.Millisecond
 	// minLoadRetryDelay and maxLoadRetryDelay bound the random delay after a failed read of the origins.
 	minLoadRetryDelay = 100 * time.Millisecond
