--- a/internal/gateway/callerconns_test.go
+++ b/internal/gateway/callerconns_test.go
@@ -372,3 +372,34 @@
 	}
 	qt.Check(t, readStatus(bufio.NewReader(caller)), qt.Equals, http.StatusOK)
 }
+
+// TestNextRequestIsNotYoungerThanItIs guards against targets that work on for callers who have left, because a request counts as sent when the goroutine
+// of the request before it ended, although its caller had the whole answer long before.
+func TestNextRequestIsNotYoungerThanItIs(t *testing.T) {
+	gw := gateway.New(gateway.Settings{MaxOpenFiles: 100}, gateway.Adapters{Codec: codec{}}, zerolog.Nop(), func() uint64 { return 0 })
+	since, first := make(chan time.Time, 2), true
+	server := gateway.ServeCallers(gw, listen(t), func(http.ConnState, bool) {}, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		since <- gateway.RequestSince(r)
+		if first {
+			first = false
+			w.Header().Set("Content-Length", "1")
+			_, _ = io.WriteString(w, "x")
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(queueTime)
+		}
+	}))
+	defer func() { _ = server.Close() }()
+	caller, err := net.Dial("tcp", server.Address())
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = caller.Close() }()
+	_, err = io.WriteString(caller, simpleRequest)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, readStatus(bufio.NewReader(caller)), qt.Equals, http.StatusOK)
+	gateway.SetLateness(gw, time.Second)
+	sentAt := time.Now()
+	_, err = io.WriteString(caller, simpleRequest)
+	qt.Assert(t, err, qt.IsNil)
+	<-since
+	got := (<-since).Sub(sentAt)
+	qt.Check(t, got < queueTime/2, qt.IsTrue, qt.Commentf("%v", got))
+}
