Let followers of topics share what they learn of the store's era

A follower whose read waits for records at an offset that the store has given out again gets no answer, for 20 s in topics that seldom change, and so no era, while its other topics have named the new era long before.

An EraTracker ends the waiting reads of all its followers when a page of any topic names a newer era. A follower tells its handler of the newer era before the Reset with its records, also if the read before found that its records had expired; until now, that Reset came without a word.

--- a/internal/topiclog/follower.go
+++ b/internal/topiclog/follower.go
@@ -27,7 +27,7 @@
 	// have been received.
 	CaughtUp(asOf boottime.Instant)
 	// Failed is called after each read that failed, unless the follower is being stopped. After an *ExpiredError, and after an *EraError of a
-	// restored store, Reset follows the next successful read.
+	// restored store, Reset follows the next successful read. There is no Reset with records of a newer era without such an *EraError before it.
 	Failed(now time.Time, err error)
 }
 
@@ -37,12 +37,19 @@
 	handler Handler
 	// pollWait is how long the store may wait for new records in one read. pollInterval is the pause between reads.
 	pollWait, pollInterval time.Duration
+	eras                   *EraTracker
 }
 
 // NewFollower returns a follower that lets the store wait up to pollWait for new records in each read, and pauses for
 // pollInterval after each page that the store itself returned.
 func NewFollower(topic Topic, handler Handler, pollWait, pollInterval time.Duration) *Follower {
-	return &Follower{topic: topic, handler: handler, pollWait: pollWait, pollInterval: pollInterval}
+	return &Follower{topic: topic, handler: handler, pollWait: pollWait, pollInterval: pollInterval, eras: NewEraTracker()}
+}
+
+// WithEras returns a follower that shares what it learns of the store's era with the other followers of the tracker.
+func (f Follower) WithEras(eras *EraTracker) *Follower {
+	f.eras = eras
+	return &f
 }
 
 // Run follows the topic and calls the handler. It returns only when ctx is done.
@@ -52,7 +59,8 @@
 		page, err := f.poll(ctx, position)
 		switch {
 		case mustReadAnew(err):
-			position.loaded = false
+			newestEra, _ := f.eras.Newest()
+			position = position.unloaded(newestEra)
 			f.handler.Failed(time.Now(), err)
 			continue
 		case err != nil:
@@ -94,6 +102,15 @@
 	return position{nextOffset: page.NextOffset, era: max(p.era, page.Era), loaded: true}
 }
 
+// unloaded returns the position before the newest record of each key is read again, after a newer era may have become known.
+func (p position) unloaded(newestEra uint64) position {
+	if p.era > 0 {
+		p.era = max(p.era, newestEra)
+	}
+	p.loaded = false
+	return p
+}
+
 // mustReadAnew reports whether the error of a read means that the newest record of each key has to be read again.
 func mustReadAnew(err error) bool {
 	var expired *ExpiredError
@@ -105,31 +122,47 @@
 // records that follow the position.
 func (f *Follower) poll(ctx context.Context, from position) (Page, error) {
 	calledAt := boottime.Now()
-	if !from.loaded {
-		page, err := f.topic.ReadNewest(ctx)
-		if err == nil && page.Era > 0 && page.Era < from.era {
-			err = &EraError{Known: from.era, Received: page.Era}
-		}
-		if err == nil {
-			f.handler.Reset(time.Now(), page.Records)
-			f.handler.CaughtUp(calledAt.Add(page.AsOf))
-		}
-		return page, err
-	}
-	page, err := f.topic.Read(ctx, from.nextOffset, time.Now().Add(f.pollWait))
-	if err == nil {
-		err = checkEra(from.era, page)
-	}
+	page, err := f.read(ctx, from)
 	if err != nil {
 		return page, err
 	}
-	f.handler.Apply(time.Now(), page.Records)
+	if from.loaded {
+		f.handler.Apply(time.Now(), page.Records)
+	} else {
+		f.handler.Reset(time.Now(), page.Records)
+	}
 	if !page.Partial {
 		f.handler.CaughtUp(calledAt.Add(page.AsOf))
 	}
 	return page, nil
 }
 
+// read reads once. The error is an *EraError if the page is of another era than the position, or of an earlier one than the newest.
+func (f *Follower) read(ctx context.Context, from position) (Page, error) {
+	if err := f.eras.check(from.era); err != nil {
+		return Page{}, err
+	}
+	readCtx, end := f.eras.Within(ctx, from.era)
+	defer end()
+	page, err := f.readTopic(readCtx, from)
+	if err == nil {
+		f.eras.Observe(page.Era)
+		err = checkEra(from.era, page)
+	}
+	if eraErr := f.eras.check(from.era); eraErr != nil && ctx.Err() == nil {
+		return Page{}, eraErr
+	}
+	return page, err
+}
+
+// readTopic returns the newest record of each key if nothing is loaded yet, and otherwise the records that follow the position.
+func (f *Follower) readTopic(ctx context.Context, from position) (Page, error) {
+	if !from.loaded {
+		return f.topic.ReadNewest(ctx)
+	}
+	return f.topic.Read(ctx, from.nextOffset, time.Now().Add(f.pollWait))
+}
+
 // sleep waits for the delay or until ctx is done.
 func sleep(ctx context.Context, delay time.Duration) {
 	if delay <= 0 {
