Let no unknown stream go on by a list of targets that may lack a build

Cause: a router that starts asked for the only build of a service and took its list of targets for complete. After a restore that lacks the new build until its targets have written their records again, about two seconds; the mark of the build is gone as well. The era of the mark's confirmation was compared only when several builds were known.

Routers record a settled era in the store, so that one that starts later, which cannot know when the era began, does not wait, and ordinary restarts cost nothing. A build without a confirmed mark is the only one by a list that was read since; until then an unknown stream is refused with the time at which to come back.

Tests: TestStreamsAfterRestoreAndLossOfAllRouters and TestNoStreamGoesOnAtAnotherBuild, whose model now lists the targets of the copy for up to two seconds, fail without the look at the settlement.

--- a/internal/boottime/instant.go
+++ b/internal/boottime/instant.go
@@ -22,6 +22,10 @@
 // Add returns the instant that is later by a duration, or earlier if the duration is negative.
 func (i Instant) Add(duration time.Duration) Instant { return i + Instant(duration) }
 
+// Time returns the instant as a time. The clock of that stands still while the machine is suspended, so an instant from before a suspension
+// seems earlier than it was.
+func (i Instant) Time() time.Time { return time.Now().Add(i.Sub(Now())) }
+
 // Before reports whether the instant is before another one.
 func (i Instant) Before(other Instant) bool { return i < other }
 
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -64,6 +64,9 @@
 
 	OriginsLoaded  = Event{311, levelInfo, "origins_loaded", []string{"streams", "took_ms"}}
 	OriginsUnsaved = Event{312, levelWarn, "origins_unsaved", []string{"what", "error"}}
+
+	StoreRestored = Event{313, levelWarn, "store_restored", []string{"era"}}
+	EraUnrecorded = Event{314, levelWarn, "era_unrecorded", []string{"era", "error"}}
 )
 
 // Events of other routers, of the connections to them and of the roles that this router takes over from them or hands over.
@@ -163,7 +166,7 @@
 		Reloaded, SettingsKept, LogGap, ProcessState, AcceptFailed, HostLate, CustomerUnread,
 		ConfigApplied, TableApplied,
 		LogDown, LogUp, LogExpired, LogUnsettled, HostsDown, HostsUp, HostsChanged,
-		StoreDown, StoreUp, RecordInvalid, OriginsLoaded, OriginsUnsaved,
+		StoreDown, StoreUp, RecordInvalid, OriginsLoaded, OriginsUnsaved, StoreRestored, EraUnrecorded,
 		LinkUp, LinkDown, PeerUp, PeerDown, PeerLeaving, RoleGained, RoleLost, Isolated, Rejoined, AnnounceFailed,
 		StoreShared, StoreUnshared, HandoverFailed, HandoverOverdue, HandoverUnanswered,
 		TargetAdded, TargetLeaving, TargetGone, TargetCrashed, TargetLimited,
--- a/internal/gateway/adapters.go
+++ b/internal/gateway/adapters.go
@@ -17,6 +17,8 @@
 	ProbeTopic topiclog.ConditionalTopic
 	// BuildTopic holds the builds of the targets' software at which streams may have begun.
 	BuildTopic topiclog.ConditionalTopic
+	// EraTopic holds which era of the store is settled.
+	EraTopic topiclog.Topic
 	// OriginTopic holds where streams began, in records without keys that expire.
 	OriginTopic topiclog.Topic
 	// DecodeTable decodes a record of ConfigTopic. It returns nil without an error for records that hold no routing table.
--- a/internal/gateway/buildmarks.go
+++ b/internal/gateway/buildmarks.go
@@ -36,6 +36,7 @@
 type buildMarks struct {
 	topic   topiclog.ConditionalTopic
 	origins *streamOrigins
+	eras    *topiclog.EraTracker
 	logger  zerolog.Logger
 	// byKey holds the builds of the records that were read.
 	byKey map[string]origin.Origin
@@ -44,8 +45,10 @@
 }
 
 // newBuildMarks returns the marks in a topic, none of which has been read.
-func newBuildMarks(topic topiclog.ConditionalTopic, origins *streamOrigins, logger zerolog.Logger) *buildMarks {
-	m := &buildMarks{topic: topic, origins: origins, logger: logger, byKey: make(map[string]origin.Origin)}
+func newBuildMarks(
+	topic topiclog.ConditionalTopic, origins *streamOrigins, eras *topiclog.EraTracker, logger zerolog.Logger,
+) *buildMarks {
+	m := &buildMarks{topic: topic, origins: origins, eras: eras, logger: logger, byKey: make(map[string]origin.Origin)}
 	m.reader = &markReader{read: m.readAll}
 	return m
 }
@@ -56,6 +59,7 @@
 	if err != nil {
 		return false
 	}
+	m.eras.Observe(page.Era)
 	reading := origin.MarkReading{Era: page.Era, NextOffset: page.NextOffset}
 	for _, record := range page.Records {
 		mark, ok := m.decode(record)
--- a/internal/gateway/buildmarks_test.go
+++ b/internal/gateway/buildmarks_test.go
@@ -110,20 +110,31 @@
 	change()
 }
 
+// storeCopy is what the store held at some time: the numbers of records of its topics, and the listed targets.
+type storeCopy struct {
+	sizes   [3]int
+	targets []dispatch.Target
+}
+
 // originModel plays routers without links that share a store, and targets of several builds that come and go.
 type originModel struct {
 	t              *testing.T
 	random         *rand.Rand
 	builds, stored *logTopic
-	targets        []dispatch.Target
-	routers        []*modelRouter
-	mu             sync.Mutex
+	// eras is the topic of the settled eras.
+	eras    *logTopic
+	targets []dispatch.Target
+	// copied holds the targets that the store lists until listBackAt, since it came back from an older copy.
+	copied     []dispatch.Target
+	listBackAt time.Time
+	routers    []*modelRouter
+	mu         sync.Mutex
 	// begun holds the build of each stream that has begun, ids the streams in order with the times of their begin.
 	begun   map[string]string
 	ids     []string
 	begunAt map[string]time.Time
-	// sizes holds the number of records of both topics at each step.
-	sizes [][2]int
+	// copies holds what the store held at each step.
+	copies []storeCopy
 	// changeAt is the time of the next change of the targets. bannedUntil holds the time until which a build does not come back.
 	changeAt time.Time
 	// loseAt is the time of the next loss of routers.
@@ -136,7 +147,7 @@
 func newOriginModel(t *testing.T, seed uint64, routers int) *originModel {
 	t.Helper()
 	m := &originModel{
-		t: t, random: rand.New(rand.NewPCG(seed, 1)), builds: &logTopic{era: 1}, stored: &logTopic{era: 1}, begun: make(map[string]string),
+		t: t, random: rand.New(rand.NewPCG(seed, 1)), builds: &logTopic{era: 1}, stored: &logTopic{era: 1}, eras: &logTopic{era: 1}, begun: make(map[string]string),
 		begunAt: make(map[string]time.Time), bannedUntil: make(map[string]time.Time),
 	}
 	m.setTargets("v1", "v1")
@@ -160,7 +171,7 @@
 func (m *originModel) start() *modelRouter {
 	r := &modelRouter{listAt: time.Now()}
 	r.ctx, r.kill = context.WithCancel(m.t.Context())
-	r.origins = gateway.NewStreamOrigins(modelTopic{m.builds, r}, modelTopic{m.stored, r})
+	r.origins = gateway.NewStreamOrigins(modelTopic{m.builds, r}, modelTopic{m.stored, r}, modelTopic{m.eras, r})
 	go r.origins.Follow(r.ctx)
 	go r.origins.Load(r.ctx)
 	go r.origins.Write(r.ctx)
@@ -184,12 +195,32 @@
 	}
 	for _, r := range m.routers {
 		if now := time.Now(); !now.Before(r.listAt) && !r.isCut() {
-			r.targets, r.listAt = m.targets, now.Add(time.Second)
+			r.targets, r.listAt = m.listed(), now.Add(time.Second)
 			r.origins.SetTargets(r.targets...)
 		}
 	}
 }
 
+// listed returns the targets that the store lists.
+func (m *originModel) listed() []dispatch.Target {
+	if time.Now().Before(m.listBackAt) {
+		return m.copied
+	}
+	return m.targets
+}
+
+// topics returns the topics of the store.
+func (m *originModel) topics() []*logTopic { return []*logTopic{m.builds, m.stored, m.eras} }
+
+// copyStore remembers what the store holds now.
+func (m *originModel) copyStore() {
+	held := storeCopy{targets: m.listed()}
+	for i, topic := range m.topics() {
+		held.sizes[i] = topic.count()
+	}
+	m.copies = append(m.copies, held)
+}
+
 // begin has a stream begin at a router, at the first of its targets in an order at which it may.
 func (m *originModel) begin(r *modelRouter, order []int) {
 	m.steps++
@@ -314,29 +345,35 @@
 		m.builds.set(func() { m.builds.rejectsWrites = rejects })
 	case 5:
 		away := m.oneIn(3)
-		m.builds.set(func() { m.builds.isAway = away })
-		m.stored.set(func() { m.stored.isAway = away })
+		m.setAway(away)
 	}
 }
 
-// restore has the store come back from a copy that is up to three seconds old.
+// setAway sets whether the store answers nobody.
+func (m *originModel) setAway(away bool) {
+	for _, topic := range m.topics() {
+		topic.set(func() { topic.isAway = away })
+	}
+}
+
+// restore has the store come back from a copy that is up to three seconds old. The targets write their records again within two seconds.
 func (m *originModel) restore() {
-	sizes := m.sizes[max(len(m.sizes)-1-m.random.IntN(60), 0)]
-	for i, topic := range []*logTopic{m.builds, m.stored} {
+	last := max(len(m.copies)-1-m.random.IntN(60), 0)
+	held := m.copies[last]
+	m.copies = m.copies[:last+1]
+	for i, topic := range m.topics() {
 		topic.set(func() {
-			topic.records = topic.records[:min(sizes[i], len(topic.records))]
+			topic.records = topic.records[:held.sizes[i]]
 			topic.era++
 		})
 	}
-	for i := range m.sizes {
-		m.sizes[i] = [2]int{min(m.sizes[i][0], sizes[0]), min(m.sizes[i][1], sizes[1])}
-	}
+	m.copied, m.listBackAt = held.targets, time.Now().Add(m.duration(2*time.Second))
 }
 
 // step plays one step. The store comes back from older copies if isRestored is set, and otherwise builds leave.
 func (m *originModel) step(isRestored bool) {
 	m.list()
-	m.sizes = append(m.sizes, [2]int{m.builds.count(), m.stored.count()})
+	m.copyStore()
 	for range 1 + m.random.IntN(2) {
 		m.begin(m.routers[m.random.IntN(len(m.routers))], m.random.Perm(8))
 	}
@@ -351,7 +388,7 @@
 	case time.Now().After(m.loseAt):
 		m.loseAt = time.Now().Add(m.duration(time.Minute))
 		m.loseRouters(isRestored)
-	case m.oneIn(30) && len(m.sizes) > 100:
+	case m.oneIn(30) && m.steps > 200:
 		m.troubleStore()
 	case isRestored && m.oneIn(120):
 		m.restore()
@@ -399,6 +436,43 @@
 	})
 }
 
+// TestStreamsAfterRestoreAndLossOfAllRouters guards against streams that are joined, since the store came back from a copy that has neither the mark
+// nor the targets of the build that began them while all routers were lost, and against streams that are refused for good although their service
+// has had one build only.
+func TestStreamsAfterRestoreAndLossOfAllRouters(t *testing.T) {
+	for _, builds := range [][]string{{"v1", "v1", "v2"}, {"v1", "v1"}} {
+		synctest.Test(t, func(t *testing.T) {
+			m := newOriginModel(t, 0, 3)
+			defer m.end()
+			m.runFor(5 * time.Second)
+			m.copyStore()
+			m.setTargets(builds...)
+			m.runFor(4 * time.Second)
+			for _, r := range m.routers {
+				r.kill()
+			}
+			synctest.Wait()
+			broken := m.ids
+			m.setAway(true)
+			m.routers = []*modelRouter{m.start(), m.start(), m.start()}
+			time.Sleep(500 * time.Millisecond)
+			m.restore()
+			m.setAway(false)
+			m.listBackAt = time.Now().Add(1900 * time.Millisecond)
+			for range 8 {
+				m.runFor(500 * time.Millisecond)
+				m.asked, m.wentOn = 0, 0
+				for i, id := range broken {
+					m.takeUp(m.routers[i%3], id)
+				}
+				synctest.Wait()
+			}
+			qt.Check(t, len(broken) > 100, qt.IsTrue)
+			qt.Check(t, m.wentOn, qt.Equals, map[int]int{2: len(broken)}[len(builds)])
+		})
+	}
+}
+
 // TestLateEndOfMarkKeepsNewerMark guards against a build that comes back without its mark, since the removal of that took effect late.
 func TestLateEndOfMarkKeepsNewerMark(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -121,7 +121,7 @@
 func NewPeerLinks(routerName string, topic topiclog.Topic) PeerLinks {
 	settings := Settings{Host: routerName}
 	users := linkUsers{budgets: newRetryBudgets(0, 0), scheduler: newScheduler(dispatch.New(settings.Locality, 1))}
-	return PeerLinks{newPeerLinks(settings, topic, zerolog.Nop(), metric.New(), users)}
+	return PeerLinks{newPeerLinks(settings, topic, topiclog.NewEraTracker(), zerolog.Nop(), metric.New(), users)}
 }
 
 // Links returns the names of the routers that this one should be linked with.
@@ -189,7 +189,7 @@
 func NewTargetDirectory() TargetDirectory {
 	return TargetDirectory{&targetDirectory{
 		logger: zerolog.Nop(), registry: registry.New(), scheduler: newScheduler(dispatch.New(dispatch.Locality{}, 1)),
-		origins: newStreamOrigins(zerolog.Nop()), client: forward.NewClient(nil),
+		origins: newStreamOrigins(newEraSettlement(nil, topiclog.NewEraTracker(), zerolog.Nop()), zerolog.Nop()), client: forward.NewClient(nil),
 		decode: func(record topiclog.Record, _ time.Time) (dispatch.Target, error) {
 			return dispatch.Target{Name: record.Key}, nil
 		},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,6 +75,8 @@
 	handovers       *handovers
 	refuser         *unreadRefuser
 	refusalLog      *refusalLog
+	eras            *topiclog.EraTracker
+	settlement      *eraSettlement
 	bodies          *overload.BodyBudget
 	// kept holds connections of callers that could not be handed over to a peer.
 	kept *connQueue
@@ -105,7 +107,9 @@
 	metrics := metric.New()
 	lateness := new(latenessMeter)
 	budgets := newRetryBudgets(settings.RetryRatio, settings.RetryReserve)
-	origins := newStreamOrigins(logger)
+	eras := topiclog.NewEraTracker()
+	settlement := newEraSettlement(adapters.EraTopic, eras, logger)
+	origins := newStreamOrigins(settlement, logger)
 	suspects := newSuspects(quarantine.New(quarantine.DefaultLimits(), settings.Seed), logger)
 	claims := &probeClaims{topic: adapters.ProbeTopic, suspects: suspects, logger: logger}
 	g := &Gateway{
@@ -126,7 +130,7 @@
 		origins:      origins,
 		claims:       claims,
 		quarantines:  &quarantineStore{topic: adapters.QuarantineTopic, claims: claims, suspects: suspects, logger: logger},
-		buildMarks:   newBuildMarks(adapters.BuildTopic, origins, logger),
+		buildMarks:   newBuildMarks(adapters.BuildTopic, origins, eras, logger),
 		crashes:      newCrashDetector(client, logger, suspects.recordCrash),
 		notices:      newTargetNotices(scheduler, logger),
 		retryBudgets: budgets,
@@ -134,6 +138,8 @@
 		closedConns:  newClosedConns(metrics, logger, settings.MaxOpenFiles),
 		lateness:     lateness,
 
+		eras:         eras,
+		settlement:   settlement,
 		refusalLog:    newRefusalLog(logger),
 		bodies:        overload.NewBodyBudget(settings.BodyMemory),
 		streamBuffers: sync.Pool{New: func() any { return new(make([]byte, streamBufferBytes)) }},
@@ -154,7 +160,7 @@
 		rotation:  overload.NewRotation(),
 		takesMore: func() bool { return !g.draining.Load() && g.config.Table() != nil && g.config.fresh() },
 	}
-	g.peers = newPeerLinks(settings, adapters.RouterTopic, logger, metrics, linkUsers{scheduler, suspects, origins, budgets, lateness, probe, loads})
+	g.peers = newPeerLinks(settings, adapters.RouterTopic, eras, logger, metrics, linkUsers{scheduler, suspects, origins, budgets, lateness, probe, loads})
 	g.originStore = &originStore{
 		topic: topiclog.WithReadTimeout(adapters.OriginTopic), origins: origins, logger: logger, routerCount: g.peers.routerCount,
 	}
@@ -245,18 +251,19 @@
 	routerTopic := g.peers.sharing.shareRareTopic("routers", topiclog.WithReadTimeout(g.adapters.RouterTopic))
 	quarantineTopic := g.peers.sharing.shareRareTopic("quarantines", topiclog.WithReadTimeout(g.adapters.QuarantineTopic))
 	buildTopic := g.peers.sharing.shareRareTopic("builds", topiclog.WithReadTimeout(g.adapters.BuildTopic))
-	tasks.Go(func() { topiclog.NewFollower(configTopic, g.config, configPollWait, 0).Run(runCtx) })
-	tasks.Go(func() { topiclog.NewFollower(targetTopic, g.targets, 0, targetPollInterval).Run(runCtx) })
-	tasks.Go(func() {
-		topiclog.NewFollower(routerTopic, g.peers, routerPollWait, routerPollInterval).Run(runCtx)
-	})
-	tasks.Go(func() {
-		topiclog.NewFollower(quarantineTopic, g.quarantines, routerPollWait, routerPollInterval).Run(runCtx)
-	})
+	eraTopic := g.peers.sharing.shareRareTopic("eras", topiclog.WithReadTimeout(g.adapters.EraTopic))
+	for _, follower := range []*topiclog.Follower{
+		topiclog.NewFollower(configTopic, g.config, configPollWait, 0),
+		topiclog.NewFollower(targetTopic, g.targets, 0, targetPollInterval),
+		topiclog.NewFollower(routerTopic, g.peers, routerPollWait, routerPollInterval),
+		topiclog.NewFollower(quarantineTopic, g.quarantines, routerPollWait, routerPollInterval),
+		topiclog.NewFollower(buildTopic, g.buildMarks, routerPollWait, markPollInterval),
+		topiclog.NewFollower(eraTopic, g.settlement, routerPollWait, routerPollInterval),
+	} {
+		tasks.Go(func() { follower.WithEras(g.eras).Run(runCtx) })
+	}
 	tasks.Go(func() { g.quarantines.writeUnsaved(runCtx) })
-	tasks.Go(func() {
-		topiclog.NewFollower(buildTopic, g.buildMarks, routerPollWait, markPollInterval).Run(runCtx)
-	})
+	tasks.Go(func() { g.settlement.record(runCtx) })
 	tasks.Go(func() { g.buildMarks.write(runCtx) })
 	tasks.Go(func() { g.originStore.load(runCtx) })
 	tasks.Go(func() { g.originStore.writeUnsaved(runCtx) })
--- a/internal/gateway/origins_export_test.go
+++ b/internal/gateway/origins_export_test.go
@@ -19,15 +19,18 @@
 type StreamOrigins struct {
 	*streamOrigins
 
-	marks *buildMarks
-	store *originStore
+	marks      *buildMarks
+	store      *originStore
+	settlement *eraSettlement
 }
 
 // NewStreamOrigins returns the origins of a router that has read nothing from the topics.
-func NewStreamOrigins(buildTopic topiclog.ConditionalTopic, originTopic topiclog.Topic) StreamOrigins {
-	origins := newStreamOrigins(zerolog.Nop())
+func NewStreamOrigins(buildTopic topiclog.ConditionalTopic, originTopic, eraTopic topiclog.Topic) StreamOrigins {
+	eras := topiclog.NewEraTracker()
+	settlement := newEraSettlement(eraTopic, eras, zerolog.Nop())
+	origins := newStreamOrigins(settlement, zerolog.Nop())
 	return StreamOrigins{
-		streamOrigins: origins, marks: newBuildMarks(buildTopic, origins, zerolog.Nop()),
+		streamOrigins: origins, marks: newBuildMarks(buildTopic, origins, eras, zerolog.Nop()), settlement: settlement,
 		store: &originStore{topic: originTopic, origins: origins, logger: zerolog.Nop(), routerCount: func() int { return 1 }},
 	}
 }
@@ -38,14 +41,18 @@
 // Write writes marks and origins to the store until ctx ends.
 func (s StreamOrigins) Write(ctx context.Context) {
 	go s.marks.write(ctx)
+	go s.settlement.record(ctx)
 	s.store.writeUnsaved(ctx)
 }
 
 // Load reads the origins of streams in the store.
 func (s StreamOrigins) Load(ctx context.Context) { s.store.load(ctx) }
 
-// SetTargets sets the builds that the listed targets have.
-func (s StreamOrigins) SetTargets(targets ...dispatch.Target) { s.setTargets(targets) }
+// SetTargets sets the builds that the listed targets have, in a list that is complete now.
+func (s StreamOrigins) SetTargets(targets ...dispatch.Target) {
+	s.setTargets(targets)
+	s.targetsListed(time.Now())
+}
 
 // AwaitMark waits until a build is marked and reports whether it is.
 func (s StreamOrigins) AwaitMark(ctx context.Context, build origin.Origin) bool {
@@ -79,9 +86,10 @@
 	}
 }
 
-// Follow keeps the marks up to date until ctx ends.
+// Follow keeps the marks up to date, and whether the store is complete, until ctx ends.
 func (s StreamOrigins) Follow(ctx context.Context) {
-	topiclog.NewFollower(s.marks.topic, s.marks, routerPollWait, markPollInterval).Run(ctx)
+	go topiclog.NewFollower(s.settlement.topic, s.settlement, routerPollWait, routerPollInterval).WithEras(s.marks.eras).Run(ctx)
+	topiclog.NewFollower(s.marks.topic, s.marks, routerPollWait, markPollInterval).WithEras(s.marks.eras).Run(ctx)
 }
 
 // BeginStream has a stream begin at the first of the targets at which it may, and returns the build of that target, empty if there is none.
--- a/internal/gateway/originstore_test.go
+++ b/internal/gateway/originstore_test.go
@@ -135,7 +135,7 @@
 func startOrigins(t *testing.T, builds, streams *logTopic, targets ...dispatch.Target) (gateway.StreamOrigins, func()) {
 	t.Helper()
 	ctx, stop := context.WithCancel(t.Context())
-	origins := gateway.NewStreamOrigins(builds, streams)
+	origins := gateway.NewStreamOrigins(builds, streams, new(logTopic))
 	origins.SetTargets(targets...)
 	origins.Marks().Reset(time.Now(), builds.newest())
 	origins.Load(ctx)
@@ -160,7 +160,7 @@
 		qt.Check(t, origins.AwaitMark(t.Context(), oldBuild), qt.IsTrue)
 		qt.Check(t, builds.count(), qt.Equals, 1)
 
-		later := gateway.NewStreamOrigins(builds, streams)
+		later := gateway.NewStreamOrigins(builds, streams, new(logTopic))
 		later.SetTargets(newTarget)
 		later.Load(t.Context())
 		qt.Check(t, later.OnlyBuild("m"), qt.Equals, "", qt.Commentf("the marks were not read"))
@@ -203,7 +203,7 @@
 		}
 		lostAt := time.Now()
 		records := saved.newest()
-		later := gateway.NewStreamOrigins(builds, &logTopic{records: records})
+		later := gateway.NewStreamOrigins(builds, &logTopic{records: records}, new(logTopic))
 		later.SetTargets(oldTarget, newTarget)
 		later.Load(t.Context())
 		for i := range origin.StreamID(streams) {
@@ -236,7 +236,7 @@
 				}()
 			}
 			synctest.Wait()
-			later := gateway.NewStreamOrigins(builds, &logTopic{records: saved.newest()})
+			later := gateway.NewStreamOrigins(builds, &logTopic{records: saved.newest()}, new(logTopic))
 			later.Load(t.Context())
 			qt.Check(t, len(begun) >= streams-int((putDelay+100*time.Millisecond)/begunEvery)-1, qt.IsTrue, qt.Commentf("%d have begun", len(begun)))
 			for range len(begun) {
@@ -321,7 +321,7 @@
 func TestUnknownStreamIsRefusedUntilStoreIsRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		builds, streams := new(logTopic), &logTopic{isAway: true}
-		origins := gateway.NewStreamOrigins(builds, streams)
+		origins := gateway.NewStreamOrigins(builds, streams, new(logTopic))
 		origins.SetTargets(oldTarget)
 		origins.Marks().Reset(time.Now(), nil)
 		loaded := make(chan struct{})
@@ -344,7 +344,7 @@
 // router knows, that has ended, that the caller has left, or that was taken up before.
 func TestOnlyStreamThatFleetBrokeOffMayExceedShare(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		origins := gateway.NewStreamOrigins(new(logTopic), new(logTopic))
+		origins := gateway.NewStreamOrigins(new(logTopic), new(logTopic), new(logTopic))
 		for _, id := range []string{"broken", "left", "running"} {
 			origins.Begin(origin.NewStreamID(id), origin.Origin{Service: "m", Build: "v1"}, time.Now().Add(time.Minute))
 		}
--- a/internal/gateway/peerlinks.go
+++ b/internal/gateway/peerlinks.go
@@ -85,7 +85,7 @@
 
 // newPeerLinks returns the links of a router, none of which is open yet.
 func newPeerLinks(
-	settings Settings, routerTopic topiclog.Topic, logger zerolog.Logger, metrics *metric.Set, users linkUsers,
+	settings Settings, routerTopic topiclog.Topic, eras *topiclog.EraTracker, logger zerolog.Logger, metrics *metric.Set, users linkUsers,
 ) *peerLinks {
 	incarnation := rand.Uint64() | 1
 	hub := link.NewHub(link.Peer{Name: settings.Host, Region: settings.Locality.Region, Zone: settings.Locality.Zone}, incarnation, metrics)
@@ -98,7 +98,7 @@
 		hub:         hub,
 		linkUsers:   users,
 		routerTopic: routerTopic,
-		sharing: newTopicSharing(settings.Host, logger, func(to string, body *fleetpb.Body) {
+		sharing: newTopicSharing(settings.Host, eras, logger, func(to string, body *fleetpb.Body) {
 			hub.Send(to, []*fleetpb.Body{body})
 		}),
 		announceAgain: make(chan struct{}, 1),
--- a/internal/gateway/sharedtopic.go
+++ b/internal/gateway/sharedtopic.go
@@ -107,7 +107,8 @@
 func (t *sharedTopic) era() uint64 {
 	t.sharing.mu.Lock()
 	defer t.sharing.mu.Unlock()
-	return t.cache.Era()
+	newest, _ := t.sharing.eras.Newest()
+	return max(t.cache.Era(), newest)
 }
 
 // readFromPeer reads through a peer. It reports whether there is a usable reply. If not, the peer is avoided for
--- a/internal/gateway/streamorigins.go
+++ b/internal/gateway/streamorigins.go
@@ -28,11 +28,14 @@
 
 // streamOrigins makes a directory of the origins of streams safe for concurrent use and waits for the answers of peers.
 type streamOrigins struct {
-	logger zerolog.Logger
+	settlement *eraSettlement
+	logger     zerolog.Logger
 
 	mu        sync.Mutex
 	directory *origin.Directory
 	builds    *origin.Builds
+	// listedAsOf is the time as of which the list of targets is complete.
+	listedAsOf time.Time
 	// confirmations tells which marks of builds are the only ones.
 	confirmations *origin.Confirmations
 	// waiters holds the channels to close when the question for a stream has ended.
@@ -54,9 +57,9 @@
 }
 
 // newStreamOrigins returns streamOrigins that know no stream.
-func newStreamOrigins(logger zerolog.Logger) *streamOrigins {
+func newStreamOrigins(settlement *eraSettlement, logger zerolog.Logger) *streamOrigins {
 	return &streamOrigins{
-		logger: logger, directory: origin.New(), builds: origin.NewBuilds(), waiters: make(map[origin.StreamID][]chan struct{}),
+		settlement: settlement, logger: logger, directory: origin.New(), builds: origin.NewBuilds(), waiters: make(map[origin.StreamID][]chan struct{}),
 		loaded: make(chan struct{}), wanted: make(map[origin.Origin]time.Time), markWanted: make(chan struct{}, 1),
 		marksChanged: make(chan struct{}), confirmations: origin.NewConfirmations(),
 		saveWanted: make(chan struct{}, 1), saveChanged: make(chan struct{}),
@@ -196,18 +199,31 @@
 	s.builds.Set(time.Now(), listed)
 }
 
+// targetsListed records that the list of targets is complete as of a time.
+func (s *streamOrigins) targetsListed(asOf time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if asOf.After(s.listedAsOf) {
+		s.listedAsOf = asOf
+	}
+}
+
 // onlyBuild returns the only build of a service at which streams may have begun. It is empty if there are several or none, or if this is
-// not known because the store was not read yet. A build without a mark does not count while the only mark is confirmed.
+// not known because the store was not read yet, or may lack the mark and the targets of another build. A build without a mark does not count
+// while the only mark is confirmed.
 func (s *streamOrigins) onlyBuild(service string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.marksLoaded || !s.streamsLoaded {
 		return ""
 	}
-	if builds := s.builds.Of(time.Now(), service); len(builds) == 1 {
+	if confirmed := s.confirmations.Last().OnlyBuild(service); confirmed != "" {
+		return confirmed
+	}
+	if builds := s.builds.Of(time.Now(), service); len(builds) == 1 && s.settlement.covers(s.listedAsOf) {
 		return builds[0]
 	}
-	return s.confirmations.Last().OnlyBuild(service)
+	return ""
 }
 
 // streamID returns the ID of the stream that the request begins or takes up.
@@ -255,7 +271,17 @@
 		return nil
 	}
 	return refusal.New(refusal.NoTarget, "no router knows at which software version the stream began").
-		WithRetryAt(time.Now().Add(retryAfter))
+		WithRetryAt(x.originRetryAt(time.Now()))
+}
+
+// originRetryAt returns when the caller of a stream that no router knows should come back: once there is a complete list of targets, which is
+// read every targetPollInterval.
+func (x *exchange) originRetryAt(now time.Time) time.Time {
+	retryAt := now.Add(retryAfter)
+	if listedAt := x.gateway.origins.settlement.completeFrom().Add(targetPollInterval); listedAt.After(retryAt) {
+		return listedAt
+	}
+	return retryAt
 }
 
 // heldTo returns the build at which a new stream has to begin for now, empty if any will do.
--- a/internal/gateway/targetdirectory.go
+++ b/internal/gateway/targetdirectory.go
@@ -116,8 +116,8 @@
 	return changed
 }
 
-// CaughtUp does nothing, because targets are used regardless of the age of their records.
-func (d *targetDirectory) CaughtUp(boottime.Instant) {}
+// CaughtUp records the age of the list for the builds. Targets are used regardless of the age of their records.
+func (d *targetDirectory) CaughtUp(asOf boottime.Instant) { d.origins.targetsListed(asOf.Time()) }
 
 // Failed records that the store did not reply. A store that no longer has the records has replied: targets that it lacks then are gone, and
 // not only absent because they could not register.
--- a/internal/gateway/topicsharing.go
+++ b/internal/gateway/topicsharing.go
@@ -58,6 +58,7 @@
 // the store. Peers that have been silent for a while are not asked, so that a router does not wait for one lost peer after the other.
 type topicSharing struct {
 	routerName string
+	eras       *topiclog.EraTracker
 	logger     zerolog.Logger
 	send       func(to string, body *fleetpb.Body)
 
@@ -83,9 +84,11 @@
 }
 
 // newTopicSharing returns the topic sharing of a router without links. send is called with mu held and must not block.
-func newTopicSharing(routerName string, logger zerolog.Logger, send func(to string, body *fleetpb.Body)) *topicSharing {
+func newTopicSharing(
+	routerName string, eras *topiclog.EraTracker, logger zerolog.Logger, send func(to string, body *fleetpb.Body),
+) *topicSharing {
 	return &topicSharing{
-		routerName: routerName, logger: logger, send: send, topics: make(map[string]*sharedTopic),
+		routerName: routerName, eras: eras, logger: logger, send: send, topics: make(map[string]*sharedTopic),
 		linkedWeights: make(map[string]uint64), zoneWeights: make(map[string]uint64),
 		avoidUntil: make(map[string]time.Time), silentFrom: make(map[string]time.Time), pending: make(map[uint64]pendingRead),
 	}
--- a/internal/gateway/topicsharing_export_test.go
+++ b/internal/gateway/topicsharing_export_test.go
@@ -17,7 +17,7 @@
 
 // NewTopicSharing returns the topic sharing of a router without links.
 func NewTopicSharing(routerName string, send func(to string, body *fleetpb.Body)) TopicSharing {
-	return TopicSharing{newTopicSharing(routerName, zerolog.Nop(), send)}
+	return TopicSharing{newTopicSharing(routerName, topiclog.NewEraTracker(), zerolog.Nop(), send)}
 }
 
 // ShareTopic returns a topic that is read through a peer if possible.
