Keep that the record of a target's start said that it leaves

Cause: what a target says in an answer of its leaving is kept for that start, and no record takes it back. What its record said was replaced by the next record, also by one of an older copy of the store.

Both are kept in the same notice now. If the record of a target goes back, or a target is listed again that had said that it leaves, peers are told, since one that has just started knows the record only. A record without a start is not kept, since a later start cannot be told from it.

TestOlderRecordDoesNotTakeLeavingBack and TestPeerLearnsThatOlderRecordIsWrong fail without the change. The first checks as well that a new start under the same name is used at once.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -51,7 +51,7 @@
 	targetsByHash map[uint32]*targetState
 	// announcedAt is the time at which each prompt part at a target was last announced to the peers.
 	announcedAt map[announcementKey]time.Time
-	// notices holds what targets have said in their answers, also of targets that are not listed.
+	// notices holds what targets have said of their leaving and pauses, also of targets that are not listed.
 	notices   map[startKey]*notice
 	decisions []Decision
 	lastID    uint64
@@ -96,12 +96,14 @@
 	clear(d.targetsByHash)
 	for _, target := range targets {
 		state, known := d.targets[target.Name]
+		isListedAnew := !known
 		if !known || state.StartUnixMilli != target.StartUnixMilli || state.Address != target.Address {
-			state = newTargetState(target)
+			state, isListedAnew = newTargetState(target), true
 			d.initPeerRuns(state)
 			d.markChanged(state)
 		}
 		state.Target, state.kvCapacity = target, d.getOrCreateService(target.Service).kvCapacity
+		d.keepLeaving(now, state, isListedAnew)
 		d.applyNotice(state)
 		state.unheard = d.isUnheard(target.Region)
 		current[target.Name] = state
--- a/internal/dispatch/notice.go
+++ b/internal/dispatch/notice.go
@@ -7,8 +7,7 @@
 )
 
 const (
-	// noticeTTL is how long a notice is remembered after it was last confirmed. A record of the target that comes back from an older copy of
-	// the store, or after an outage, does not take it back.
+	// noticeTTL is how long a notice is remembered after it was last confirmed.
 	noticeTTL = 10 * time.Minute
 	// maxNotices is the number of notices from which those that have expired are dropped.
 	maxNotices = 10_000
@@ -26,7 +25,8 @@
 	startUnixMilli int64
 }
 
-// notice is what one start of a target has said in its answers about requests to it. It outlives the target's record.
+// notice is what one start of a target has said about requests to it, in its answers or its record. It outlives the record: a record that comes
+// back from an older copy of the store, or after an outage, does not take it back.
 type notice struct {
 	// leaving is set if the target takes no new requests. It is never taken back.
 	leaving bool
@@ -81,6 +81,27 @@
 	}
 }
 
+// keepLeaving keeps what the record of a target says of its leaving. If the record has gone back to before that, or a target is listed again
+// that leaves, peers that have just started may know only the record, so they are told. Without a start, a record cannot be told from that of
+// a later start.
+func (d *Dispatcher) keepLeaving(now time.Time, state *targetState, isListedAnew bool) {
+	wasLeaving := state.recordLeaves
+	state.recordLeaves = state.Leaving
+	switch {
+	case state.StartUnixMilli == 0:
+	case state.recordLeaves:
+		d.noticeOf(now, state.startKey()).leaving = true
+	case (isListedAnew || wasLeaving) && d.leaves(state.startKey()):
+		d.tellLeaving(state.nameHash, state.StartUnixMilli)
+	}
+}
+
+// leaves reports whether a start of a target has said that it leaves.
+func (d *Dispatcher) leaves(key startKey) bool {
+	known, found := d.notices[key]
+	return found && known.leaving
+}
+
 // RecordLeaving records that the start of a target said in an answer that it leaves. It tells the peers, and reports whether this is new.
 func (d *Dispatcher) RecordLeaving(now time.Time, target Target) bool {
 	hash := hashName(target.Name)
--- a/internal/dispatch/notice_test.go
+++ b/internal/dispatch/notice_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -41,6 +42,70 @@
 	qt.Check(t, usedTargets(t, d, startTime, 20), qt.DeepEquals, map[string]int{"e0": 20})
 }
 
+// startedTargets returns targets that tell their start.
+func startedTargets(count, slots int, startUnixMilli int64) []dispatch.Target {
+	targets := newTargets(count, slots)
+	for i := range targets {
+		targets[i].StartUnixMilli = startUnixMilli
+	}
+	return targets
+}
+
+// withLeaving returns the targets with a record of the first one that says that it leaves.
+func withLeaving(targets []dispatch.Target) []dispatch.Target {
+	changed := slices.Clone(targets)
+	changed[0].Leaving = true
+	return changed
+}
+
+// TestOlderRecordDoesNotTakeLeavingBack guards against requests for a target whose record said that it leaves, after the store came back from an
+// older copy of the record, and against leaving out a later start of the target.
+func TestOlderRecordDoesNotTakeLeavingBack(t *testing.T) {
+	for _, isListedMeanwhile := range []bool{true, false} {
+		d := dispatch.New(routerLocality, 1)
+		targets := startedTargets(2, 8, 4)
+		d.SetTargets(startTime, targets)
+		d.SetTargets(startTime, withLeaving(targets))
+		if !isListedMeanwhile {
+			d.SetTargets(startTime, targets[1:])
+		}
+		d.SetTargets(startTime, targets)
+		qt.Check(t, d.Accepts(startTime, targets[0]), qt.IsFalse)
+		qt.Check(t, usedTargets(t, d, startTime, 20), qt.DeepEquals, map[string]int{"e1": 20})
+		d.SetTargets(startTime, startedTargets(1, 8, 5))
+		qt.Check(t, usedTargets(t, d, startTime, 20), qt.DeepEquals, map[string]int{"e0": 20})
+	}
+}
+
+// TestPeerLearnsThatOlderRecordIsWrong guards against a router that has just started, reads an older copy of a record, and sends to a target
+// whose record has told its peers that it leaves.
+func TestPeerLearnsThatOlderRecordIsWrong(t *testing.T) {
+	for _, linkedFirst := range []bool{true, false} {
+		targets := startedTargets(2, 8, 4)
+		old, late := dispatch.New(routerLocality, 1), dispatch.New(routerLocality, 2)
+		old.SetTargets(startTime, withLeaving(targets))
+		if linkedFirst {
+			old.SetTargets(startTime, targets[1:])
+		}
+		link := func() {
+			old.AddPeer(startTime, dispatch.Peer{Name: "b", Region: "r"})
+			late.AddPeer(startTime, dispatch.Peer{Name: "a", Region: "r"})
+			exchangeMessages(startTime, old, late)
+		}
+		if linkedFirst {
+			link()
+		}
+		old.SetTargets(startTime, targets)
+		late.SetTargets(startTime, targets)
+		if !linkedFirst {
+			link()
+		}
+		now := startTime.Add(time.Second)
+		exchangeMessages(now, old, late)
+		qt.Check(t, usedTargets(t, late, now, 20), qt.DeepEquals, map[string]int{"e1": 20}, qt.Commentf("linked first: %t", linkedFirst))
+	}
+}
+
 // TestWaitingRequestsLeaveWithTheirTarget guards against requests that wait for the only target until their time is up although it leaves.
 func TestWaitingRequestsLeaveWithTheirTarget(t *testing.T) {
 	d := dispatch.New(routerLocality, 1)
--- a/internal/dispatch/targetstate.go
+++ b/internal/dispatch/targetstate.go
@@ -84,8 +84,9 @@
 	rateLimit       rateLimit
 	// unheard is set if this router is linked with no router of the target's region, because the fleet is too large for that.
 	unheard bool
-	// notice is what this start of the target has said in its answers.
-	notice *notice
+	// notice is what this start of the target has said, recordLeaves whether its record says now that it leaves.
+	notice       *notice
+	recordLeaves bool
 	// removed is set if the target is no longer listed.
 	removed bool
 }
