Do not use a target that was gone because an older copy lists it

When the store comes back from a copy that is older than the removal, it lists the target as ready until the record lapses, and routers sent to it.

The registry remembers for a minute which starts of targets were removed. After a restore it does not use such a start until its record is written again, or has been listed for 5 s, when a record that nobody writes has lapsed. A new start is used at once.

Evidence: TestOlderCopyListsTargetThatIsGone fails without the change.

--- a/internal/gateway/targetdirectory.go
+++ b/internal/gateway/targetdirectory.go
@@ -34,13 +34,13 @@
 		present[record.Key] = record.Value != nil
 	}
 	d.registry.RemoveAbsent(now, present)
-	d.applyRecords(now, records)
+	d.applyRecords(now, records, func(key string, target dispatch.Target) { d.registry.PutNewest(now, key, target) })
 }
 
 // Apply takes newer records.
 func (d *targetDirectory) Apply(now time.Time, records []topiclog.Record) {
 	d.storeAnswered(now)
-	d.applyRecords(now, records)
+	d.applyRecords(now, records, d.registry.Put)
 }
 
 // storeAnswered records that the store replied, and logs it if the store was down before.
@@ -50,9 +50,9 @@
 	}
 }
 
-// applyRecords updates the registry and passes changed targets on to the scheduler. Records that cannot be decoded are
-// logged and remove their targets.
-func (d *targetDirectory) applyRecords(now time.Time, records []topiclog.Record) {
+// applyRecords updates the registry, with put for the records that hold a target, and passes changed targets on to the scheduler. Records that
+// cannot be decoded are logged and remove their targets.
+func (d *targetDirectory) applyRecords(now time.Time, records []topiclog.Record, put func(key string, target dispatch.Target)) {
 	for _, record := range records {
 		if record.Value == nil {
 			d.registry.Remove(now, record.Key)
@@ -64,7 +64,7 @@
 			d.registry.Remove(now, record.Key)
 			continue
 		}
-		d.registry.Put(record.Key, target)
+		put(record.Key, target)
 	}
 	d.updateTargets(now)
 }
@@ -123,6 +123,10 @@
 // not only absent because they could not register.
 func (d *targetDirectory) Failed(now time.Time, err error) {
 	var expired *topiclog.ExpiredError
+	var otherEra *topiclog.EraError
+	if errors.As(err, &otherEra) && otherEra.Restored() {
+		d.registry.Restored(now)
+	}
 	if !errors.As(err, &expired) && d.registry.Failed() {
 		event.StoreDown.Log(d.logger, "targets", err, int64(0))
 	}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -53,3 +53,39 @@
 	r.Remove(startTime.Add(4*time.Second), "b")
 	qt.Check(t, targetNames(r), qt.HasLen, 0)
 }
+
+// TestOlderCopyListsTargetThatIsGone guards against using a target that had left, because an older copy of the store lists it again, and against
+// leaving out one that has written its record since, has started again, or is listed for longer than a record without a writer.
+func TestOlderCopyListsTargetThatIsGone(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		relist func(r *registry.Registry, now time.Time)
+		after  time.Duration
+		isUsed bool
+	}{
+		{name: "only the copy lists it", after: 4 * time.Second},
+		{name: "it has written its record", relist: func(r *registry.Registry, _ time.Time) {
+			r.Put("a", dispatch.Target{Name: "a", StartUnixMilli: 1})
+		}, isUsed: true},
+		{name: "it has started again", relist: func(r *registry.Registry, now time.Time) {
+			r.PutNewest(now, "a", dispatch.Target{Name: "a", StartUnixMilli: 2})
+		}, isUsed: true},
+		{name: "it is listed for long", after: 5 * time.Second, isUsed: true},
+		{name: "its record lapses", relist: func(r *registry.Registry, now time.Time) { r.Remove(now, "a") }, after: time.Minute},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := registry.New()
+			r.PutNewest(startTime, "a", dispatch.Target{Name: "a", StartUnixMilli: 1})
+			r.Remove(startTime, "a")
+			now := startTime.Add(5 * time.Second)
+			r.Restored(now)
+			r.PutNewest(now, "a", dispatch.Target{Name: "a", StartUnixMilli: 1})
+			qt.Check(t, targetNames(r), qt.HasLen, 0)
+			if c.relist != nil {
+				c.relist(r, now)
+			}
+			r.Expire(now.Add(c.after))
+			qt.Check(t, targetNames(r), qt.HasLen, map[bool]int{true: 1}[c.isUsed])
+		})
+	}
+}
