Confirm no configuration by a store that may be older than a revocation

Cause: a read of the configuration confirmed it as the newest one as of the time of the read, also while the store had lost the newest one. Ruled out: that the router accepts keys by what it had read before its start; it holds nothing then.

A read confirms the configuration only if eraSettlement says that the read is complete. A router that lives through the restore goes on by what it had confirmed before, for as long as the bound on revocations allows.

TestConfigOfOlderCopyIsNotConfirmed fails without the change.

--- a/internal/gateway/configview.go
+++ b/internal/gateway/configview.go
@@ -24,8 +24,11 @@
 	// maxRevocationDelay is Settings.MaxRevocationDelay. Zero means no limit.
 	maxRevocationDelay time.Duration
 	table              atomic.Pointer[route.Table]
-	// confirmedAt is the boottime.Instant as of which the configuration is known to be the newest one.
-	confirmedAt atomic.Int64
+	// readAsOf is the boottime.Instant as of which the configuration is the newest one in the store, confirmedAt that as of which it is known to
+	// be the newest one that was published: the store may have come back from an older copy.
+	readAsOf, confirmedAt atomic.Int64
+	// isComplete reports whether a read that is complete as of a time has all that was ever written.
+	isComplete func(asOf time.Time) bool
 	// storeDown reports whether the last read of the store failed.
 	storeDown bool
 	// onNewTable is called with each new table.
@@ -51,7 +54,19 @@
 
 // fresh reports whether an API key in the configuration can be accepted without exceeding the maximum revocation delay.
 func (v *configView) fresh() bool {
-	return v.maxRevocationDelay <= 0 || v.age() < v.maxRevocationDelay-freshnessMargin
+	if v.maxRevocationDelay <= 0 {
+		return true
+	}
+	v.confirm()
+	return v.age() < v.maxRevocationDelay-freshnessMargin
+}
+
+// confirm takes the last read as a confirmation if it has all that was ever written.
+func (v *configView) confirm() {
+	asOf := v.readAsOf.Load()
+	if confirmedAt := v.confirmedAt.Load(); asOf > confirmedAt && v.isComplete(boottime.Instant(asOf).Time()) {
+		v.confirmedAt.CompareAndSwap(confirmedAt, asOf)
+	}
 }
 
 // Reset takes the newest record of every key.
@@ -76,11 +91,12 @@
 	}
 }
 
-// CaughtUp records that the configuration was the newest one at the given instant.
+// CaughtUp records that the configuration was the newest one in the store at the given instant.
 func (v *configView) CaughtUp(askedAt boottime.Instant) {
-	if int64(askedAt) > v.confirmedAt.Load() { // A peer may confirm an earlier instant than the store.
-		v.confirmedAt.Store(int64(askedAt))
+	if int64(askedAt) > v.readAsOf.Load() { // A peer may confirm an earlier instant than the store.
+		v.readAsOf.Store(int64(askedAt))
 	}
+	v.confirm()
 	if v.storeDown {
 		v.storeDown = false
 		event.StoreUp.Log(v.logger, "config")
--- a/internal/gateway/configview_test.go
+++ b/internal/gateway/configview_test.go
@@ -52,3 +52,16 @@
 	view.CaughtUp(now.Add(-2 * maxRevocationDelay))
 	qt.Check(t, view.Fresh(), qt.IsTrue)
 }
+
+// TestConfigOfOlderCopyIsNotConfirmed guards against a router that accepts a revoked key, because it starts while the store comes back from a copy
+// that is older than the revocation, and against one that lives through this and refuses all keys.
+func TestConfigOfOlderCopyIsNotConfirmed(t *testing.T) {
+	for _, isConfirmed := range []bool{true, false} {
+		isComplete := false
+		view := gateway.NewRestoredConfigView(5*time.Second, isConfirmed, func(time.Time) bool { return isComplete })
+		view.CaughtUp(boottime.Now())
+		qt.Check(t, view.Fresh(), qt.Equals, isConfirmed)
+		isComplete = true
+		qt.Check(t, view.Fresh(), qt.IsTrue)
+	}
+}
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/chicorydale/chicorydale/internal/boottime"
 	"github.com/chicorydale/chicorydale/internal/dispatch"
 	"github.com/chicorydale/chicorydale/internal/link"
 	"github.com/chicorydale/chicorydale/internal/metric"
@@ -95,6 +96,7 @@
 func NewConfigView(maxRevocationDelay time.Duration) ConfigView {
 	return ConfigView{&configView{
 		logger: zerolog.Nop(), maxRevocationDelay: maxRevocationDelay, onNewTable: func(*route.Table) {},
+		isComplete: func(time.Time) bool { return true },
 		decode: func(record topiclog.Record) (*route.Table, error) {
 			version, err := strconv.ParseUint(string(record.Value), 10, 64)
 			return route.NewTable(version, nil, nil, nil, route.Limits{}), err
@@ -102,6 +104,17 @@
 	}}
 }
 
+// NewRestoredConfigView returns a view that has confirmed its configuration, if isConfirmed is set, before the store came back from an older copy.
+// The store is complete as of a time from which isComplete reports true.
+func NewRestoredConfigView(maxRevocationDelay time.Duration, isConfirmed bool, isComplete func(time.Time) bool) ConfigView {
+	view := NewConfigView(maxRevocationDelay)
+	if isConfirmed {
+		view.CaughtUp(boottime.Now())
+	}
+	view.isComplete = isComplete
+	return view
+}
+
 // Fresh reports whether API keys are accepted.
 func (v ConfigView) Fresh() bool { return v.fresh() }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -120,6 +120,7 @@
 		metrics:         metrics,
 		config: &configView{
 			decode: adapters.DecodeTable, logger: logger, maxRevocationDelay: settings.MaxRevocationDelay, onNewTable: scheduler.applyTable,
+			isComplete: settlement.covers,
 		},
 		scheduler: scheduler,
 		targets: &targetDirectory{
@@ -138,8 +139,8 @@
 		closedConns:  newClosedConns(metrics, logger, settings.MaxOpenFiles),
 		lateness:     lateness,
 
-		eras:         eras,
-		settlement:   settlement,
+		eras:          eras,
+		settlement:    settlement,
 		refusalLog:    newRefusalLog(logger),
 		bodies:        overload.NewBodyBudget(settings.BodyMemory),
 		streamBuffers: sync.Pool{New: func() any { return new(make([]byte, streamBufferBytes)) }},
