Count the probes whose claims the store has lost

Cause: the claims in the store were taken for all claims that were ever written, in the topic that decides how many probes all routers together send.

No probe is claimed by a read that may not be complete (eraSettlement), and a router that learns of a restore writes the claims of its own probes again.

Evidence: TestProbesCountAfterRestore fails without either half (each tried on a scratch copy). A router that is lost with the restore cannot write its own again: then its probes are not counted.

--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -161,7 +161,9 @@
 // NewSendGate returns the gate of a router that claims probes in the topic. The seed determines the delays of its probes.
 func NewSendGate(topic topiclog.ConditionalTopic, fingerprint, seed uint64) SendGate {
 	suspects := newSuspects(quarantine.New(quarantine.DefaultLimits(), seed), zerolog.Nop())
-	g := &Gateway{suspects: suspects, claims: &probeClaims{topic: topic, suspects: suspects, logger: zerolog.Nop()}, logger: zerolog.Nop()}
+	settlement := newEraSettlement(nil, topiclog.NewEraTracker(), zerolog.Nop())
+	claims := &probeClaims{topic: topic, settlement: settlement, suspects: suspects, logger: zerolog.Nop()}
+	g := &Gateway{suspects: suspects, claims: claims, logger: zerolog.Nop()}
 	return SendGate{&exchange{gateway: g, fingerprints: []uint64{fingerprint}}}
 }
 
@@ -182,6 +184,12 @@
 	return s.x.gateway.claims.writeUnsent(ctx)
 }
 
+// StoreRestored writes the claims of the router again that the store has lost.
+func (s SendGate) StoreRestored(ctx context.Context) {
+	s.x.gateway.claims.mayHaveLost.Store(true)
+	s.x.gateway.claims.writeLost(ctx)
+}
+
 // RecordCrash records a crash of a target with the request.
 func (s SendGate) RecordCrash(crash quarantine.Crash) {
 	s.x.gateway.suspects.recordCrash(crash, s.x.fingerprints)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -111,7 +111,7 @@
 	settlement := newEraSettlement(adapters.EraTopic, eras, logger)
 	origins := newStreamOrigins(settlement, logger)
 	suspects := newSuspects(quarantine.New(quarantine.DefaultLimits(), settings.Seed), logger)
-	claims := &probeClaims{topic: adapters.ProbeTopic, suspects: suspects, logger: logger}
+	claims := &probeClaims{topic: adapters.ProbeTopic, settlement: settlement, suspects: suspects, logger: logger}
 	g := &Gateway{
 		settings:        settings,
 		adapters:        adapters,
--- a/internal/gateway/probeclaims.go
+++ b/internal/gateway/probeclaims.go
@@ -6,6 +6,7 @@
 	"errors"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -26,10 +27,13 @@
 
 // probeClaims claims probes in the store: all routers together send only so many. It is safe for concurrent use.
 type probeClaims struct {
-	topic    topiclog.ConditionalTopic
-	suspects *suspects
-	logger   zerolog.Logger
-	unsent   unsentProbes
+	topic      topiclog.ConditionalTopic
+	settlement *eraSettlement
+	suspects   *suspects
+	logger     zerolog.Logger
+	unsent     unsentProbes
+	// mayHaveLost is set while the store may have lost claims of this router.
+	mayHaveLost atomic.Bool
 }
 
 // claim writes the claims of a probe with the given id and quarantined fingerprints. If the probe must not be sent, granted is false; retryAt
@@ -52,14 +56,20 @@
 	return false, time.Now().Add(retryAfter)
 }
 
-// tryClaim reads all claims, decides, and writes those of the probe if no other router has written any meanwhile.
+// tryClaim reads all claims, decides, and writes those of the probe if no other router has written any meanwhile. It claims nothing while claims of
+// other routers may be missing that the store has lost.
 func (p *probeClaims) tryClaim(
 	ctx context.Context, probeID string, quarantined []uint64,
 ) (granted bool, retryAt time.Time, err error) {
+	askedAt := time.Now()
 	page, err := p.topic.ReadNewest(ctx)
 	if err != nil {
 		return false, time.Time{}, err
 	}
+	p.settlement.eras.Observe(page.Era)
+	if !p.settlement.covers(askedAt) {
+		return false, p.settlement.completeFrom(), nil
+	}
 	decision := p.suspects.decideProbe(probeID, quarantined, p.decodeClaims(page.Records))
 	if len(decision.Granted) == 0 {
 		return false, decision.RetryAt, nil
--- a/internal/gateway/probeclaims_test.go
+++ b/internal/gateway/probeclaims_test.go
@@ -27,6 +27,7 @@
 	end  uint64
 	keys map[string][]byte
 	down bool
+	era  uint64
 	// pause is the time for which the process is held up after an append.
 	pause time.Duration
 	// faults lets appends end in errors, written, not written or written later, if it is set.
@@ -42,7 +43,7 @@
 	if c.down {
 		return topiclog.Page{}, errors.New("the store cannot be reached")
 	}
-	page := topiclog.Page{NextOffset: c.end}
+	page := topiclog.Page{NextOffset: c.end, Era: c.era}
 	for key, value := range c.keys {
 		page.Records = append(page.Records, topiclog.Record{Key: key, Value: value})
 	}
@@ -163,6 +164,46 @@
 	})
 }
 
+// TestProbesCountAfterRestore guards against routers that send probes beyond the bound because the store came back from a copy without their claims,
+// before or after those of them that live have written them again.
+func TestProbesCountAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		topic := &claimTopic{keys: make(map[string][]byte), era: 1}
+		gates := make([]gateway.SendGate, 9)
+		for i := range gates {
+			gates[i] = gateway.NewSendGate(topic, 1, uint64(i))
+		}
+		crashThrice(gates...)
+		total := 0
+		random := rand.New(rand.NewPCG(1, 12))
+		sendAllFor := func(seconds int) {
+			for range seconds {
+				time.Sleep(time.Second)
+				random.Shuffle(len(gates), func(i, j int) { gates[i], gates[j] = gates[j], gates[i] })
+				for _, gate := range gates {
+					if gate.Admit() && gate.Authorize(t.Context()) {
+						gate.Sent()
+						total++
+					}
+				}
+			}
+		}
+		for range 4 {
+			for before := total; total == before && total < quarantine.DefaultLimits().MaxProbesAlone; {
+				sendAllFor(1)
+			}
+			topic.era++
+			clear(topic.keys)
+			sendAllFor(2) // Some routers learn of the restore by their reads.
+			for _, gate := range gates {
+				gate.StoreRestored(t.Context())
+			}
+		}
+		sendAllFor(60)
+		qt.Check(t, total, qt.Equals, quarantine.DefaultLimits().MaxProbesAlone)
+	})
+}
+
 // TestClaimOfUnsentProbeIsTakenBackOnce guards against probes that reached no target and count all the same, so that sound requests are refused
 // for long, and against a claim that is taken back although its probe was sent, or twice because an answer of the store was lost: then what
 // crashes targets is sent to them too often.
--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"strconv"
 	"time"
@@ -66,8 +67,13 @@
 // CaughtUp does nothing, because routers also tell each other of crashes.
 func (q *quarantineStore) CaughtUp(boottime.Instant) {}
 
-// Failed does nothing: the handlers of the other topics log failures of the store.
-func (q *quarantineStore) Failed(time.Time, error) {}
+// Failed has claims written again that the store has lost. The handlers of the other topics log failures of the store.
+func (q *quarantineStore) Failed(_ time.Time, err error) {
+	var otherEra *topiclog.EraError
+	if errors.As(err, &otherEra) && otherEra.Restored() {
+		q.claims.mayHaveLost.Store(true)
+	}
+}
 
 // writeUnsaved writes the beginnings and ends of quarantines to the store until ctx ends, and takes back the claims of probes that were not
 // sent. What could not be written is tried again, and does not hold up the others.
@@ -84,8 +90,9 @@
 				unsaved[stored.Fingerprint] = stored
 			}
 			maps.DeleteFunc(unsaved, func(_ uint64, stored quarantine.Stored) bool { return q.write(ctx, stored) })
-			again := q.claims.writeUnsent(ctx)
-			if again || len(unsaved) > 0 {
+			claimsDue := q.claims.writeUnsent(ctx)
+			claimsDue = q.claims.writeLost(ctx) || claimsDue
+			if claimsDue || len(unsaved) > 0 {
 				sleepUntil(ctx, time.Now().Add(saveRetryPause))
 			}
 		}
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -90,6 +90,12 @@
 	s.withTracker(func(tracker *quarantine.Tracker, _ time.Time) { tracker.ProbeClaimed(probeID, claims) })
 }
 
+// lostClaims returns the claims of this router to write again that are not among those in the store.
+func (s *suspects) lostClaims(known []quarantine.Claim) (lost []quarantine.Claim) {
+	s.withTracker(func(tracker *quarantine.Tracker, now time.Time) { lost = tracker.LostClaims(now, known) })
+	return lost
+}
+
 // probeUnsent records that a probe that this router has claimed reached no target, and never will.
 func (s *suspects) probeUnsent(probeID string, fingerprints []uint64) {
 	s.withTracker(func(tracker *quarantine.Tracker, _ time.Time) { tracker.ProbeUnsent(probeID, fingerprints) })
--- a/internal/gateway/unsentprobes.go
+++ b/internal/gateway/unsentprobes.go
@@ -87,8 +87,25 @@
 	return true
 }
 
-// tryTakeBack reads all claims and writes those that named the given probes, if no other router has written any meanwhile.
+// tryTakeBack takes the claims of probes back.
 func (p *probeClaims) tryTakeBack(ctx context.Context, ids []string) error {
+	return p.rewrite(ctx, func(known []quarantine.Claim) []quarantine.Claim { return quarantine.WithoutProbes(known, ids) })
+}
+
+// writeLost writes the claims of this router again that the store has lost, and reports whether it has to be called again.
+func (p *probeClaims) writeLost(ctx context.Context) (again bool) {
+	if !p.mayHaveLost.Swap(false) {
+		return false
+	}
+	if err := p.rewrite(ctx, p.suspects.lostClaims); err != nil {
+		p.mayHaveLost.Store(true)
+		return true
+	}
+	return false
+}
+
+// rewrite reads all claims and writes those that change returns for them, if no other router has written any meanwhile.
+func (p *probeClaims) rewrite(ctx context.Context, change func(known []quarantine.Claim) []quarantine.Claim) error {
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(claimTimeout))
 	defer cancel()
 	var conflict *topiclog.ConflictError
@@ -97,7 +114,7 @@
 		if err != nil {
 			return err
 		}
-		changed := quarantine.WithoutProbes(p.decodeClaims(page.Records), ids)
+		changed := change(p.decodeClaims(page.Records))
 		if len(changed) == 0 {
 			return nil
 		}
--- a/internal/quarantine/claim.go
+++ b/internal/quarantine/claim.go
@@ -87,6 +87,27 @@
 	}
 }
 
+// LostClaims returns the claims to write so that the probes of this router count again that the store has lost, given all claims in the store.
+func (t *Tracker) LostClaims(now time.Time, known []Claim) []Claim {
+	found := make(map[uint64]Claim, len(known))
+	for _, claim := range known {
+		found[claim.Fingerprint] = claim
+	}
+	var lost []Claim
+	for fingerprint, suspected := range t.suspects {
+		held := found[fingerprint]
+		claim := held.withProbes(suspected.ownProbes)
+		if len(claim.Probes) == len(held.Probes) {
+			continue
+		}
+		claim.Fingerprint = fingerprint
+		claim.NextAt = max(claim.NextAt, now.Add(t.limits.ProbeInterval).UnixMilli())
+		claim.Expiry = max(claim.Expiry, now.Add(t.limits.RecordLifetime).UnixMilli())
+		lost = append(lost, claim)
+	}
+	return lost
+}
+
 // WithoutProbes returns the claims to write so that probes that reached no target no longer count. A probe that the claims do not name, since
 // that was written before or since its quarantine has ended, changes nothing, so the write may be repeated.
 func WithoutProbes(known []Claim, probeIDs []string) []Claim {
