Close the idle connections of a client when one has gone silent

Cause: a read that times out closes its own connection, and the next one takes another idle one that is silent as well, up to 1.9 s each. Six seconds after the start there are enough of them for the bound on revocations to pass.

A request that ends at its deadline closes the idle connections of the client. Those in use fail by their own deadlines.

TestSilentConnectionsFailTogether fails without the change.

--- a/internal/external/transport/client.go
+++ b/internal/external/transport/client.go
@@ -97,6 +97,10 @@
 		httpClient = c.oneShot
 	}
 	response, err := httpClient.Do(req)
+	if errors.Is(err, context.DeadlineExceeded) {
+		// Connections may have gone silent together, for example at a middlebox that has lost its state, and would fail one after the other.
+		c.httpClient.CloseIdleConnections()
+	}
 	switch {
 	case err != nil && !tracker.connected.Load():
 		return nil, &external.UnavailableError{System: request.System, Cause: err}
--- a/internal/external/transport/client_test.go
+++ b/internal/external/transport/client_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -60,6 +61,63 @@
 	})
 }
 
+// silencedServer answers requests on a connection until silence is closed, and nothing that arrives on it afterwards.
+func silencedServer(conn net.Conn, silence <-chan struct{}) {
+	reader := bufio.NewReader(conn)
+	for {
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		select {
+		case <-silence:
+			continue
+		case <-time.After(time.Second):
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+		}
+	}
+}
+
+// TestSilentConnectionsFailTogether guards against requests that fail one after the other because the idle connections have gone silent, while
+// new ones work.
+func TestSilentConnectionsFailTogether(t *testing.T) {
+	const conns = 5
+	synctest.Test(t, func(t *testing.T) {
+		var network pipenet.Network
+		listener := network.Listen("s:1")
+		defer func() { _ = listener.Close() }()
+		silence := make(chan struct{})
+		go func() {
+			for number := 0; ; number++ {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				if number < conns {
+					go silencedServer(conn, silence)
+				} else {
+					go silencedServer(conn, nil)
+				}
+			}
+		}()
+		client := transport.New(transport.WithDial(network.DialContext))
+		defer client.Close()
+		get := transport.Request{System: "s", Address: "s:1", Method: http.MethodGet, Path: "/"}
+		send := func() error {
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			return client.DoReadOnlyJSON(ctx, get, 10, nil)
+		}
+		var first sync.WaitGroup
+		for range conns {
+			first.Go(func() { qt.Check(t, send(), qt.IsNil) })
+		}
+		first.Wait()
+		close(silence)
+		qt.Check(t, errorKind(send()), qt.Equals, "unavailable")
+		qt.Check(t, send(), qt.IsNil)
+	})
+}
+
 // respondOnceEach accepts connections until the listener is closed and handles each with respondOnce.
 func respondOnceEach(listener net.Listener, requests *atomic.Int64) {
 	for conn, err := listener.Accept(); err == nil; conn, err = listener.Accept() {
