Bound what the header of a response holds until its end

Cause: the head was limited by its size alone. 50,000 lines take some 4 MB once parsed, are copied for the caller, and are held until the stream ends.

A header has at most 256 lines and 32 KiB, or the attempt fails. The limit of 256 KiB on all that comes before the body stays, since late answers to other requests are skipped within it.

TestHeadOfManyLines fails without the change.

--- a/internal/forward/client_test.go
+++ b/internal/forward/client_test.go
@@ -373,6 +373,22 @@
 	}
 }
 
+// TestHeadOfManyLines guards against headers of targets that take many times the memory of their size until their responses end.
+func TestHeadOfManyLines(t *testing.T) {
+	for name, header := range map[string]string{
+		"short lines": strings.Repeat("a:b\r\n", 1000),
+		"long line":   "a: " + strings.Repeat("x", 40<<10) + "\r\n",
+	} {
+		target := newTestTarget(t, func(conn net.Conn, _ int, id string) bool {
+			writeRaw(conn, "HTTP/1.1 200 OK\r\nId: "+id+"\r\n"+header+"Content-Length: 2\r\n\r\nok")
+			return true
+		})
+		_, err := sendAndRead(t, forward.NewClient(codec{}), newAttempt(target, "r1"))
+		var tooLarge *forward.HeaderTooLargeError
+		qt.Check(t, errors.As(err, &tooLarge), qt.IsTrue, qt.Commentf("%s: %v", name, err))
+	}
+}
+
 // TestDataBeforeDeadline guards against an attempt that fails although data of the target had arrived in time, because the process read
 // it only after the deadline, and against a target that keeps sending after the deadline.
 func TestDataBeforeDeadline(t *testing.T) {
--- a/internal/forward/errors.go
+++ b/internal/forward/errors.go
@@ -84,6 +84,17 @@
 	return fmt.Sprintf("no response body began within %d bytes", e.Limit)
 }
 
+// HeaderTooLargeError reports a response whose header is too large to be held until the response ends.
+type HeaderTooLargeError struct {
+	// Lines is the number of lines of the header, Bytes that of the bytes of their names and values.
+	Lines, Bytes int
+}
+
+// Error returns the size and the limits.
+func (e *HeaderTooLargeError) Error() string {
+	return fmt.Sprintf("the header has %d lines and %d bytes, %d and %d are allowed", e.Lines, e.Bytes, maxHeaderLines, maxHeaderBytes)
+}
+
 // UnmatchedResponsesError reports that a connection carried only responses to other requests.
 type UnmatchedResponsesError struct {
 	// Count is the number of these responses.
--- a/internal/forward/readbudget.go
+++ b/internal/forward/readbudget.go
@@ -1,11 +1,36 @@
 package forward
 
-import "io"
+import (
+	"io"
+	"net/http"
+)
 
 // maxHeadBytes is the maximum number of bytes that a target may send before the body of its response: the head, informational
 // responses, and late responses to other requests.
 const maxHeadBytes = 256 << 10
 
+const (
+	// maxHeaderBytes and maxHeaderLines limit the header of a response, which is held until the response ends. A header of many short lines takes
+	// several times its size.
+	maxHeaderBytes = 32 << 10
+	maxHeaderLines = 256
+)
+
+// checkHeader returns a *HeaderTooLargeError if a header is too large to be held.
+func checkHeader(header http.Header) error {
+	lines, size := 0, 0
+	for name, values := range header {
+		lines += len(values)
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	if lines > maxHeaderLines || size > maxHeaderBytes {
+		return &HeaderTooLargeError{Lines: lines, Bytes: size}
+	}
+	return nil
+}
+
 // readBudget is a reader that fails after a number of bytes while it is limited.
 type readBudget struct {
 	reader io.Reader
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -36,7 +36,8 @@
 }
 
 // readHead reads the head of the response to an attempt. It skips informational responses, and up to maxSkippedResponses
-// responses to earlier requests, which a target may send late. All of it must have maxHeadBytes at most.
+// responses to earlier requests, which a target may send late. All of it must have maxHeadBytes at most, and each header maxHeaderBytes in
+// maxHeaderLines lines.
 func (r *Response) readHead(attempt *Attempt) error {
 	r.conn.budget.limit(maxHeadBytes)
 	defer r.conn.budget.unlimit()
@@ -47,6 +48,9 @@
 			r.conn.recordFailure(err)
 			return err
 		}
+		if err := checkHeader(response.Header); err != nil {
+			return err
+		}
 		if response.StatusCode < minStatus || response.StatusCode > maxStatus {
 			return &InvalidStatusError{Status: response.StatusCode}
 		}
