Count a next request from the last write of the answer before it

A request that was sent while the goroutine of the one before it was held up for 0.3 s counted as sent 0.3 s later than it was, so its target could work on after its caller had left (GONE).

Cause: a connection counted as waiting for the next request from the end of the request's goroutine. The caller may send it once it has the whole answer, so it counts from the start of the last write now. The bound by the lateness of the process stays.

--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -40,9 +40,10 @@
 	awaitedUntil time.Time
 	// unread is how long the current request may have waited until it was read, zero until its head was parsed.
 	unread time.Duration
-	// writeDeadline is the deadline of the last write of the current answer, zero before the first one. The HTTP server removes it after the answer.
-	writeDeadline time.Time
-	answered      bool
+	// writeDeadline is the deadline of the last write of the current answer, lastWriteAt the time at which that began. Both are zero before the first
+	// one. The HTTP server removes the deadline after the answer.
+	writeDeadline, lastWriteAt time.Time
+	answered                   bool
 	// sentBefore is set if the first request was there before this process read the connection. waitingSince is then the time from which its
 	// caller may have waited.
 	sentBefore   bool
@@ -154,7 +155,7 @@
 // Write writes a part of an answer. It waits for a caller that does not read until that leaves, and for minWriteTime at least: an answer that is
 // ready at the deadline of its request, or late, is sent nevertheless.
 func (c *callerConn) Write(p []byte) (int, error) {
-	if err := c.extendWriteDeadline(time.Now()); err != nil {
+	if err := c.startWrite(time.Now()); err != nil {
 		return 0, err
 	}
 	n, err := c.TCPConn.Write(p)
@@ -167,11 +168,12 @@
 	return io.Copy(struct{ io.Writer }{c}, source)
 }
 
-// extendWriteDeadline sets the deadline of a write that begins now, unless the one of an earlier write leaves enough time: most writes are single
+// startWrite records a write that begins now. It sets its deadline, unless the one of an earlier write leaves enough time: most writes are single
 // events of streams.
-func (c *callerConn) extendWriteDeadline(now time.Time) error {
+func (c *callerConn) startWrite(now time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.lastWriteAt = now
 	shortest := now.Add(minWriteTime)
 	if !c.writeDeadline.Before(shortest) {
 		return nil
@@ -201,12 +203,14 @@
 	c.requestID, c.awaitedUntil, c.unread = id, awaitedUntil, unread
 }
 
-// awaitRequest records that the last request has ended.
+// awaitRequest records that the last request has ended. Its caller may have sent the next one once it had the whole answer.
 func (c *callerConn) awaitRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.received, c.answered, c.sentBefore, c.awaitedSince = 0, false, false, time.Now()
-	c.writeErr, c.requestID, c.awaitedUntil, c.writeDeadline, c.unread = nil, "", time.Time{}, time.Time{}, 0
+	c.awaitedSince = cmp.Or(c.lastWriteAt, time.Now())
+	c.received, c.answered, c.sentBefore = 0, false, false
+	c.writeErr, c.requestID, c.awaitedUntil, c.unread = nil, "", time.Time{}, 0
+	c.writeDeadline, c.lastWriteAt = time.Time{}, time.Time{}
 }
 
 // announceKeepAlive records how long the connection stays open after the current answer, as announced in its head.
