Take a store that was never restored for complete from the start

With the settlement of eras, each first start took the era of the store for one that had just begun, refused requests with keys for 2.5 s, and then waited for the next reads.

TestStoreThatWasNeverRestoredIsTrusted (it replaces TestStoreWithoutErasIsTrusted, and checks that case as well) fails without the change. TestStoreIsNotTrustedUntilItIsSettled checks later eras as before. gateway, topiclog and platform passed.

--- a/internal/gateway/erasettlement.go
+++ b/internal/gateway/erasettlement.go
@@ -57,11 +57,11 @@
 // covers reports whether a read that is complete as of a time has what was written before the newest era began.
 func (s *eraSettlement) covers(asOf time.Time) bool { return !asOf.Before(s.completeFrom()) }
 
-// completeFrom returns the time from which the store is complete, as far as this router knows. It is zero if the store has no eras: then it loses
-// nothing.
+// completeFrom returns the time from which the store is complete, as far as this router knows. It is zero if the store has never come back from an
+// older copy.
 func (s *eraSettlement) completeFrom() time.Time {
 	era, since := s.eras.Newest()
-	if era == 0 {
+	if era <= topiclog.FirstEra {
 		return time.Time{}
 	}
 	s.mu.Lock()
@@ -133,7 +133,7 @@
 	era, since := s.eras.Newest()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.settled == era || time.Now().Before(since.Add(s.recordDelay)) {
+	if era <= topiclog.FirstEra || s.settled == era || time.Now().Before(since.Add(s.recordDelay)) {
 		return 0
 	}
 	return era
--- a/internal/topiclog/topic.go
+++ b/internal/topiclog/topic.go
@@ -16,6 +16,9 @@
 	Offset uint64
 }
 
+// FirstEra is the era of a store that has never come back from an older copy.
+const FirstEra uint64 = 1
+
 // Page is the result of a read.
 type Page struct {
 	// Records are the records that were read. Those of Topic.Read are in the order in which they were written.
@@ -28,8 +31,8 @@
 	// Partial is set if the store ended the page early: the topic already held records from NextOffset on when it was read, so the page says
 	// nothing about the newest records.
 	Partial bool
-	// Era is higher each time that the store came back from an older copy. Offsets of different eras cannot be compared. It is zero if the
-	// store does not name it.
+	// Era is FirstEra while the store has never come back from an older copy, and higher each time that it did. Offsets of different eras cannot
+	// be compared. It is zero if the store does not name it.
 	Era uint64
 	// FromPeer is set if the page comes from another router instead of the store.
 	FromPeer bool
