Let reads wait shortly while the store may lack records

Cause: a router that starts after a restore refuses requests with keys until a read of the configuration that began 2.5 s after it had learned of the era has ended. That read waits 0.7 s for news, the one before it as long, and a peer holds a read for a second.

For 5 s after a new era became known, reads wait for 0.1 s, those that a router holds for its peers too. In the first era nothing changes.

TestReadsAreShortInNewEra fails without the change.

--- a/internal/gateway/heldreads.go
+++ b/internal/gateway/heldreads.go
@@ -25,7 +25,8 @@
 		s.sendReply(from, &fleetpb.TopicPage{Number: read.GetNumber(), Unknown: true})
 		return
 	}
-	held := heldRead{peer: from, topic: topic, read: read, receivedAt: boottime.Now(), holdUntil: now.Add(topic.holdTime)}
+	holdUntil := s.eras.ReadDeadline(now, now.Add(topic.holdTime))
+	held := heldRead{peer: from, topic: topic, read: read, receivedAt: boottime.Now(), holdUntil: holdUntil}
 	if !s.tryAnswer(now, &held) {
 		s.held = append(s.held, held)
 	}
--- a/internal/topiclog/eratracker.go
+++ b/internal/topiclog/eratracker.go
@@ -6,6 +6,13 @@
 	"time"
 )
 
+const (
+	// newEraPeriod is how long after a new era became known the store may lack what its writers write again.
+	newEraPeriod = 5 * time.Second
+	// newEraWait is how long reads wait for new records meanwhile.
+	newEraWait = 100 * time.Millisecond
+)
+
 // EraTracker knows the newest era of the store that a page of any topic has named, and ends the reads of the earlier eras. A read at an offset
 // that the store has given out again would otherwise wait for new records, while all that was read before may be lost. It is safe for concurrent
 // use.
@@ -28,6 +35,17 @@
 	return t.newest, t.since
 }
 
+// ReadDeadline returns until when a read that begins now and may wait for new records until a deadline does so. The wait is short while the store
+// may lack records, since a read tells only at its end that there are no others.
+func (t *EraTracker) ReadDeadline(now, deadline time.Time) time.Time {
+	era, since := t.Newest()
+	soon := now.Add(newEraWait)
+	if era > FirstEra && now.Before(since.Add(newEraPeriod)) && soon.Before(deadline) {
+		return soon
+	}
+	return deadline
+}
+
 // Observe records the era of a page, zero if it names none. A newer era than the known one ends the reads of that.
 func (t *EraTracker) Observe(era uint64) {
 	t.mu.Lock()
--- a/internal/topiclog/eratracker_test.go
+++ b/internal/topiclog/eratracker_test.go
@@ -57,6 +57,35 @@
 	})
 }
 
+// TestReadsAreShortInNewEra guards against a router that learns only at the end of a long read that the store is complete again.
+func TestReadsAreShortInNewEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		eras := topiclog.NewEraTracker()
+		ctx, cancel := context.WithCancel(t.Context())
+		handler := &recordingHandler{}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			topiclog.NewFollower(waitingTopic{eras}, handler, time.Hour, 0).WithEras(eras).Run(ctx)
+		}()
+		eras.Observe(topiclog.FirstEra)
+		time.Sleep(time.Minute)
+		qt.Check(t, handler.events, qt.HasLen, 2)
+		eras.Observe(topiclog.FirstEra + 1)
+		for range 10 {
+			known := len(handler.events)
+			time.Sleep(250 * time.Millisecond)
+			qt.Check(t, len(handler.events) > known, qt.IsTrue)
+		}
+		time.Sleep(time.Minute)
+		known := len(handler.events)
+		time.Sleep(time.Minute)
+		qt.Check(t, handler.events, qt.HasLen, known)
+		cancel()
+		<-done
+	})
+}
+
 // TestNewerEraIsToldBeforeReset guards against a handler that takes the records of an older copy of the store for newer ones, because the read
 // before found that its records had expired.
 func TestNewerEraIsToldBeforeReset(t *testing.T) {
--- a/internal/topiclog/follower.go
+++ b/internal/topiclog/follower.go
@@ -160,7 +160,8 @@
 	if !from.loaded {
 		return f.topic.ReadNewest(ctx)
 	}
-	return f.topic.Read(ctx, from.nextOffset, time.Now().Add(f.pollWait))
+	now := time.Now()
+	return f.topic.Read(ctx, from.nextOffset, f.eras.ReadDeadline(now, now.Add(f.pollWait)))
 }
 
 // sleep waits for the delay or until ctx is done.
