--- a/internal/topiclog/eratracker_test.go
+++ b/internal/topiclog/eratracker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,18 +33,23 @@
 
 func (waitingTopic) Put(context.Context, string, []byte) error { return nil }
 
+// followWaitingTopic follows a topic whose reads wait for up to an hour, until the returned function is called.
+func followWaitingTopic(t *testing.T, eras *topiclog.EraTracker, handler topiclog.Handler) (stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { topiclog.NewFollower(waitingTopic{eras}, handler, time.Hour, 0).WithEras(eras).Run(ctx) })
+	return func() {
+		cancel()
+		running.Wait()
+	}
+}
+
 // TestRestoreEndsReadOfOtherTopic guards against a follower that learns that the store came back from an older copy only when its read ends, which
 // waits for records at an offset that was given out again, although another topic has shown it.
 func TestRestoreEndsReadOfOtherTopic(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		eras := topiclog.NewEraTracker()
-		ctx, cancel := context.WithCancel(t.Context())
-		handler := &recordingHandler{}
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			topiclog.NewFollower(waitingTopic{eras}, handler, time.Hour, 0).WithEras(eras).Run(ctx)
-		}()
+		eras, handler := topiclog.NewEraTracker(), &recordingHandler{}
+		defer followWaitingTopic(t, eras, handler)()
 		synctest.Wait()
 		qt.Check(t, handler.events, qt.DeepEquals, []string{"reset 0", "caught up"})
 		eras.Observe(1)
@@ -52,37 +58,30 @@
 		eras.Observe(2)
 		synctest.Wait()
 		qt.Check(t, handler.events, qt.DeepEquals, []string{"reset 0", "caught up", "failed", "reset 0", "caught up"})
-		cancel()
-		<-done
 	})
 }
 
 // TestReadsAreShortInNewEra guards against a router that learns only at the end of a long read that the store is complete again.
 func TestReadsAreShortInNewEra(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		eras := topiclog.NewEraTracker()
-		ctx, cancel := context.WithCancel(t.Context())
-		handler := &recordingHandler{}
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			topiclog.NewFollower(waitingTopic{eras}, handler, time.Hour, 0).WithEras(eras).Run(ctx)
-		}()
+		eras, handler := topiclog.NewEraTracker(), &recordingHandler{}
+		defer followWaitingTopic(t, eras, handler)()
+		eventsAfter := func(wait time.Duration) int {
+			time.Sleep(wait)
+			synctest.Wait()
+			return len(handler.events)
+		}
 		eras.Observe(topiclog.FirstEra)
-		time.Sleep(time.Minute)
-		qt.Check(t, handler.events, qt.HasLen, 2)
+		known := eventsAfter(time.Minute)
+		qt.Check(t, known, qt.Equals, 2)
 		eras.Observe(topiclog.FirstEra + 1)
 		for range 10 {
-			known := len(handler.events)
-			time.Sleep(250 * time.Millisecond)
-			qt.Check(t, len(handler.events) > known, qt.IsTrue)
+			now := eventsAfter(250 * time.Millisecond)
+			qt.Check(t, now > known, qt.IsTrue)
+			known = now
 		}
-		time.Sleep(time.Minute)
-		known := len(handler.events)
-		time.Sleep(time.Minute)
-		qt.Check(t, handler.events, qt.HasLen, known)
-		cancel()
-		<-done
+		known = eventsAfter(time.Minute)
+		qt.Check(t, eventsAfter(time.Minute), qt.Equals, known)
 	})
 }
 
