Count reads in the test of short reads without a race

The topic counts its reads in an atomic counter now, and the checks are the same: one read in a minute of the first era, at least one in each of ten quarters of a second after a new era, none in a later minute.

--- a/internal/topiclog/eratracker_test.go
+++ b/internal/topiclog/eratracker_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,16 +14,20 @@
 )
 
 // waitingTopic is a topic of a store whose reads wait for records that never come.
-type waitingTopic struct{ eras *topiclog.EraTracker }
+type waitingTopic struct {
+	eras  *topiclog.EraTracker
+	reads atomic.Int64
+}
 
 // ReadNewest returns a page of the newest era.
-func (t waitingTopic) ReadNewest(context.Context) (topiclog.Page, error) {
+func (t *waitingTopic) ReadNewest(context.Context) (topiclog.Page, error) {
 	era, _ := t.eras.Newest()
 	return topiclog.Page{NextOffset: 5, Era: max(era, 1)}, nil
 }
 
 // Read waits until the deadline.
-func (t waitingTopic) Read(ctx context.Context, from uint64, deadline time.Time) (topiclog.Page, error) {
+func (t *waitingTopic) Read(ctx context.Context, from uint64, deadline time.Time) (topiclog.Page, error) {
+	t.reads.Add(1)
 	select {
 	case <-time.After(time.Until(deadline)):
 		return topiclog.Page{NextOffset: from}, nil
@@ -31,13 +36,13 @@
 	}
 }
 
-func (waitingTopic) Put(context.Context, string, []byte) error { return nil }
+func (*waitingTopic) Put(context.Context, string, []byte) error { return nil }
 
-// followWaitingTopic follows a topic whose reads wait for up to an hour, until the returned function is called.
-func followWaitingTopic(t *testing.T, eras *topiclog.EraTracker, handler topiclog.Handler) (stop func()) {
-	ctx, cancel := context.WithCancel(t.Context())
+// follow has a handler follow the topic with reads that may wait for an hour, until the returned function is called.
+func (t *waitingTopic) follow(ctx context.Context, handler topiclog.Handler) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
 	var running sync.WaitGroup
-	running.Go(func() { topiclog.NewFollower(waitingTopic{eras}, handler, time.Hour, 0).WithEras(eras).Run(ctx) })
+	running.Go(func() { topiclog.NewFollower(t, handler, time.Hour, 0).WithEras(t.eras).Run(ctx) })
 	return func() {
 		cancel()
 		running.Wait()
@@ -48,14 +53,14 @@
 // waits for records at an offset that was given out again, although another topic has shown it.
 func TestRestoreEndsReadOfOtherTopic(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		eras, handler := topiclog.NewEraTracker(), &recordingHandler{}
-		defer followWaitingTopic(t, eras, handler)()
+		topic, handler := &waitingTopic{eras: topiclog.NewEraTracker()}, &recordingHandler{}
+		defer topic.follow(t.Context(), handler)()
 		synctest.Wait()
 		qt.Check(t, handler.events, qt.DeepEquals, []string{"reset 0", "caught up"})
-		eras.Observe(1)
+		topic.eras.Observe(1)
 		synctest.Wait()
 		qt.Check(t, handler.events, qt.HasLen, 2)
-		eras.Observe(2)
+		topic.eras.Observe(2)
 		synctest.Wait()
 		qt.Check(t, handler.events, qt.DeepEquals, []string{"reset 0", "caught up", "failed", "reset 0", "caught up"})
 	})
@@ -64,24 +69,23 @@
 // TestReadsAreShortInNewEra guards against a router that learns only at the end of a long read that the store is complete again.
 func TestReadsAreShortInNewEra(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		eras, handler := topiclog.NewEraTracker(), &recordingHandler{}
-		defer followWaitingTopic(t, eras, handler)()
-		eventsAfter := func(wait time.Duration) int {
+		topic := &waitingTopic{eras: topiclog.NewEraTracker()}
+		defer topic.follow(t.Context(), &recordingHandler{})()
+		readsAfter := func(wait time.Duration) int64 {
 			time.Sleep(wait)
-			synctest.Wait()
-			return len(handler.events)
+			return topic.reads.Load()
 		}
-		eras.Observe(topiclog.FirstEra)
-		known := eventsAfter(time.Minute)
-		qt.Check(t, known, qt.Equals, 2)
-		eras.Observe(topiclog.FirstEra + 1)
+		topic.eras.Observe(topiclog.FirstEra)
+		reads := readsAfter(time.Minute)
+		qt.Check(t, reads, qt.Equals, int64(1))
+		topic.eras.Observe(topiclog.FirstEra + 1)
 		for range 10 {
-			now := eventsAfter(250 * time.Millisecond)
-			qt.Check(t, now > known, qt.IsTrue)
-			known = now
+			now := readsAfter(250 * time.Millisecond)
+			qt.Check(t, now > reads, qt.IsTrue)
+			reads = now
 		}
-		known = eventsAfter(time.Minute)
-		qt.Check(t, eventsAfter(time.Minute), qt.Equals, known)
+		reads = readsAfter(time.Minute)
+		qt.Check(t, readsAfter(time.Minute), qt.Equals, reads)
 	})
 }
 
