Wait for streams in flight before a test counts anew

No fault of the product: the race is between the test and its model.

The test waits for what can run, and resets the counts under the lock of the model. Its checks are the same, and now exact, since no stream of before is counted.

--- a/internal/gateway/buildmarks_test.go
+++ b/internal/gateway/buildmarks_test.go
@@ -258,6 +258,13 @@
 	}()
 }
 
+// resetCounts forgets how many streams were taken up and went on.
+func (m *originModel) resetCounts() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.asked, m.wentOn = 0, 0
+}
+
 // recent returns a stream that may still be taken up, empty if there is none.
 func (m *originModel) recent() string {
 	m.mu.Lock()
@@ -461,7 +468,8 @@
 			m.listBackAt = time.Now().Add(1900 * time.Millisecond)
 			for range 8 {
 				m.runFor(500 * time.Millisecond)
-				m.asked, m.wentOn = 0, 0
+				synctest.Wait()
+				m.resetCounts()
 				for i, id := range broken {
 					m.takeUp(m.routers[i%3], id)
 				}
